--- /dev/null
+++ b/src/daemons/node/agent_links.h
@@ -0,0 +1,30 @@
+/** \file
+ * Hands what happens on an agent's connections to its deciding duty.
+ */
+#pragma once
+
+#include "kernel/base/event_sink.h"
+#include "kernel/io/peer_hub.h"
+
+namespace eelgrass {
+
+/** For an agent whose only deciding duty takes events of type Event. */
+template <typename Event>
+class agent_links : public link_listener {
+ public:
+  explicit agent_links(event_sink<Event>& target) : target_(target) {}
+
+  void OnLink(link_event event) override {
+    std::visit([this](auto& e) { Deliver(e); }, event);
+  }
+
+ private:
+  template <typename Link>
+  void Deliver(Link& link) {
+    if constexpr (!std::is_same_v<Link, lane_lost>) target_.Deliver(std::move(link));
+  }
+
+  event_sink<Event>& target_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/daemons/node/control_duty.cc
@@ -0,0 +1,56 @@
+#include "daemons/node/control_duty.h"
+
+#include "kernel/base/log_event.h"
+
+namespace eelgrass {
+
+control_duty::control_duty(control_core& core, peer_hub& hub, table_store& store,
+                           event_sink<router_event>& router, const clock& time, metrics& counters)
+    : core_(core), hub_(hub), store_(store), router_(router), clock_(time), counters_(counters) {}
+
+void control_duty::Handle(std::span<control_event> events, millis now) {
+  core_.Decide(events, now, clock_.WallNow(), actions_);
+  for (auto& action : actions_) Carry(action);
+  actions_.clear();
+  drained_ = core_.drained();
+  ShowCounters();
+}
+
+void control_duty::Carry(control_action& action) {
+  if (const auto* send = std::get_if<send_to_peer>(&action)) {
+    hub_.Send(send->peer, send->message);
+  } else if (auto* call = std::get_if<store_call>(&action)) {
+    store_.Submit(std::move(*call), *this);
+  } else if (const auto* answer = std::get_if<operator_answer>(&action)) {
+    front_->Answer(*answer);
+  } else if (const auto* changed = std::get_if<document_changed>(&action)) {
+    front_->SetDocument(changed->doc);
+    router_.Deliver(*changed);
+    version_ = changed->doc->version;
+    log_event("config-in-force").With("version", changed->doc->version);
+  }
+}
+
+void control_duty::OnStore(store_answer answer) {
+  // The table bounds its calls in flight well below the ring's capacity.
+  if (!self_->Offer(std::move(answer))) {
+    log_event("store-answer-dropped", log_level::kError).With("reason", "control ring is full");
+  }
+}
+
+void control_duty::ShowCounters() {
+  const planner_stats stats = core_.planner().stats();
+  counters_.Set("jobs_waiting", stats.waiting);
+  counters_.Set("jobs_active", stats.active);
+  counters_.Set("job_starts_total", stats.starts);
+  counters_.Set("job_evictions_total", stats.evictions);
+  counters_.Set("job_requeues_total", stats.requeued);
+  counters_.Set("guarantees_suspended", stats.suspended_guarantees);
+  counters_.Set("config_version", core_.keeper().version());
+  counters_.Set("store_down", core_.table().store_down() ? 1 : 0);
+  counters_.Set("store_writes_total", core_.table().writes_sent());
+  counters_.Set("store_scans_total", core_.table().scans_sent());
+  counters_.Set("leading", core_.directory().leading() ? 1 : 0);
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/daemons/node/router_duty.h
@@ -0,0 +1,40 @@
+/** \file
+ * The duty that routes requests.
+ */
+#pragma once
+
+#include <atomic>
+#include <vector>
+
+#include "kernel/base/duty_handler.h"
+#include "kernel/base/metrics.h"
+#include "kernel/io/caller_front.h"
+#include "kernel/io/peer_hub.h"
+#include "kernel/requests/request_router.h"
+
+namespace eelgrass {
+
+/** Runs the router's decisions and carries out its actions. */
+class router_duty : public duty_handler<router_event> {
+ public:
+  router_duty(request_router& router, peer_hub& hub, metrics& counters);
+
+  /** Must be called before the duty starts. */
+  void SetFront(caller_front& front) { front_ = &front; }
+
+  void Handle(std::span<router_event> events, millis now) override;
+
+  bool drained() const { return drained_; }
+  int in_flight() const { return in_flight_; }
+
+ private:
+  request_router& router_;
+  peer_hub& hub_;
+  metrics& counters_;
+  caller_front* front_ = nullptr;
+  std::vector<router_action> actions_;
+  std::atomic<bool> drained_{false};
+  std::atomic<int> in_flight_{0};
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/commands/apply_change_command.h
@@ -0,0 +1,24 @@
+/** \file
+ * Changing the configuration now.
+ */
+#pragma once
+
+#include <utility>
+
+#include "kernel/control/change_intake.h"
+#include "kernel/control/operator_command.h"
+
+namespace eelgrass {
+
+/** Applies a document at once, if no review is needed. */
+class apply_change_command : public operator_command {
+ public:
+  explicit apply_change_command(change_request request) : request_(std::move(request)) {}
+
+  void Run(control_core& desk, const command_origin& origin) override;
+
+ private:
+  const change_request request_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/commands/cancel_job_command.h
@@ -0,0 +1,25 @@
+/** \file
+ * Cancelling a job.
+ */
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "kernel/control/operator_command.h"
+
+namespace eelgrass {
+
+/** Marks a job as cancelled; the planner stops it. */
+class cancel_job_command : public operator_command {
+ public:
+  explicit cancel_job_command(std::string id) : id_(std::move(id)) {}
+
+  bool ForOrganisations() const override { return true; }
+  void Run(control_core& desk, const command_origin& origin) override;
+
+ private:
+  const std::string id_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/commands/list_domains_command.h
@@ -0,0 +1,16 @@
+/** \file
+ * Listing failure domains.
+ */
+#pragma once
+
+#include "kernel/control/operator_command.h"
+
+namespace eelgrass {
+
+/** Lists failure domains with what is booked and what runs there. */
+class list_domains_command : public operator_command {
+ public:
+  void Run(control_core& desk, const command_origin& origin) override;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/commands/plan_change_command.h
@@ -0,0 +1,24 @@
+/** \file
+ * Looking at a change before it is made.
+ */
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "kernel/control/operator_command.h"
+
+namespace eelgrass {
+
+/** Shows what a document would change and which jobs it touches. */
+class plan_change_command : public operator_command {
+ public:
+  explicit plan_change_command(std::string text) : text_(std::move(text)) {}
+
+  void Run(control_core& desk, const command_origin& origin) override;
+
+ private:
+  const std::string text_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/commands/set_domain_command.cc
@@ -0,0 +1,32 @@
+#include "kernel/control/commands/set_domain_command.h"
+
+#include <algorithm>
+
+#include "kernel/control/change_intake.h"
+#include "kernel/control/control_core.h"
+#include "kernel/encoding/document_json.h"
+
+namespace eelgrass {
+
+void set_domain_command::Run(control_core& desk, const command_origin& origin) {
+  constexpr std::string_view kStep = "set-domain";
+  document next = *desk.keeper().current();
+  const auto entry = std::find_if(next.domains.begin(), next.domains.end(),
+                                  [this](const auto& d) { return d.name == domain_; });
+  if (entry == next.domains.end()) {
+    desk.Refuse(origin, error_kind::kNotFound, kStep, "there is no such failure domain");
+    return;
+  }
+  entry->out = out_;
+  entry->out_mode = mode_;
+  next.base = next.version;
+  change_request request;
+  request.id = id_;
+  request.text = DocumentText(next);
+  request.note = std::string(out_ ? "out: " : "in: ") + domain_;
+  request.emergency = true;
+  change_record change;
+  if (TakeChange(desk, origin, request, change)) ApplyNow(desk, origin, std::move(change));
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/commands/set_domain_command.h
@@ -0,0 +1,29 @@
+/** \file
+ * Taking a failure domain out, or back in.
+ */
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "kernel/control/operator_command.h"
+#include "kernel/model/document.h"
+
+namespace eelgrass {
+
+/** Makes the document that takes a failure domain out or in, and applies it without a review. */
+class set_domain_command : public operator_command {
+ public:
+  set_domain_command(std::string domain, bool out, window_mode mode, std::string id)
+      : domain_(std::move(domain)), out_(out), mode_(mode), id_(std::move(id)) {}
+
+  void Run(control_core& desk, const command_origin& origin) override;
+
+ private:
+  const std::string domain_;
+  const bool out_;
+  const window_mode mode_;
+  const std::string id_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/commands/show_change_command.h
@@ -0,0 +1,24 @@
+/** \file
+ * Showing a change.
+ */
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "kernel/control/operator_command.h"
+
+namespace eelgrass {
+
+/** Shows one change with its document. */
+class show_change_command : public operator_command {
+ public:
+  explicit show_change_command(std::string id) : id_(std::move(id)) {}
+
+  void Run(control_core& desk, const command_origin& origin) override;
+
+ private:
+  const std::string id_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/commands/show_config_command.h
@@ -0,0 +1,23 @@
+/** \file
+ * Showing the configuration.
+ */
+#pragma once
+
+#include <cstdint>
+
+#include "kernel/control/operator_command.h"
+
+namespace eelgrass {
+
+/** Shows the configuration in force or, with a version, a past one. */
+class show_config_command : public operator_command {
+ public:
+  explicit show_config_command(int64_t version) : version_(version) {}
+
+  void Run(control_core& desk, const command_origin& origin) override;
+
+ private:
+  const int64_t version_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/commands/show_job_command.cc
@@ -0,0 +1,17 @@
+#include "kernel/control/commands/show_job_command.h"
+
+#include "kernel/control/control_core.h"
+#include "kernel/control/job_visibility.h"
+
+namespace eelgrass {
+
+void show_job_command::Run(control_core& desk, const command_origin& origin) {
+  const job_row* row = FindVisibleJob(desk.table(), origin.who, id_);
+  if (row == nullptr) {
+    desk.Refuse(origin, error_kind::kNotFound, "show-job", "there is no such job");
+    return;
+  }
+  desk.Answer(origin, job_detail{*row, desk.planner().Explain(*row, desk.wall_now()), false});
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/commands/show_job_command.h
@@ -0,0 +1,25 @@
+/** \file
+ * Showing a job.
+ */
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "kernel/control/operator_command.h"
+
+namespace eelgrass {
+
+/** Shows one job and says why it is where it is. */
+class show_job_command : public operator_command {
+ public:
+  explicit show_job_command(std::string id) : id_(std::move(id)) {}
+
+  bool ForOrganisations() const override { return true; }
+  void Run(control_core& desk, const command_origin& origin) override;
+
+ private:
+  const std::string id_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/commands/submit_job_command.h
@@ -0,0 +1,28 @@
+/** \file
+ * Accepting a job.
+ */
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "kernel/control/operator_command.h"
+#include "kernel/model/job.h"
+
+namespace eelgrass {
+
+/** Checks a job and writes its row; the same key submits the same job once. */
+class submit_job_command : public operator_command {
+ public:
+  submit_job_command(job_spec spec, std::string key)
+      : spec_(std::move(spec)), key_(std::move(key)) {}
+
+  bool ForOrganisations() const override { return true; }
+  void Run(control_core& desk, const command_origin& origin) override;
+
+ private:
+  const job_spec spec_;
+  const std::string key_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/commands/withdraw_change_command.h
@@ -0,0 +1,24 @@
+/** \file
+ * Withdrawing a booked change.
+ */
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "kernel/control/operator_command.h"
+
+namespace eelgrass {
+
+/** Takes back a change that has not been applied. */
+class withdraw_change_command : public operator_command {
+ public:
+  explicit withdraw_change_command(std::string id) : id_(std::move(id)) {}
+
+  void Run(control_core& desk, const command_origin& origin) override;
+
+ private:
+  const std::string id_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/control/control_core.h
@@ -0,0 +1,113 @@
+/** \file
+ * Everything that an entry decides besides routing requests.
+ */
+#pragma once
+
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "kernel/config/change_book.h"
+#include "kernel/config/config_keeper.h"
+#include "kernel/control/entry_directory.h"
+#include "kernel/control/operator_command.h"
+#include "kernel/control/operator_reply.h"
+#include "kernel/io/record_table.h"
+#include "kernel/jobs/job_planner.h"
+#include "kernel/model/duty_events.h"
+#include "kernel/model/link_events.h"
+
+namespace eelgrass {
+
+/** A command on its way to the control duty. */
+struct operator_order {
+  command_origin origin;
+  std::unique_ptr<operator_command> command;
+};
+
+using control_event = std::variant<peer_up, lane_lost, peer_down, peer_said, store_answer,
+                                   operator_order, drain_wanted>;
+using control_action = std::variant<send_to_peer, store_call, operator_answer, document_changed>;
+
+struct control_options {
+  entry_identity self;
+  int writes_per_second = 100;  // share of the table service's budget
+  millis scan_interval{500};
+  std::string bootstrap_digest;  // of the token that may apply the first document
+};
+
+/**
+ * Joins the view of the table service, the configuration, the entries' directory and the job
+ * planner. Holds no connection and no clock.
+ */
+class control_core {
+ public:
+  control_core(control_options options, std::unique_ptr<queue_policy> ordering,
+               std::unique_ptr<placement_policy> placement);
+
+  void Decide(std::span<control_event> events, millis now, millis wall_now,
+              std::vector<control_action>& actions);
+
+  // For commands.
+  void Answer(const command_origin& origin, operator_view view);
+  void Refuse(const command_origin& origin, error_kind kind, std::string_view step,
+              std::string_view detail, document_issues issues = {});
+  /** Answers when the row's write has settled; after a while with kUnknown. */
+  void AnswerWhenWritten(const command_origin& origin, std::string_view key);
+  void AnswerWhenApplied(const command_origin& origin, std::string_view change);
+
+  record_table& table() { return table_; }
+  config_keeper& keeper() { return keeper_; }
+  change_book& changes() { return changes_; }
+  job_planner& planner() { return planner_; }
+  const entry_directory& directory() const { return directory_; }
+  millis now() const { return now_; }
+  millis wall_now() const { return wall_now_; }
+  bool fresh() const;
+  status_detail Status() const;
+  std::vector<upstream_line> Upstreams() const;
+
+  bool drained() const { return draining_ && tickets_.empty(); }
+
+ private:
+  /** An answer that waits for the store. */
+  struct ticket {
+    command_origin origin;
+    millis until;
+    bool applies = false;
+  };
+
+  void On(peer_up& event);
+  void On(lane_lost& event);
+  void On(peer_down& event);
+  void On(peer_said& event);
+  void On(store_answer& event);
+  void On(operator_order& event);
+  void On(drain_wanted& event);
+
+  void OnTable(const table_event& event);
+  void AnswerTickets(const table_event& event);
+  void AnswerOutcomes();
+  void ExpireTickets();
+  operator_view ViewOf(const record& value) const;
+
+  const control_options options_;
+  record_table table_;
+  config_keeper keeper_;
+  change_book changes_;
+  entry_directory directory_;
+  job_planner planner_;
+  std::map<std::string, upstream_line, std::less<>> upstreams_;
+  std::multimap<std::string, ticket, std::less<>> tickets_;
+  std::vector<control_action>* actions_ = nullptr;
+  millis now_;
+  millis wall_now_;
+  millis next_drop_{0};
+  bool draining_ = false;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/io/caller_front.h
@@ -0,0 +1,50 @@
+/** \file
+ * A front end for callers and operators: the interface of the front plug-ins.
+ */
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "kernel/base/event_sink.h"
+#include "kernel/base/metrics.h"
+#include "kernel/base/plugin_registry.h"
+#include "kernel/control/control_core.h"
+#include "kernel/io/http_front.h"
+#include "kernel/requests/request_router.h"
+
+namespace eelgrass {
+
+/** What a front end works with. */
+struct front_context {
+  http_front& server;
+  event_sink<router_event>& router;
+  event_sink<control_event>& control;
+  metrics& counters;
+  std::string entry;             // id, for problem documents
+  std::string bootstrap_digest;  // of the token that is an operator's until a document is accepted
+};
+
+/** Turns requests into events and answers into responses. Decides nothing. */
+class caller_front {
+ public:
+  virtual ~caller_front() = default;
+
+  virtual result<void> Start() = 0;
+  virtual void Answer(const caller_answer& answer) = 0;
+  virtual void Answer(const operator_answer& answer) = 0;
+
+  /** The document whose tokens are valid. */
+  virtual void SetDocument(std::shared_ptr<const document> doc) = 0;
+
+  /** Whether /readyz says that new requests are welcome. */
+  virtual void SetReady(bool ready) = 0;
+};
+
+using caller_front_registry = plugin_registry<caller_front, front_context>;
+
+template <typename Implementation>
+using caller_front_registration =
+    plugin_registration<caller_front_registry, caller_front, Implementation, front_context>;
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/jobs/cluster.cc
@@ -0,0 +1,97 @@
+#include "kernel/jobs/cluster.h"
+
+namespace eelgrass {
+
+worker_state& cluster::Up(const hello& peer) {
+  worker_state& worker = workers_[peer.id];
+  worker.id = peer.id;
+  worker.incarnation = peer.incarnation;
+  worker.address = peer.address;
+  worker.domain = peer.domain;
+  worker.connected = true;
+  return worker;
+}
+
+void cluster::Offer(std::string_view id, const announce& offer) {
+  worker_state* worker = Find(id);
+  if (worker == nullptr) return;
+  worker->rack = offer.rack;
+  worker->region = offer.region;
+  worker->capacity = offer.capacity;
+  worker->leaving = offer.leaving;
+}
+
+worker_state* cluster::Find(std::string_view worker) {
+  const auto found = workers_.find(worker);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+const worker_state* cluster::Find(std::string_view worker) const {
+  const auto found = workers_.find(worker);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+void cluster::Allocate(std::string_view job, allocation what) {
+  Free(job);
+  Apply(job, what, 1);
+  allocations_[std::string(job)] = std::move(what);
+}
+
+void cluster::Free(std::string_view job) {
+  const auto found = allocations_.find(job);
+  if (found == allocations_.end()) return;
+  Apply(job, found->second, -1);
+  allocations_.erase(found);
+}
+
+void cluster::Apply(std::string_view job, const allocation& what, int sign) {
+  for (const auto& member : what.members) {
+    worker_state& worker = workers_[member.agent];
+    if (worker.id.empty()) worker.id = member.agent;
+    const resources amount = member.amount * sign;
+    usage_[what.organisation] += amount;
+    if (sign > 0) {
+      worker.jobs[std::string(job)] = member.amount;
+    } else {
+      worker.jobs.erase(std::string(job));
+    }
+    if (what.borrowing) {
+      worker.borrowed += amount;
+    } else {
+      worker.own += amount;
+      worker.own_by_organisation[what.organisation] += amount;
+    }
+  }
+}
+
+const allocation* cluster::FindAllocation(std::string_view job) const {
+  const auto found = allocations_.find(job);
+  return found == allocations_.end() ? nullptr : &found->second;
+}
+
+resources cluster::OwnUsage(std::string_view organisation, std::string_view worker) const {
+  const worker_state* state = Find(worker);
+  if (state == nullptr) return {};
+  const auto found = state->own_by_organisation.find(organisation);
+  return found == state->own_by_organisation.end() ? resources{} : found->second;
+}
+
+resources cluster::Usage(std::string_view organisation) const {
+  const auto found = usage_.find(organisation);
+  return found == usage_.end() ? resources{} : found->second;
+}
+
+resources cluster::capacity() const {
+  resources total;
+  for (const auto& [id, worker] : workers_) total += worker.capacity;
+  return total;
+}
+
+void cluster::Expire(millis now, millis keep) {
+  std::erase_if(workers_, [&](const auto& entry) {
+    const worker_state& worker = entry.second;
+    return !worker.connected && worker.jobs.empty() && now - worker.lost_at > keep;
+  });
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/jobs/job_planner.cc
@@ -0,0 +1,696 @@
+#include "kernel/jobs/job_planner.h"
+
+#include <algorithm>
+
+namespace eelgrass {
+namespace {
+
+constexpr millis kPlanInterval{1000};    // without any change
+constexpr millis kLedgerInterval{5000};  // without any change
+constexpr millis kReserveHold{3000};
+constexpr millis kReserveTimeout{1000};
+constexpr millis kStopRepeat{1000};
+constexpr millis kReportTimeout{2000};  // of a start
+constexpr millis kRunningReportTimeout{60000};
+constexpr millis kQueryInterval{2000};
+constexpr millis kLeaseLapse{4000};       // after which members of a lost anchor have stopped
+constexpr millis kWorkerLost{120000};     // silent that long, an agent has stopped its gangs
+constexpr millis kLedgerPatience{30000};  // a worker away for less keeps its guarantees
+constexpr millis kForgetWorker{3600000};
+constexpr millis kReturnStep{200};  // between workers of a domain that comes back
+constexpr int kMaxTasks = 128;
+
+error Refusal(std::string_view detail) {
+  return {error_kind::kInvalid, "check-job", "", std::string(detail)};
+}
+
+}  // namespace
+
+job_planner::job_planner(std::unique_ptr<queue_policy> ordering,
+                         std::unique_ptr<placement_policy> placement, record_table& table)
+    : table_(table),
+      scheduler_(std::move(ordering), std::move(placement)),
+      document_(std::make_shared<document>()) {}
+
+void job_planner::On(const document_changed& event) {
+  document_ = event.doc;
+  plan_due_ = true;
+  ledger_due_ = true;
+}
+
+void job_planner::On(const peer_up& event, millis /*now*/) {
+  if (event.peer.role != peer_role::kWorkerAgent) return;
+  machines_.Up(event.peer);
+  plan_due_ = true;
+  ledger_due_ = true;
+}
+
+void job_planner::On(const peer_down& event, millis now) {
+  worker_state* worker = machines_.Find(event.peer);
+  if (worker == nullptr || worker->incarnation != event.incarnation) return;
+  worker->connected = false;
+  worker->lost_at = now;
+  ledger_due_ = true;
+}
+
+void job_planner::On(const peer_said& event, millis now, millis wall_now) {
+  state_.now = now;
+  state_.wall_now = wall_now;
+  if (const auto* offer = std::get_if<announce>(&event.message)) {
+    machines_.Offer(event.peer, *offer);
+    plan_due_ = true;
+    ledger_due_ = true;
+  } else if (const auto* answer = std::get_if<reserve_answer>(&event.message)) {
+    OnReserveAnswer(event.peer, *answer);
+  } else if (const auto* report = std::get_if<gang_report>(&event.message)) {
+    OnReport(event.peer, *report);
+  } else if (const auto* usage = std::get_if<worker_usage>(&event.message)) {
+    OnUsage(event.peer, *usage);
+  }
+}
+
+void job_planner::On(const table_event& event) {
+  const auto* row = std::get_if<job_row>(&event.value);
+  if (row == nullptr) return;
+  plan_due_ = true;
+  const auto flow = flows_.find(row->id);
+  const auto known = rows_.find(row->id);
+  if (event.what == table_event::kind::kWritten) {
+    const auto finished = unacknowledged_.find(row->id);
+    if (finished != unacknowledged_.end() && !IsActive(row->state)) {
+      Send(final_reporters_[row->id], gang_report_ack{finished->second});
+      final_reporters_.erase(row->id);
+      unacknowledged_.erase(finished);
+    }
+    const bool claimed = flow != flows_.end() && flow->second.at == phase::kClaiming &&
+                         row->state == job_state::kStarting;
+    if (claimed) Reserve(flow->second);
+    if (known == rows_.end()) Sync(*row);  // A submission, which did not pass through here.
+    return;
+  }
+  // Another entry has written the row. Its cancellation is taken over into our own changes.
+  const bool ours_pending = table_.Busy("jobs/" + row->id) && known != rows_.end();
+  if (event.what == table_event::kind::kChanged && ours_pending) return;
+  if (flow != flows_.end()) {
+    const bool evicting = flow->second.at == phase::kEvicting;
+    if (!evicting || row->cancel_wanted) {
+      flows_.erase(flow);
+      machines_.Free(row->id);
+    }
+  }
+  Sync(*row);
+}
+
+void job_planner::Sync(const job_row& row) {
+  if (IsFinal(row.state)) {
+    rows_.erase(row.id);
+    watches_.erase(row.id);
+    failures_.Forget(row.id);
+    if (flows_.find(row.id) == flows_.end()) machines_.Free(row.id);
+    return;
+  }
+  rows_[row.id] = row;
+  if (IsActive(row.state)) {
+    machines_.Allocate(row.id, {row.spec.organisation, row.members, row.borrowing});
+    return;
+  }
+  watches_.erase(row.id);
+  if (flows_.find(row.id) == flows_.end()) machines_.Free(row.id);
+}
+
+void job_planner::Change(job_row row, write_rank rank) {
+  Sync(row);
+  plan_due_ = true;
+  table_.Want(std::move(row), rank);
+}
+
+void job_planner::OnUsage(std::string_view agent, const worker_usage& usage) {
+  if (!state_.leading || !table_.loaded()) return;
+  for (const auto& held : usage.held) {
+    const stored_record* stored = table_.Find("jobs/" + held.gang.job);
+    if (stored == nullptr) continue;
+    const auto& row = std::get<job_row>(stored->value);
+    const bool over = row.epoch > held.gang.epoch || IsFinal(row.state);
+    if (over) Send(agent, release{held.gang});
+  }
+}
+
+void job_planner::OnReport(std::string_view agent, const gang_report& report) {
+  if (!state_.leading) return;
+  const auto known = rows_.find(report.gang.job);
+  const bool final_state =
+      report.state == gang_state::kFinished || report.state == gang_state::kFailed ||
+      report.state == gang_state::kStopped || report.state == gang_state::kBarred;
+  if (known == rows_.end()) {
+    const stored_record* stored = table_.Find("jobs/" + report.gang.job);
+    const bool settled = stored != nullptr && !table_.Busy("jobs/" + report.gang.job);
+    if (settled && final_state) Send(agent, gang_report_ack{report.gang});
+    if (settled && !final_state) Send(agent, gang_stop{report.gang, 0, "the job has ended"});
+    return;
+  }
+  const job_row& row = known->second;
+  if (report.gang.epoch > row.epoch) return;  // Our view of the row is behind.
+  const bool current = report.gang.epoch == row.epoch && IsActive(row.state);
+  if (!current) {
+    if (final_state) Send(agent, gang_report_ack{report.gang});
+    if (!final_state) Send(agent, gang_stop{report.gang, 0, "an earlier start"});
+    return;
+  }
+  if (flows_.find(row.id) != flows_.end()) return;
+  watches_[row.id].last_report = state_.now;
+  if (report.state == gang_state::kBarred) {
+    OnBarred(row, agent);
+  } else if (final_state) {
+    OnFinal(row, report);
+    final_reporters_[report.gang.job] = agent;
+  } else if (report.state == gang_state::kRunning && row.state == job_state::kStarting) {
+    job_row running = row;
+    running.state = job_state::kRunning;
+    Change(std::move(running), write_rank::kBulk);
+  }
+}
+
+void job_planner::OnFinal(const job_row& row, const gang_report& report) {
+  job_row next = row;
+  next.members.clear();
+  const gang_id gang = report.gang;
+  switch (report.state) {
+    case gang_state::kFinished:
+      estimator_.Learn(row.spec, millis(report.ran_ms + row.saved_ms));
+      for (const auto& member : row.members) failures_.RecordSuccess(row.id, member.agent);
+      next.state = job_state::kFinished;
+      next.ended_ms = state_.wall_now.count();
+      next.reason.clear();
+      Change(std::move(next), write_rank::kFirst);
+      break;
+    case gang_state::kFailed: {
+      failures_.RecordFailure(row.id, report.failed_worker, state_.now);
+      ledger_due_ = true;
+      next.failed_workers.push_back(report.failed_worker);
+      const job_class* kind = ClassOf(row);
+      const int most = kind != nullptr ? kind->max_attempts : 1;
+      const bool spent = failures_.CountedFailures(row.id) >= most;
+      next.state = spent ? job_state::kParked : job_state::kQueued;
+      next.reason = report.reason;
+      if (row.cancel_wanted) next.state = job_state::kCancelled;
+      const bool again = kind == nullptr || kind->idempotent || report.ran_ms == 0;
+      if (!again && !row.cancel_wanted) next.state = job_state::kFailed;
+      if (next.state == job_state::kFailed) next.ended_ms = state_.wall_now.count();
+      Change(std::move(next), write_rank::kFirst);
+      break;
+    }
+    default: {
+      const bool lost_work = report.ran_ms > 0 && report.saved_ms == 0;
+      const bool limited = report.reason == "time limit";
+      next.saved_ms += report.saved_ms;
+      if (lost_work && !limited && !row.cancel_wanted) {
+        EndUnknown(std::move(next), report.reason);
+      } else {
+        RequeueOrEnd(std::move(next), report.reason);
+      }
+      break;
+    }
+  }
+  unacknowledged_[gang.job] = gang;
+}
+
+void job_planner::OnBarred(const job_row& row, std::string_view agent) {
+  const worker_state* anchor = machines_.Find(agent);
+  const bool same = anchor != nullptr && anchor->incarnation == row.anchor_incarnation;
+  if (same && row.state == job_state::kStarting) {
+    job_row next = row;
+    next.members.clear();
+    RequeueOrEnd(std::move(next), "the start was not committed");
+    return;
+  }
+  watch& item = watches_[row.id];
+  if (item.bar_seen == millis(0)) item.bar_seen = state_.now;
+  // The members of a restarted anchor stop when its lease lapses.
+  if (state_.now - item.bar_seen < kLeaseLapse) return;
+  EndUnknown(row, "the gang's first agent was restarted");
+}
+
+void job_planner::EndUnknown(job_row row, std::string_view reason) {
+  row.members.clear();
+  const job_class* kind = ClassOf(row);
+  if (kind != nullptr && kind->idempotent) {
+    RequeueOrEnd(std::move(row), reason);
+    return;
+  }
+  row.state = job_state::kUnknown;
+  row.reason = reason;
+  row.ended_ms = state_.wall_now.count();
+  Change(std::move(row), write_rank::kFirst);
+}
+
+void job_planner::RequeueOrEnd(job_row row, std::string_view reason) {
+  row.reason = reason;
+  row.state = row.cancel_wanted ? job_state::kCancelled : job_state::kQueued;
+  if (row.cancel_wanted) row.ended_ms = state_.wall_now.count();
+  const job_class* kind = ClassOf(row);
+  if (!row.cancel_wanted && reason == "time limit") {
+    row.state = job_state::kFailed;
+    row.ended_ms = state_.wall_now.count();
+  }
+  if (kind != nullptr && row.state == job_state::kQueued) ++stats_.requeued;
+  Change(std::move(row), write_rank::kFirst);
+}
+
+void job_planner::OnReserveAnswer(std::string_view agent, const reserve_answer& answer) {
+  const auto found = flows_.find(answer.gang.job);
+  if (found == flows_.end() || found->second.at != phase::kReserving) return;
+  if (rows_.at(answer.gang.job).epoch != answer.gang.epoch) return;
+  if (!answer.granted) {
+    Abort(answer.gang.job, std::string(agent) + " refused: " + answer.reason);
+    return;
+  }
+  start_flow& flow = found->second;
+  const auto waiting = flow.awaiting.find(agent);
+  if (waiting != flow.awaiting.end()) flow.awaiting.erase(waiting);
+  if (flow.awaiting.empty()) Commit(flow);
+}
+
+void job_planner::Tick(const standing& state, std::vector<send_to_peer>& messages) {
+  const bool took_over = state.leading && !was_leading_;
+  state_ = state;
+  was_leading_ = state.leading;
+  if (took_over) {
+    watches_.clear();
+    plan_due_ = true;
+  }
+  if (!state.leading && !flows_.empty()) {
+    // Another entry plans now. Starts that were claimed are settled by it through the anchors.
+    for (const auto& [job, flow] : flows_) {
+      if (flow.at == phase::kEvicting) machines_.Free(job);
+    }
+    flows_.clear();
+  }
+  NoteDomains();
+  UpdateLedger();
+  if (state.leading) {
+    CancelWaiting();
+    StopUnwanted();
+    WatchActive();
+    AdvanceFlows();
+    Plan();
+  }
+  machines_.Expire(state.now, kForgetWorker);
+  for (auto& message : outbox_) messages.push_back(std::move(message));
+  outbox_.clear();
+}
+
+void job_planner::NoteDomains() {
+  for (const auto& domain : document_->domains) {
+    const bool out = document_->IsOut(domain.name, state_.wall_now);
+    const bool known_out = domains_out_.contains(domain.name);
+    if (out == known_out) continue;
+    plan_due_ = true;
+    ledger_due_ = true;
+    if (out) {
+      domains_out_.insert(domain.name);
+    } else {
+      domains_out_.erase(domain.name);
+      domain_returned_[domain.name] = state_.now;
+    }
+  }
+}
+
+void job_planner::UpdateLedger() {
+  if (!ledger_due_ && state_.now < next_ledger_) return;
+  ledger_due_ = false;
+  next_ledger_ = state_.now + kLedgerInterval;
+  std::vector<ledger_worker> workers;
+  for (const auto& [id, worker] : machines_.workers()) {
+    const bool there = worker.connected || state_.now - worker.lost_at < kLedgerPatience;
+    const bool serves = there && !worker.leaving && !worker.capacity.empty() &&
+                        !domains_out_.contains(worker.domain) &&
+                        !failures_.Quarantined(id, state_.now);
+    if (!serves) continue;
+    workers.push_back({id, worker.rack, worker.domain, worker.region, worker.capacity});
+  }
+  ledger_.Update(*document_, workers, [this](std::string_view owner, std::string_view worker) {
+    return machines_.OwnUsage(owner, worker);
+  });
+  DemoteUncovered();
+  PromoteCovered();
+}
+
+void job_planner::DemoteUncovered() {
+  std::vector<std::string> uncovered;
+  for (const auto& [job, held] : machines_.allocations()) {
+    if (held.borrowing) continue;
+    const bool covered =
+        std::all_of(held.members.begin(), held.members.end(), [&](const auto& member) {
+          return machines_.OwnUsage(held.organisation, member.agent)
+              .Fits(ledger_.Share(held.organisation, member.agent));
+        });
+    if (covered) continue;
+    uncovered.push_back(job);
+  }
+  for (const auto& job : uncovered) {
+    allocation held = *machines_.FindAllocation(job);
+    held.borrowing = true;
+    machines_.Allocate(job, std::move(held));
+    ++stats_.uncovered;
+    const auto row = rows_.find(job);
+    if (!state_.leading || row == rows_.end() || flows_.contains(job)) continue;
+    job_row next = row->second;
+    next.borrowing = true;
+    Change(std::move(next), write_rank::kBulk);
+  }
+}
+
+void job_planner::PromoteCovered() {
+  if (!state_.leading) return;
+  std::vector<std::string> covered;
+  for (const auto& [job, held] : machines_.allocations()) {
+    const auto row = rows_.find(job);
+    const bool steady = row != rows_.end() && row->second.state == job_state::kRunning &&
+                        !row->second.cancel_wanted && !flows_.contains(job);
+    if (!held.borrowing || !steady) continue;
+    const bool fits = std::all_of(held.members.begin(), held.members.end(), [&](const auto& m) {
+      const worker_state* worker = machines_.Find(m.agent);
+      const resources own = machines_.OwnUsage(held.organisation, m.agent);
+      return worker != nullptr && (own + m.amount).Fits(ledger_.Share(held.organisation, m.agent));
+    });
+    if (!fits) continue;
+    allocation promoted = held;
+    promoted.borrowing = false;
+    covered.push_back(job);
+    // One at a time: the next one has to see this one's use of the share.
+    machines_.Allocate(job, std::move(promoted));
+    break;
+  }
+  for (const auto& job : covered) {
+    job_row next = rows_.at(job);
+    next.borrowing = false;
+    Change(std::move(next), write_rank::kBulk);
+  }
+}
+
+void job_planner::CancelWaiting() {
+  std::vector<std::string> cancelled;
+  for (const auto& [id, row] : rows_) {
+    const bool waits = row.state == job_state::kQueued || row.state == job_state::kParked;
+    if (row.cancel_wanted && waits) cancelled.push_back(id);
+  }
+  for (const auto& id : cancelled) {
+    flows_.erase(id);
+    job_row next = rows_.at(id);
+    next.state = job_state::kCancelled;
+    next.ended_ms = state_.wall_now.count();
+    Change(std::move(next), write_rank::kBulk);
+  }
+}
+
+void job_planner::StopUnwanted() {
+  for (const auto& [id, row] : rows_) {
+    if (!IsActive(row.state) || flows_.contains(id)) continue;
+    if (row.cancel_wanted) {
+      StopGang(row, millis(0), "cancelled");
+      continue;
+    }
+    if (domains_out_.empty()) continue;
+    for (const auto& member : row.members) {
+      const worker_state* worker = machines_.Find(member.agent);
+      if (worker == nullptr || !domains_out_.contains(worker->domain)) continue;
+      window_mode mode = window_mode::kDrain;
+      document_->IsOut(worker->domain, state_.wall_now, &mode);
+      if (mode == window_mode::kDrain) continue;
+      const job_class* kind = ClassOf(row);
+      const bool saves = mode == window_mode::kMove && kind != nullptr;
+      StopGang(row, saves ? kind->checkpoint_ms : millis(0), "domain out");
+      break;
+    }
+  }
+}
+
+void job_planner::StopGang(const job_row& row, millis checkpoint, std::string_view reason) {
+  watch& item = watches_[row.id];
+  if (state_.now < item.next_stop) return;
+  item.next_stop = state_.now + kStopRepeat;
+  Send(row.members.front().agent,
+       gang_stop{{row.id, row.epoch}, checkpoint.count(), std::string(reason)});
+}
+
+void job_planner::WatchActive() {
+  std::vector<std::string> ids;
+  for (const auto& [id, row] : rows_) {
+    if (IsActive(row.state) && !flows_.contains(id)) ids.push_back(id);
+  }
+  for (const auto& id : ids) {
+    const job_row row = rows_.at(id);
+    const auto [slot, added] = watches_.try_emplace(id);
+    watch& item = slot->second;
+    if (added) item.last_report = state_.now;
+    const bool starting = row.state == job_state::kStarting;
+    const millis patience = starting ? kReportTimeout : kRunningReportTimeout;
+    const bool silent = state_.now - item.last_report >= patience;
+    if (added || (silent && state_.now >= item.next_query)) {
+      item.next_query = state_.now + kQueryInterval;
+      Send(row.members.front().agent, gang_query{{row.id, row.epoch}});
+    }
+    WatchLost(row, item);
+  }
+}
+
+void job_planner::WatchLost(const job_row& row, watch& item) {
+  const worker_state* anchor = machines_.Find(row.members.front().agent);
+  if (anchor == nullptr || anchor->connected) return;
+  const millis silent_since = std::max(anchor->lost_at, item.last_report);
+  if (state_.now - silent_since < kWorkerLost || !RegionVisible(anchor->region)) return;
+  EndUnknown(row, "the gang's first worker was lost");
+}
+
+bool job_planner::RegionVisible(std::string_view region) const {
+  int there = 0;
+  int known = 0;
+  for (const auto& [id, worker] : machines_.workers()) {
+    if (worker.region != region) continue;
+    ++known;
+    if (worker.connected) ++there;
+  }
+  return there * 2 >= known && there > 0;
+}
+
+void job_planner::Plan() {
+  if (!state_.fresh || !table_.loaded() || table_.store_down()) return;
+  if (!plan_due_ && state_.now < next_plan_) return;
+  plan_due_ = false;
+  next_plan_ = state_.now + kPlanInterval;
+  CollectUsable();
+  const auto waiting = Waiting();
+  const auto running = Active();
+  const schedule_view view{*document_, machines_, ledger_, estimator_, failures_,
+                           waiting,    running,   usable_, state_.now, state_.wall_now};
+  auto decisions = scheduler_.Plan(view);
+  for (auto& decision : decisions) Begin(std::move(decision));
+}
+
+void job_planner::CollectUsable() {
+  usable_.clear();
+  std::map<std::string_view, int64_t> rank_in_domain;
+  for (const auto& [id, worker] : machines_.workers()) {
+    const int64_t rank = rank_in_domain[worker.domain]++;
+    const bool serves =
+        worker.connected && !worker.leaving && document_->FindDomain(worker.domain) != nullptr &&
+        !domains_out_.contains(worker.domain) && !failures_.Quarantined(id, state_.now);
+    if (!serves) continue;
+    const auto returned = domain_returned_.find(worker.domain);
+    const bool ramping =
+        returned != domain_returned_.end() && state_.now < returned->second + kReturnStep * rank;
+    if (!ramping) usable_.insert(id);
+  }
+}
+
+std::vector<const job_row*> job_planner::Waiting() const {
+  std::vector<const job_row*> waiting;
+  for (const auto& [id, row] : rows_) {
+    const bool waits = row.state == job_state::kQueued && !row.cancel_wanted;
+    if (waits && !flows_.contains(id) && !table_.Busy("jobs/" + id)) waiting.push_back(&row);
+  }
+  return waiting;
+}
+
+std::vector<const job_row*> job_planner::Active() const {
+  std::vector<const job_row*> active;
+  for (const auto& [id, row] : rows_) {
+    if (IsActive(row.state)) active.push_back(&row);
+  }
+  return active;
+}
+
+void job_planner::Begin(start_decision decision) {
+  start_flow flow;
+  const std::string job = decision.job;
+  flow.deadline = state_.now;
+  flow.decision = std::move(decision);
+  stats_.evictions += static_cast<int64_t>(flow.decision.evictions.size());
+  auto& stored = flows_[job] = std::move(flow);
+  if (stored.decision.evictions.empty()) Claim(stored);
+}
+
+void job_planner::AdvanceFlows() {
+  std::vector<std::string> late;
+  for (auto& [job, flow] : flows_) {
+    if (flow.at == phase::kReserving && state_.now >= flow.deadline) late.push_back(job);
+    if (flow.at != phase::kEvicting) continue;
+    bool gone = true;
+    for (const auto& victim : flow.decision.evictions) {
+      const auto row = rows_.find(victim.job);
+      const bool stays =
+          row != rows_.end() && IsActive(row->second.state) && !flows_.contains(victim.job);
+      if (!stays) continue;
+      gone = false;
+      StopGang(row->second, victim.checkpoint, "reclaimed");
+    }
+    if (gone) Claim(flow);
+  }
+  for (const auto& job : late) Abort(job, "an agent did not answer the reservation");
+}
+
+void job_planner::Claim(start_flow& flow) {
+  flow.at = phase::kClaiming;
+  job_row row = rows_.at(flow.decision.job);
+  const worker_state* anchor = machines_.Find(flow.decision.members.front().agent);
+  row.state = job_state::kStarting;
+  ++row.epoch;
+  row.members = flow.decision.members;
+  row.borrowing = flow.decision.borrowing;
+  row.anchor_incarnation = anchor != nullptr ? anchor->incarnation : 0;
+  row.started_ms = state_.wall_now.count();
+  row.reason.clear();
+  Change(std::move(row), write_rank::kFirst);
+}
+
+void job_planner::Reserve(start_flow& flow) {
+  flow.at = phase::kReserving;
+  flow.deadline = state_.now + kReserveTimeout;
+  const job_row& row = rows_.at(flow.decision.job);
+  for (const auto& member : row.members) {
+    flow.awaiting.insert(member.agent);
+    Send(member.agent, reserve{{row.id, row.epoch},
+                               member.tasks,
+                               member.amount,
+                               kReserveHold.count(),
+                               document_->version});
+  }
+}
+
+void job_planner::Commit(start_flow& flow) {
+  const job_row& row = rows_.at(flow.decision.job);
+  const job_class* kind = ClassOf(row);
+  commit message;
+  message.gang = {row.id, row.epoch};
+  message.members = row.members;
+  message.run_ms = std::max<int64_t>(1, row.spec.run_ms.count() - row.saved_ms);
+  message.limit_ms = kind != nullptr ? kind->longest_ms.count() : 0;
+  message.fails = row.spec.fails;
+  ++stats_.starts;
+  watches_[row.id] = watch{state_.now, state_.now + kReportTimeout, state_.now, millis(0)};
+  Send(row.members.front().agent, std::move(message));
+  flows_.erase(row.id);
+}
+
+void job_planner::Abort(const std::string& job, std::string_view reason) {
+  const job_row row = rows_.at(job);
+  ++stats_.aborted_starts;
+  for (const auto& member : row.members) Send(member.agent, release{{row.id, row.epoch}});
+  flows_.erase(job);
+  job_row next = row;
+  next.members.clear();
+  RequeueOrEnd(std::move(next), reason);
+}
+
+const job_class* job_planner::ClassOf(const job_row& row) const {
+  return document_->FindJobClass(row.spec.job_class);
+}
+
+void job_planner::Send(std::string_view peer, peer_message message) {
+  outbox_.push_back({std::string(peer), std::move(message)});
+}
+
+planner_stats job_planner::stats() const {
+  planner_stats now = stats_;
+  for (const auto& [id, row] : rows_) {
+    if (IsActive(row.state)) ++now.active;
+    if (row.state == job_state::kQueued) ++now.waiting;
+  }
+  now.suspended_guarantees = ledger_.suspended();
+  return now;
+}
+
+result<void> job_planner::CheckSubmission(const job_spec& spec) const {
+  if (spec.tasks < 1 || spec.tasks > kMaxTasks) {
+    return Refusal("tasks must be from 1 to " + std::to_string(kMaxTasks));
+  }
+  if (!spec.per_task.valid() || spec.per_task.empty()) {
+    return Refusal("per_task must ask for accelerators, cores or memory");
+  }
+  if (document_->FindJobClass(spec.job_class) == nullptr) {
+    return Refusal("no job class '" + spec.job_class + "'");
+  }
+  // What the document declares decides, not who happens to be connected.
+  std::map<std::string, int> fitting;
+  int racks = 0;
+  for (const auto& domain : document_->domains) {
+    for (const auto& rack : domain.racks) {
+      const int on_one = CountFitting(spec.per_task, rack.each, spec.tasks);
+      const int in_rack = on_one * rack.workers;
+      const std::string numbered = domain.name + "/" + rack.name;
+      const std::string group = spec.within == adjacency::kWorker   ? numbered + "/worker"
+                                : spec.within == adjacency::kRack   ? numbered
+                                : spec.within == adjacency::kDomain ? domain.name
+                                : spec.within == adjacency::kRegion ? domain.region
+                                                                    : "all";
+      fitting[group] += spec.within == adjacency::kWorker ? on_one : in_rack;
+      ++racks;
+    }
+  }
+  if (racks == 0) return Ok();
+  int most = 0;
+  for (const auto& [group, tasks] : fitting) most = std::max(most, tasks);
+  if (most >= spec.tasks) return Ok();
+  return Refusal("can never run: at most " + std::to_string(most) + " such tasks fit within one " +
+                 std::string(AdjacencyName(spec.within)) + ", " + std::to_string(spec.tasks) +
+                 " are asked for");
+}
+
+job_explanation job_planner::Explain(const job_row& row, millis /*wall_now*/) const {
+  job_explanation told;
+  told.state = JobStateName(row.state);
+  told.needs = std::to_string(row.spec.tasks) + " tasks of " +
+               std::to_string(row.spec.per_task.accelerators) + " accelerators within one " +
+               std::string(AdjacencyName(row.spec.within));
+  if (row.state == job_state::kParked) {
+    told.why = "failed on " + std::to_string(row.failed_workers.size()) + " workers: " + row.reason;
+    return told;
+  }
+  if (row.state != job_state::kQueued) {
+    told.why = row.reason.empty() ? "it does not wait" : row.reason;
+    return told;
+  }
+  for (const auto& [id, other] : rows_) {
+    if (other.state != job_state::kQueued) continue;
+    if (other.submitted_ms <= row.submitted_ms) ++told.position;
+  }
+  if (flows_.contains(row.id)) {
+    told.why = "borrowers are leaving for it";
+    return told;
+  }
+  resources free;
+  int tasks = 0;
+  for (const auto& [id, worker] : machines_.workers()) {
+    if (!usable_.contains(id)) continue;
+    free += worker.free();
+    tasks = std::max(tasks, CountFitting(row.spec.per_task, worker.free(), row.spec.tasks));
+  }
+  told.why = std::to_string(std::max(0, free.accelerators)) +
+             " accelerators are free on usable workers, at most " + std::to_string(tasks) +
+             " of its tasks fit on one worker; it starts when its " +
+             "organisation's guarantee or enough adjacent capacity is free";
+  if (!row.reason.empty()) told.why += "; last: " + row.reason;
+  return told;
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/jobs/job_planner.h
@@ -0,0 +1,163 @@
+/** \file
+ * Moves jobs through their life at an entry.
+ */
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kernel/base/millis.h"
+#include "kernel/io/record_table.h"
+#include "kernel/jobs/cluster.h"
+#include "kernel/jobs/failure_tracker.h"
+#include "kernel/jobs/guarantee_ledger.h"
+#include "kernel/jobs/job_scheduler.h"
+#include "kernel/jobs/runtime_estimator.h"
+#include "kernel/model/duty_events.h"
+#include "kernel/model/link_events.h"
+
+namespace eelgrass {
+
+/** Counters of the planner since its start. */
+struct planner_stats {
+  int64_t starts = 0;
+  int64_t aborted_starts = 0;
+  int64_t evictions = 0;
+  int64_t requeued = 0;
+  int64_t uncovered = 0;  // jobs that lost their guarantee's backing and became borrowers
+  int waiting = 0;
+  int active = 0;
+  int suspended_guarantees = 0;
+  millis last_plan{0};
+};
+
+/** What an operator is told about a waiting job. */
+struct job_explanation {
+  std::string state;
+  int position = 0;  // in the waiting order; 0 when it does not wait
+  std::string needs;
+  std::string why;
+};
+
+/**
+ * Follows the job rows and the agents' reports, and, while its entry leads, starts, stops and
+ * settles jobs. Every start is claimed by a conditional write of the job's row with a raised epoch
+ * before any agent hears of it; after the commit the gang's anchor decides.
+ */
+class job_planner {
+ public:
+  job_planner(std::unique_ptr<queue_policy> ordering, std::unique_ptr<placement_policy> placement,
+              record_table& table);
+
+  void On(const document_changed& event);
+  void On(const peer_up& event, millis now);
+  void On(const peer_down& event, millis now);
+  void On(const peer_said& event, millis now, millis wall_now);
+  void On(const table_event& event);
+
+  /** What the planner knows of time and of its own standing. */
+  struct standing {
+    millis now;
+    millis wall_now;
+    bool leading = false;  // this entry plans
+    bool fresh = false;    // the document in force is known to be the latest
+  };
+
+  /** Does what is due and collects the messages to send. */
+  void Tick(const standing& state, std::vector<send_to_peer>& messages);
+
+  /** Writes a row whose cancellation an operator or owner has asked for at this entry. */
+  void TakeCancellation(job_row row) { Change(std::move(row), write_rank::kBulk); }
+
+  /** Refuses a job that can never run, with the reason. */
+  result<void> CheckSubmission(const job_spec& spec) const;
+
+  job_explanation Explain(const job_row& row, millis wall_now) const;
+
+  const cluster& machines() const { return machines_; }
+  const guarantee_ledger& ledger() const { return ledger_; }
+  const failure_tracker& failures() const { return failures_; }
+  const std::map<std::string, job_row, std::less<>>& live_rows() const { return rows_; }
+  planner_stats stats() const;
+
+ private:
+  enum class phase { kEvicting, kClaiming, kReserving };
+
+  struct start_flow {
+    start_decision decision;
+    phase at = phase::kEvicting;
+    std::set<std::string, std::less<>> awaiting;
+    millis deadline;
+    millis next_stop;
+  };
+
+  struct watch {
+    millis last_report;
+    millis next_query;
+    millis next_stop;
+    millis bar_seen{0};
+  };
+
+  void OnReport(std::string_view agent, const gang_report& report);
+  void OnFinal(const job_row& row, const gang_report& report);
+  void OnBarred(const job_row& row, std::string_view agent);
+  void OnReserveAnswer(std::string_view agent, const reserve_answer& answer);
+  void OnUsage(std::string_view agent, const worker_usage& usage);
+  void Sync(const job_row& row);
+
+  void Change(job_row row, write_rank rank);
+  void RequeueOrEnd(job_row row, std::string_view reason);
+  void EndUnknown(job_row row, std::string_view reason);
+  void CancelWaiting();
+  void StopUnwanted();
+  void StopGang(const job_row& row, millis checkpoint, std::string_view reason);
+  void WatchActive();
+  void WatchLost(const job_row& row, watch& item);
+  void UpdateLedger();
+  void DemoteUncovered();
+  void PromoteCovered();
+  void Plan();
+  void Begin(start_decision decision);
+  void AdvanceFlows();
+  void Claim(start_flow& flow);
+  void Reserve(start_flow& flow);
+  void Commit(start_flow& flow);
+  void Abort(const std::string& job, std::string_view reason);
+  void CollectUsable();
+  void NoteDomains();
+  bool RegionVisible(std::string_view region) const;
+  std::vector<const job_row*> Waiting() const;
+  std::vector<const job_row*> Active() const;
+  const job_class* ClassOf(const job_row& row) const;
+  void Send(std::string_view peer, peer_message message);
+
+  record_table& table_;
+  job_scheduler scheduler_;
+  std::shared_ptr<const document> document_;
+  cluster machines_;
+  guarantee_ledger ledger_;
+  runtime_estimator estimator_;
+  failure_tracker failures_;
+  std::map<std::string, job_row, std::less<>> rows_;  // not final; as wanted
+  std::map<std::string, start_flow, std::less<>> flows_;
+  std::map<std::string, watch, std::less<>> watches_;
+  std::map<std::string, gang_id, std::less<>> unacknowledged_;  // final rows being written
+  std::map<std::string, std::string, std::less<>> final_reporters_;
+  std::map<std::string, millis, std::less<>> domain_returned_;
+  std::set<std::string, std::less<>> domains_out_;
+  std::set<std::string, std::less<>> usable_;
+  std::vector<send_to_peer> outbox_;
+  standing state_;
+  bool was_leading_ = false;
+  bool plan_due_ = true;
+  bool ledger_due_ = true;
+  millis next_plan_{0};
+  millis next_ledger_{0};
+  planner_stats stats_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/jobs/job_scheduler.cc
@@ -0,0 +1,291 @@
+#include "kernel/jobs/job_scheduler.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace eelgrass {
+namespace {
+
+constexpr millis kUrgentCheckpoint{1500};    // longest checkpoint that urgent work waits for
+constexpr millis kNormalCheckpoint{600000};  // longest checkpoint that other work waits for
+constexpr millis kWindowMargin{60000};
+constexpr int kHoldProbes = 12;
+
+double ShareOf(const resources& part, const resources& whole) {
+  const auto ratio = [](int a, int b) { return b > 0 ? static_cast<double>(a) / b : 0.0; };
+  return std::max({ratio(part.accelerators, whole.accelerators), ratio(part.cores, whole.cores),
+                   ratio(part.memory_gb, whole.memory_gb)});
+}
+
+gang_shape ShapeOf(const job_spec& spec) { return {spec.tasks, spec.per_task, spec.within}; }
+
+urgency RankOf(const schedule_view& view, const job_row& row) {
+  const job_class* kind = view.doc.FindJobClass(row.spec.job_class);
+  return kind != nullptr ? kind->rank : urgency::kNormal;
+}
+
+millis CheckpointOf(const schedule_view& view, const job_row& row) {
+  const job_class* kind = view.doc.FindJobClass(row.spec.job_class);
+  return kind != nullptr ? kind->checkpoint_ms : millis(0);
+}
+
+/**
+ * Whether a job may run outside its guarantee: one that must not run twice has to be able to save
+ * itself within the time that urgent work waits.
+ */
+bool MayBorrow(const schedule_view& view, const job_row& row) {
+  const job_class* kind = view.doc.FindJobClass(row.spec.job_class);
+  if (kind == nullptr || kind->idempotent) return true;
+  return kind->checkpoint_ms > millis(0) && kind->checkpoint_ms <= kUrgentCheckpoint;
+}
+
+/** Work of a running job that would be lost if it were stopped without a checkpoint. */
+millis UnsavedWork(const schedule_view& view, const job_row& row) {
+  return view.wall_now - millis(row.started_ms);
+}
+
+}  // namespace
+
+job_scheduler::job_scheduler(std::unique_ptr<queue_policy> ordering,
+                             std::unique_ptr<placement_policy> placement)
+    : ordering_(std::move(ordering)), placement_(std::move(placement)) {}
+
+std::vector<start_decision> job_scheduler::Plan(const schedule_view& view) {
+  failed_.clear();
+  hold_.reset();
+  std::vector<start_decision> decisions;
+  for (const size_t index : OrderWaiting(view)) {
+    const job_row& row = *view.waiting[index];
+    auto decision = TryStart(view, row);
+    if (decision) {
+      view.machines.Allocate(row.id,
+                             {row.spec.organisation, decision->members, decision->borrowing});
+      decisions.push_back(std::move(*decision));
+      continue;
+    }
+    if (!ordering_->MayOvertake()) break;
+    if (!hold_) Hold(view, row);
+  }
+  return decisions;
+}
+
+std::vector<size_t> job_scheduler::OrderWaiting(const schedule_view& view) const {
+  const resources whole = view.machines.capacity();
+  std::vector<waiting_job> jobs;
+  jobs.reserve(view.waiting.size());
+  for (const job_row* row : view.waiting) {
+    const organisation* owner = view.doc.FindOrganisation(row->spec.organisation);
+    const int weight = owner != nullptr ? std::max(1, owner->weight) : 1;
+    waiting_job job;
+    job.id = row->id;
+    job.rank = RankOf(view, *row);
+    job.waited = view.wall_now - millis(row->submitted_ms);
+    job.estimate = view.estimator.Estimate(row->spec) - millis(row->saved_ms);
+    job.size = ShareOf(row->spec.total(), whole);
+    job.owner_usage = ShareOf(view.machines.Usage(row->spec.organisation), whole) / weight;
+    jobs.push_back(job);
+  }
+  return ordering_->Order(jobs);
+}
+
+std::optional<start_decision> job_scheduler::TryStart(const schedule_view& view,
+                                                      const job_row& row) {
+  constexpr mode kUrgentModes[] = {mode::kOwnFree, mode::kOwnByEviction, mode::kBorrow};
+  constexpr mode kOtherModes[] = {mode::kOwnFree, mode::kBorrow, mode::kOwnByEviction};
+  const bool urgent = RankOf(view, row) == urgency::kUrgent;
+  for (const mode how : urgent ? kUrgentModes : kOtherModes) {
+    auto decision = TryMode(view, row, how);
+    if (decision) return decision;
+  }
+  return std::nullopt;
+}
+
+std::optional<start_decision> job_scheduler::TryMode(const schedule_view& view, const job_row& row,
+                                                     mode how) {
+  if (how == mode::kBorrow && !MayBorrow(view, row)) return std::nullopt;
+  const std::string key = FailureKey(row, how);
+  if (failed_.contains(key)) return std::nullopt;
+  CollectRooms(view, row, how);
+  start_decision decision;
+  decision.job = row.id;
+  decision.borrowing = how == mode::kBorrow;
+  bool placed = placement_->Place(ShapeOf(row.spec), rooms_, parts_);
+  if (placed) {
+    for (const auto& part : parts_) {
+      const worker_state& worker = *view.machines.Find(rooms_[part.worker].worker);
+      decision.members.push_back(
+          {worker.id, worker.address, part.tasks, row.spec.per_task * part.tasks});
+    }
+    placed = how != mode::kOwnByEviction ||
+             ChooseVictims(view, row, decision.members, decision.evictions);
+  }
+  if (placed) return decision;
+  failed_.insert(key);
+  return std::nullopt;
+}
+
+std::string job_scheduler::FailureKey(const job_row& row, mode how) const {
+  const job_spec& spec = row.spec;
+  const bool own = how != mode::kBorrow;
+  std::string key = std::to_string(static_cast<int>(how)) + "/";
+  key += std::to_string(spec.tasks) + "x" + std::to_string(spec.per_task.accelerators) + "," +
+         std::to_string(spec.per_task.cores) + "," + std::to_string(spec.per_task.memory_gb) + "@" +
+         std::string(AdjacencyName(spec.within));
+  // Windows and holds depend on the run time, guarantees on the owner.
+  key += "/" + spec.job_class + "/" + std::to_string(spec.declared_ms.count());
+  if (own) key += "/" + spec.organisation;
+  for (const auto& worker : row.failed_workers) key += "!" + worker;
+  return key;
+}
+
+void job_scheduler::CollectRooms(const schedule_view& view, const job_row& row, mode how) {
+  rooms_.clear();
+  if (how != mode::kBorrow) {
+    CollectOwnRooms(view, row, how == mode::kOwnByEviction);
+    return;
+  }
+  const millis end = view.wall_now + view.estimator.Estimate(row.spec) - millis(row.saved_ms);
+  const bool respect_hold = hold_ && end > hold_->until;
+  for (const auto& [id, worker] : view.machines.workers()) {
+    resources room = worker.free();
+    if (respect_hold) {
+      const auto held = hold_->amounts.find(id);
+      if (held != hold_->amounts.end()) room -= held->second;
+    }
+    if (CountFitting(row.spec.per_task, room, 1) == 0) continue;
+    if (!MayUse(view, row, worker)) continue;
+    const resources unheld = worker.capacity - view.ledger.Held(id);
+    const double promised = 1 - ShareOf(Least(unheld, room), worker.capacity);
+    rooms_.push_back(
+        {worker.id, worker.rack, worker.domain, worker.region, room, worker.capacity, promised});
+  }
+}
+
+void job_scheduler::CollectOwnRooms(const schedule_view& view, const job_row& row, bool evicting) {
+  for (const auto& [id, share] : view.ledger.SharesOf(row.spec.organisation)) {
+    const worker_state* worker = view.machines.Find(id);
+    if (worker == nullptr || !MayUse(view, row, *worker)) continue;
+    resources room = share - view.machines.OwnUsage(row.spec.organisation, id);
+    double disturbance = 0;
+    if (evicting) {
+      const resources taken = room - Least(room, worker->free());
+      disturbance = ShareOf(taken, worker->capacity);
+    } else {
+      room = Least(room, worker->free());
+    }
+    if (CountFitting(row.spec.per_task, room, 1) == 0) continue;
+    rooms_.push_back({worker->id, worker->rack, worker->domain, worker->region, room,
+                      worker->capacity, disturbance});
+  }
+}
+
+bool job_scheduler::MayUse(const schedule_view& view, const job_row& row,
+                           const worker_state& worker) const {
+  if (!view.usable.contains(worker.id)) return false;
+  const bool proving = view.failures.OnProbation(worker.id, view.now);
+  if (proving && !worker.jobs.empty()) return false;
+  const auto& failed = row.failed_workers;
+  if (std::find(failed.begin(), failed.end(), worker.id) != failed.end()) return false;
+  return EndsBeforeWindow(view, row, worker);
+}
+
+bool job_scheduler::EndsBeforeWindow(const schedule_view& view, const job_row& row,
+                                     const worker_state& worker) const {
+  if (view.doc.windows.empty()) return true;
+  const millis window = view.doc.NextWindow(worker.domain, view.wall_now);
+  if (window == kFarFuture) return true;
+  const millis checkpoint = CheckpointOf(view, row);
+  if (checkpoint > millis(0)) return view.wall_now + checkpoint + kWindowMargin < window;
+  return view.wall_now + view.estimator.Estimate(row.spec) < window;
+}
+
+bool job_scheduler::ChooseVictims(const schedule_view& view, const job_row& row,
+                                  const std::vector<gang_member>& members,
+                                  std::vector<eviction>& evictions) const {
+  const bool urgent = RankOf(view, row) == urgency::kUrgent;
+  const millis longest = urgent ? kUrgentCheckpoint : kNormalCheckpoint;
+  std::map<std::string, const job_row*, std::less<>> running;
+  for (const job_row* other : view.running) running[other->id] = other;
+  std::set<std::string> chosen;
+  for (const auto& member : members) {
+    const worker_state& worker = *view.machines.Find(member.agent);
+    resources free = worker.free();
+    for (const auto& [job, amount] : worker.jobs) {
+      if (chosen.contains(job)) free += amount;
+    }
+    struct candidate {
+      millis vacate;
+      millis lost;
+      std::string_view job;
+      resources amount;
+    };
+    std::vector<candidate> candidates;
+    for (const auto& [job, amount] : worker.jobs) {
+      const auto known = running.find(job);
+      const allocation* held = view.machines.FindAllocation(job);
+      if (known == running.end() || !held->borrowing || chosen.contains(job)) continue;
+      const millis checkpoint = CheckpointOf(view, *known->second);
+      const bool saves = checkpoint > millis(0) && checkpoint <= longest;
+      const millis lost = saves ? millis(0) : UnsavedWork(view, *known->second);
+      candidates.push_back({saves ? checkpoint : millis(0), lost, job, amount});
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+      return std::tie(a.lost, a.vacate, a.job) < std::tie(b.lost, b.vacate, b.job);
+    });
+    for (const auto& victim : candidates) {
+      if (member.amount.Fits(free)) break;
+      free += victim.amount;
+      chosen.insert(std::string(victim.job));
+      evictions.push_back({std::string(victim.job), victim.vacate});
+    }
+    if (!member.amount.Fits(free)) return false;
+  }
+  return true;
+}
+
+millis job_scheduler::ExpectedEnd(const schedule_view& view, const job_row& row) {
+  const millis estimate = view.estimator.Estimate(row.spec) - millis(row.saved_ms);
+  const millis started(row.started_ms);
+  const millis ran = view.wall_now - started;
+  if (ran < estimate) return started + estimate;
+  return view.wall_now + ran / 2;  // It has outlived its estimate: expect half as much again.
+}
+
+void job_scheduler::Hold(const schedule_view& view, const job_row& row) {
+  struct ending {
+    millis at;
+    const job_row* job;
+  };
+  std::vector<ending> endings;
+  for (const job_row* other : view.running) {
+    endings.push_back({ExpectedEnd(view, *other), other});
+  }
+  std::sort(endings.begin(), endings.end(),
+            [](const ending& a, const ending& b) { return a.at < b.at; });
+  // All usable workers take part, also those that are full now.
+  rooms_.clear();
+  std::map<std::string_view, size_t> index;
+  for (const auto& [id, worker] : view.machines.workers()) {
+    if (!view.usable.contains(id)) continue;
+    index[worker.id] = rooms_.size();
+    rooms_.push_back(
+        {worker.id, worker.rack, worker.domain, worker.region, worker.free(), worker.capacity, 0});
+  }
+  const size_t step = std::max<size_t>(1, endings.size() / kHoldProbes);
+  for (size_t i = 0; i < endings.size(); ++i) {
+    for (const auto& member : endings[i].job->members) {
+      const auto found = index.find(member.agent);
+      if (found != index.end()) rooms_[found->second].room += member.amount;
+    }
+    const bool probe = (i + 1) % step == 0 || i + 1 == endings.size();
+    if (!probe || !placement_->Place(ShapeOf(row.spec), rooms_, parts_)) continue;
+    hold_.emplace();
+    hold_->until = endings[i].at;
+    for (const auto& part : parts_) {
+      hold_->amounts[std::string(rooms_[part.worker].worker)] = row.spec.per_task * part.tasks;
+    }
+    return;
+  }
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/jobs/job_scheduler.h
@@ -0,0 +1,106 @@
+/** \file
+ * Decides which waiting jobs start where, and which borrowers have to leave for them.
+ */
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kernel/base/millis.h"
+#include "kernel/jobs/cluster.h"
+#include "kernel/jobs/failure_tracker.h"
+#include "kernel/jobs/guarantee_ledger.h"
+#include "kernel/jobs/placement_policy.h"
+#include "kernel/jobs/queue_policy.h"
+#include "kernel/jobs/runtime_estimator.h"
+#include "kernel/model/job.h"
+
+namespace eelgrass {
+
+/** A borrower that has to leave. */
+struct eviction {
+  std::string job;
+  millis checkpoint;  // time allowed for its checkpoint; 0: it is stopped at once
+};
+
+/** One job that can start, now or when its victims have left. */
+struct start_decision {
+  std::string job;
+  std::vector<gang_member> members;
+  bool borrowing = false;
+  std::vector<eviction> evictions;
+};
+
+/** What the scheduler decides from. All of it belongs to the planner. */
+struct schedule_view {
+  const document& doc;
+  cluster& machines;
+  const guarantee_ledger& ledger;
+  const runtime_estimator& estimator;
+  const failure_tracker& failures;
+  std::span<const job_row* const> waiting;
+  std::span<const job_row* const> running;
+  const std::set<std::string, std::less<>>& usable;  // workers on which tasks may start
+  millis now;
+  millis wall_now;
+};
+
+/**
+ * Goes through the waiting jobs in the order of the queue policy and places each
+ *   1. within its organisation's guarantee where that is free,
+ *   2. as a borrower on free capacity,
+ *   3. within the guarantee by stopping borrowers.
+ * An urgent job tries 3 before 2. The first job that does not fit keeps a place: later ones may
+ * use that place only if they are expected to end before it is needed.
+ */
+class job_scheduler {
+ public:
+  job_scheduler(std::unique_ptr<queue_policy> ordering,
+                std::unique_ptr<placement_policy> placement);
+
+  /**
+   * Decides on starts. Every decision is allocated in `view.machines` at once, so that the next
+   * ones see it.
+   */
+  std::vector<start_decision> Plan(const schedule_view& view);
+
+  /** When a running job is expected to end, in wall time. */
+  static millis ExpectedEnd(const schedule_view& view, const job_row& row);
+
+ private:
+  enum class mode { kOwnFree, kBorrow, kOwnByEviction };
+
+  struct hold {
+    millis until;  // wall time at which the held place is needed
+    std::map<std::string, resources, std::less<>> amounts;
+  };
+
+  std::vector<size_t> OrderWaiting(const schedule_view& view) const;
+  std::optional<start_decision> TryStart(const schedule_view& view, const job_row& row);
+  std::optional<start_decision> TryMode(const schedule_view& view, const job_row& row, mode how);
+  void CollectRooms(const schedule_view& view, const job_row& row, mode how);
+  void CollectOwnRooms(const schedule_view& view, const job_row& row, bool evicting);
+  bool MayUse(const schedule_view& view, const job_row& row, const worker_state& worker) const;
+  bool EndsBeforeWindow(const schedule_view& view, const job_row& row,
+                        const worker_state& worker) const;
+  bool ChooseVictims(const schedule_view& view, const job_row& row,
+                     const std::vector<gang_member>& members,
+                     std::vector<eviction>& evictions) const;
+  void Hold(const schedule_view& view, const job_row& row);
+  std::string FailureKey(const job_row& row, mode how) const;
+
+  const std::unique_ptr<queue_policy> ordering_;
+  const std::unique_ptr<placement_policy> placement_;
+  std::vector<worker_room> rooms_;
+  std::vector<placed_part> parts_;
+  std::set<std::string, std::less<>> failed_;  // shapes that did not fit in this round
+  std::optional<hold> hold_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/jobs/worker_core.cc
@@ -0,0 +1,226 @@
+#include "kernel/jobs/worker_core.h"
+
+#include <algorithm>
+
+namespace eelgrass {
+namespace {
+
+constexpr millis kTaskRenewal{1000};
+constexpr millis kTaskLease{3000};
+constexpr millis kIsolationLimit{90000};
+constexpr millis kIsolationCheckpoint{10000};
+constexpr millis kUsageInterval{1000};
+constexpr millis kDrainCheckpoint{30000};
+
+}  // namespace
+
+worker_core::worker_core(worker_options options)
+    : options_(std::move(options)),
+      members_(options_.agent, options_.capacity),
+      anchor_(options_.agent),
+      document_(std::make_shared<document>()) {}
+
+void worker_core::Decide(std::span<const worker_event> events, millis now, millis wall_now,
+                         std::vector<worker_action>& actions) {
+  actions_ = &actions;
+  now_ = now;
+  wall_now_ = wall_now;
+  if (first_) sustained_at_ = now;
+  first_ = false;
+  members_.SetNow(now);
+  anchor_.SetNow(now);
+  // A process that was paused first lets lapse what has lapsed, before it does anything else.
+  UpdateObstacle();
+  members_.Expire();
+  anchor_.Tick();
+  Collect();
+  for (const auto& event : events) {
+    std::visit([this](const auto& e) { On(e); }, event);
+    UpdateObstacle();
+    Collect();
+  }
+  CheckIsolation();
+  Collect();
+  if (now_ >= next_renewal_) {
+    next_renewal_ = now_ + kTaskRenewal;
+    if (!members_.parts().empty()) actions_->push_back(renew_tasks{kTaskLease.count()});
+  }
+  TellUsage();
+  actions_ = nullptr;
+}
+
+void worker_core::UpdateObstacle() {
+  if (draining_) {
+    members_.SetObstacle("leaving");
+  } else if (now_ >= permit_until_) {
+    members_.SetObstacle("no permission from a fresh entry");
+  } else if (document_->IsOut(options_.domain, wall_now_)) {
+    members_.SetObstacle("domain out");
+  } else {
+    members_.SetObstacle({});
+  }
+}
+
+void worker_core::On(const peer_up& event) {
+  if (event.peer.role != peer_role::kEntry) return;
+  entries_[event.peer.id] = true;
+  Announce(event.peer.id);
+  next_usage_ = millis(0);
+  members_.TakeChanged();
+  worker_usage usage;
+  for (const auto& [gang, part] : members_.parts()) usage.held.push_back({gang, part.amount});
+  actions_->push_back(send_to_peer{event.peer.id, std::move(usage)});
+}
+
+void worker_core::On(const peer_down& event) {
+  const auto known = entries_.find(event.peer);
+  if (known != entries_.end()) known->second = false;
+}
+
+void worker_core::On(const document_changed& event) { document_ = event.doc; }
+
+void worker_core::On(const tasks_started& event) { members_.On(event); }
+void worker_core::On(const tasks_ended& event) { members_.On(event); }
+void worker_core::On(const tasks_stopped& event) { members_.On(event); }
+
+void worker_core::On(const drain_wanted&) {
+  if (draining_) return;
+  draining_ = true;
+  for (const auto& [entry, connected] : entries_) Announce(entry);
+  anchor_.StopAll("worker leaving", kDrainCheckpoint);
+}
+
+void worker_core::On(const peer_said& event) {
+  OnEntryMessage(event.peer, event.message);
+  OnGangMessage(event.peer, event.message);
+}
+
+void worker_core::OnEntryMessage(const std::string& peer, const peer_message& message) {
+  if (const auto* beat = std::get_if<entry_heartbeat>(&message)) {
+    // Permission holds only for the configuration that is in force here.
+    const bool current = beat->version == document_->version;
+    if (beat->fresh && current) {
+      permit_until_ = std::max(permit_until_, now_ + millis(beat->permit_ms));
+    } else if (beat->version > document_->version) {
+      permit_until_ = now_;
+    }
+    if (beat->sustains) sustained_at_ = now_;
+  } else if (const auto* wanted = std::get_if<reserve>(&message)) {
+    reserve_answer answer = members_.On(*wanted, document_->version);
+    ++(answer.granted ? stats_.reserved : stats_.refused);
+    actions_->push_back(send_to_peer{peer, std::move(answer)});
+  } else if (const auto* given_back = std::get_if<release>(&message)) {
+    members_.On(*given_back);
+  } else if (const auto* order = std::get_if<commit>(&message)) {
+    const bool holds = members_.Holds(order->gang) && !members_.Barred(order->gang);
+    anchor_.On(*order, holds);
+  } else if (const auto* question = std::get_if<gang_query>(&message)) {
+    anchor_.On(peer, *question, members_.Holds(question->gang));
+  } else if (const auto* done = std::get_if<gang_report_ack>(&message)) {
+    anchor_.On(*done);
+  }
+}
+
+void worker_core::OnGangMessage(const std::string& peer, const peer_message& message) {
+  if (const auto* arm = std::get_if<gang_arm>(&message)) {
+    actions_->push_back(send_to_peer{peer, members_.On(*arm)});
+  } else if (const auto* start = std::get_if<gang_start>(&message)) {
+    members_.On(peer, *start);
+  } else if (const auto* renew = std::get_if<gang_renew>(&message)) {
+    members_.On(peer, *renew);
+  } else if (const auto* stop = std::get_if<gang_stop>(&message)) {
+    // A planner stops a gang through its anchor; an anchor stops its members.
+    const bool from_entry = entries_.find(peer) != entries_.end();
+    if (from_entry && anchor_.Decides(stop->gang)) {
+      anchor_.On(*stop);
+    } else if (from_entry) {
+      anchor_.On(peer, gang_query{stop->gang}, members_.Holds(stop->gang));
+    } else {
+      members_.On(peer, *stop);
+    }
+  } else if (const auto* armed = std::get_if<gang_armed>(&message)) {
+    anchor_.On(peer, *armed);
+  } else if (const auto* started = std::get_if<gang_started>(&message)) {
+    anchor_.On(peer, *started);
+  } else if (const auto* renewed = std::get_if<gang_renewed>(&message)) {
+    anchor_.On(peer, *renewed);
+  } else if (const auto* ended = std::get_if<gang_member_done>(&message)) {
+    anchor_.On(peer, *ended);
+  }
+}
+
+void worker_core::CheckIsolation() {
+  if (now_ - sustained_at_ < kIsolationLimit) return;
+  anchor_.StopAll("no entry was heard", kIsolationCheckpoint);
+}
+
+void worker_core::Announce(const std::string& entry) {
+  announce offer;
+  offer.rack = options_.rack;
+  offer.region = options_.region;
+  offer.capacity = options_.capacity;
+  offer.leaving = draining_;
+  actions_->push_back(send_to_peer{entry, std::move(offer)});
+}
+
+void worker_core::TellUsage() {
+  if (now_ < next_usage_ || !members_.TakeChanged()) return;
+  next_usage_ = now_ + kUsageInterval;
+  worker_usage usage;
+  for (const auto& [gang, part] : members_.parts()) usage.held.push_back({gang, part.amount});
+  for (const auto& [entry, connected] : entries_) {
+    if (connected) actions_->push_back(send_to_peer{entry, usage});
+  }
+}
+
+void worker_core::Collect() {
+  while (true) {
+    for (const auto& gang : anchor_.barred()) {
+      if (members_.Holds(gang)) members_.On(release{gang});
+      members_.Bar(gang);
+    }
+    anchor_.barred().clear();
+    std::vector<worker_action> made;
+    made.swap(anchor_.actions());
+    for (auto& action : members_.actions()) made.push_back(std::move(action));
+    members_.actions().clear();
+    for (auto& action : made) Route(std::move(action));
+    if (to_self_.empty()) return;
+    const peer_said own = std::move(to_self_.front());
+    to_self_.pop_front();
+    if (const auto* arm = std::get_if<gang_arm>(&own.message)) {
+      to_self_.push_back({options_.agent, members_.On(*arm)});
+    } else {
+      OnGangMessage(own.peer, own.message);
+    }
+  }
+}
+
+void worker_core::Route(worker_action action) {
+  if (std::holds_alternative<start_tasks>(action)) ++stats_.started;
+  auto* send = std::get_if<send_to_peer>(&action);
+  if (send == nullptr) {
+    actions_->push_back(std::move(action));
+    return;
+  }
+  if (send->peer == options_.agent) {
+    to_self_.push_back({options_.agent, std::move(send->message)});
+    return;
+  }
+  if (!send->peer.empty()) {
+    actions_->push_back(std::move(action));
+    return;
+  }
+  for (const auto& [entry, connected] : entries_) {
+    if (connected) actions_->push_back(send_to_peer{entry, send->message});
+  }
+}
+
+worker_stats worker_core::stats() const {
+  worker_stats now = stats_;
+  now.parts = static_cast<int>(members_.parts().size());
+  now.anchored = static_cast<int>(anchor_.size());
+  return now;
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/requests/request_router.h
@@ -0,0 +1,151 @@
+/** \file
+ * Decides on callers' requests at an entry.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "kernel/base/millis.h"
+#include "kernel/model/duty_events.h"
+#include "kernel/model/link_events.h"
+#include "kernel/requests/admission_policy.h"
+#include "kernel/requests/caller_request.h"
+#include "kernel/requests/claim_ring.h"
+#include "kernel/requests/fair_queue.h"
+#include "kernel/requests/retry_budget.h"
+#include "kernel/requests/routing_policy.h"
+#include "kernel/requests/upstream_table.h"
+
+namespace eelgrass {
+
+using router_event = std::variant<caller_request, peer_up, lane_lost, peer_down, peer_said,
+                                  document_changed, drain_wanted>;
+using router_action = std::variant<send_to_peer, caller_answer>;
+
+/** Counters of the router since its start. */
+struct router_stats {
+  int64_t fresh = 0;
+  int64_t attempts = 0;
+  int64_t retries = 0;
+  int64_t refused = 0;
+  int64_t resolves = 0;
+  int queued = 0;
+  int in_flight = 0;
+};
+
+/** Who the router is and which policies it uses. */
+struct router_options {
+  std::string entry;  // id of the entry
+  int64_t incarnation = 0;
+  std::string domain;
+};
+
+/**
+ * Queues, admits and routes requests, and settles the outcome of each. Holds no connection and no
+ * clock: what it does follows from its state, the events and the time given.
+ *
+ * Each attempt is sent once. When its answer does not come the same agent is asked what became of
+ * it; only an attempt that is known not to have run is sent elsewhere, unless the request is
+ * idempotent. A request that is not idempotent and has a key is claimed at further agents first
+ * (see claim_ring).
+ */
+class request_router {
+ public:
+  request_router(router_options options, std::unique_ptr<routing_policy> routing,
+                 std::unique_ptr<admission_policy> admission);
+
+  /** Handles events in their order, then everything that is due at `now`. */
+  void Decide(std::span<const router_event> events, millis now,
+              std::vector<router_action>& actions);
+
+  /** Whether the router is draining and nothing is in flight. */
+  bool drained() const { return draining_ && flights_.empty(); }
+
+  router_stats stats() const;
+  const upstream_table& upstreams() const { return upstreams_; }
+
+ private:
+  enum class flight_state { kQueued, kClaiming, kSent };
+
+  struct flight {
+    uint64_t id = 0;
+    caller_request request;
+    millis deadline_at;
+    flight_state state = flight_state::kQueued;
+    int attempts = 0;
+    std::string attempt_id;
+    std::string agent;
+    int64_t agent_incarnation = 0;
+    millis next_resolve;
+    bool deadline_asked = false;
+    claim_ring ring;
+    size_t claims_open = 0;
+    bool redirected = false;  // another claim named the home
+    millis claim_until;
+    std::vector<std::string> avoid;  // agents that have refused it
+  };
+
+  void On(const caller_request& request);
+  void On(const peer_up& event);
+  void On(const lane_lost& event);
+  void On(const peer_down& event);
+  void On(const peer_said& event);
+  void On(const document_changed& event);
+  void On(const drain_wanted& event);
+
+  void OnAnnounce(std::string_view agent, const announce& message);
+  void OnCredit(std::string_view agent, const slot_credit& message);
+  void OnAnswer(std::string_view agent, const attempt_answer& answer);
+  void OnClaimAnswer(std::string_view agent, const claim_answer& answer);
+
+  bool Admit(const caller_request& request, const service_entry& service);
+  void Enqueue(flight& item, bool retried);
+  void RunQueues();
+  bool StartNext(const std::string& service);
+  void StartKeyed(flight& item);
+  void SendAttempt(flight& item, upstream_view& agent);
+  void SendResolve(flight& item);
+  void LoseAgent(std::string_view agent, std::string_view reason);
+  void RetryOrGiveUp(flight& item, bool known_not_run, std::string_view reason);
+  void CheckTimes();
+  void CheckFlight(flight& item);
+  void CheckLostAgents();
+  void TellDemand();
+  void Leave(flight& item);
+  void Complete(flight& item, const attempt_answer& answer);
+  void Refuse(const caller_request& request, int status, error problem);
+  void Finish(flight& item, caller_answer answer);
+  void FinishNotRun(flight& item, std::string_view step, std::string_view detail);
+  void FinishUnknown(flight& item, std::string_view step, std::string_view detail);
+  void Send(std::string_view peer, peer_message message);
+  std::string RequestName(const flight& item) const;
+  int WeightOf(std::string_view organisation) const;
+
+  const router_options options_;
+  const std::unique_ptr<routing_policy> routing_;
+  const std::unique_ptr<admission_policy> admission_;
+  std::shared_ptr<const document> document_;
+  upstream_table upstreams_;
+  retry_budget budget_;
+  std::map<std::string, fair_queue, std::less<>> queues_;  // by service
+  std::map<std::string, int, std::less<>> claiming_;       // requests by service
+  std::unordered_map<uint64_t, flight> flights_;
+  std::unordered_map<std::string, uint64_t> by_attempt_;
+  std::map<std::string, int, std::less<>> open_by_organisation_;
+  std::map<std::string, attempt_done, std::less<>> acknowledgements_;
+  std::vector<router_action>* actions_ = nullptr;
+  millis now_;
+  millis next_demand_;
+  uint64_t last_id_ = 0;
+  bool draining_ = false;
+  router_stats stats_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/requests/retry_budget.h
@@ -0,0 +1,24 @@
+/** \file
+ * Bounds the share of retries in the traffic.
+ */
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace eelgrass {
+
+/** A budget per organisation: every fresh request adds a fraction of a retry. */
+class retry_budget {
+ public:
+  void AddFresh(std::string_view organisation);
+
+  /** Takes one retry from the budget; false when there is none left. */
+  bool TakeRetry(std::string_view organisation);
+
+ private:
+  std::map<std::string, double, std::less<>> retries_left_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/requests/routing_policy.h
@@ -0,0 +1,38 @@
+/** \file
+ * How an upstream is chosen for a request: the interface of the routing plug-ins.
+ */
+#pragma once
+
+#include <optional>
+#include <span>
+#include <string_view>
+
+#include "kernel/base/plugin_registry.h"
+
+namespace eelgrass {
+
+/** An upstream agent that may take a request now. */
+struct route_candidate {
+  std::string_view agent;
+  std::string_view domain;
+  int free_credits = 0;
+  int in_flight = 0;
+  double mean_service_ms = 0;
+};
+
+/** Chooses among upstreams. One object serves one entry, on one thread. */
+class routing_policy {
+ public:
+  virtual ~routing_policy() = default;
+
+  /** Index of the chosen candidate. Candidates all have a free credit. */
+  virtual std::optional<size_t> Choose(std::span<const route_candidate> candidates,
+                                       std::string_view own_domain) = 0;
+};
+
+using routing_registry = plugin_registry<routing_policy>;
+
+template <typename Implementation>
+using routing_registration = plugin_registration<routing_registry, routing_policy, Implementation>;
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/requests/upstream_core.cc
@@ -0,0 +1,367 @@
+#include "kernel/requests/upstream_core.h"
+
+#include <algorithm>
+
+#include "kernel/base/digest.h"
+
+namespace eelgrass {
+namespace {
+
+constexpr millis kMaxDeadline{120000};
+constexpr millis kTombstoneLife{240000};  // twice the longest deadline
+constexpr millis kAcknowledgedLife{10000};
+constexpr millis kUnacknowledgedLife{240000};
+constexpr millis kKeyLifetime{600000};
+constexpr millis kExpiryInterval{1000};
+constexpr size_t kMaxRecords = 100000;
+constexpr size_t kMaxClaims = 100000;
+constexpr size_t kMaxKeptBytes = 24 << 20;
+constexpr size_t kMaxWaitingPerSlot = 4;
+
+std::string Fingerprint(const attempt& message) {
+  return Sha256Hex(message.method + "\n" + message.path + "\n" + message.body.data);
+}
+
+}  // namespace
+
+upstream_core::upstream_core(upstream_options options) : options_(std::move(options)) {}
+
+void upstream_core::Decide(std::span<const upstream_event> events, millis now,
+                           std::vector<upstream_action>& actions) {
+  actions_ = &actions;
+  now_ = now;
+  for (const auto& event : events) {
+    std::visit([this](const auto& e) { On(e); }, event);
+  }
+  StartWaiting();
+  Expire();
+  GrantCredits();
+  actions_ = nullptr;
+}
+
+upstream_stats upstream_core::stats() const {
+  upstream_stats now = stats_;
+  now.running = running_;
+  now.queued = static_cast<int>(waiting_.size());
+  now.records = records_.size();
+  now.kept_bytes = kept_bytes_;
+  return now;
+}
+
+void upstream_core::On(const peer_up& event) {
+  if (event.peer.role != peer_role::kEntry) return;
+  entry_view& entry = entries_[event.peer.id];
+  if (entry.incarnation != event.peer.incarnation) entry = entry_view{};
+  entry.incarnation = event.peer.incarnation;
+  entry.connected = true;
+  entry.credits_told = -1;
+  Announce(event.peer.id);
+}
+
+void upstream_core::On(const peer_down& event) {
+  const auto found = entries_.find(event.peer);
+  if (found != entries_.end()) found->second.connected = false;
+}
+
+void upstream_core::On(const peer_said& event) {
+  if (const auto* message = std::get_if<attempt>(&event.message)) {
+    OnAttempt(event.peer, *message);
+  } else if (const auto* question = std::get_if<resolve>(&event.message)) {
+    OnResolve(event.peer, *question);
+  } else if (const auto* done = std::get_if<attempt_done>(&event.message)) {
+    OnDone(*done);
+  } else if (const auto* claimed = std::get_if<claim>(&event.message)) {
+    OnClaim(event.peer, *claimed);
+  } else if (const auto* demand = std::get_if<slot_demand>(&event.message)) {
+    entries_[event.peer].demand = std::clamp(demand->wanted, 0, options_.slots);
+  } else if (const auto* beat = std::get_if<entry_heartbeat>(&event.message)) {
+    OnHeartbeat(event.peer, *beat);
+  }
+}
+
+void upstream_core::On(const drain_wanted&) {
+  if (draining_) return;
+  draining_ = true;
+  for (const auto& [id, entry] : entries_) Announce(id);
+}
+
+void upstream_core::OnHeartbeat(const std::string& entry, const entry_heartbeat& message) {
+  millis& offset = entries_[entry].clock_offset;
+  offset = std::min(offset, now_ - millis(message.sent_ms));
+}
+
+void upstream_core::OnAttempt(const std::string& entry, const attempt& message) {
+  const auto known = records_.find(message.id);
+  if (known != records_.end()) {
+    if (known->second.state == record_state::kNotRun) {
+      ++stats_.barred;
+      Answer(entry, message.id, known->second.answer);
+    }
+    return;  // A second copy: the first one's answer goes out when it is there.
+  }
+  const std::string reason = ReasonToRefuse(entry, message);
+  if (!reason.empty()) {
+    RefuseAttempt(entry, message.id, reason);
+    return;
+  }
+  if (!message.key.empty() && JoinByKey(entry, message)) return;
+  record item;
+  item.entry = entry;
+  item.request = message;
+  item.key = message.key;
+  item.deadline_at = now_ + std::min(millis(message.deadline_ms), kMaxDeadline);
+  item.expires = kFarFuture;
+  if (!message.key.empty()) {
+    item.fingerprint = Fingerprint(message);
+    by_key_[message.key] = message.id;
+  }
+  records_.emplace(message.id, std::move(item));
+  waiting_.push_back(message.id);
+}
+
+std::string upstream_core::ReasonToRefuse(const std::string& entry, const attempt& message) const {
+  if (draining_) return "leaving";
+  const auto sender = entries_.find(entry);
+  if (sender != entries_.end() && sender->second.clock_offset < kFarFuture) {
+    const millis age = now_ - millis(message.sent_ms) - sender->second.clock_offset;
+    if (age > millis(message.deadline_ms)) return "expired";
+  }
+  if (records_.size() >= kMaxRecords || kept_bytes_ >= kMaxKeptBytes) return "records-full";
+  const bool joins = !message.key.empty() && by_key_.contains(message.key);
+  const size_t room = static_cast<size_t>(options_.slots) * kMaxWaitingPerSlot;
+  if (!joins && waiting_.size() >= room) return "queue-full";
+  if (message.key.empty()) return {};
+  const auto claimed = claims_.find(message.key);
+  if (claimed == claims_.end() || claimed->second.home == options_.agent) return {};
+  const size_t request_end = message.id.rfind('/');
+  const bool own = claimed->second.request == message.id.substr(0, request_end);
+  return own ? "" : "claimed-elsewhere";
+}
+
+bool upstream_core::JoinByKey(const std::string& entry, const attempt& message) {
+  const auto known = by_key_.find(message.key);
+  if (known == by_key_.end()) return false;
+  record& first = records_.at(known->second);
+  if (first.state == record_state::kNotRun) return false;
+  if (first.fingerprint != Fingerprint(message)) {
+    RefuseAttempt(entry, message.id, "key-used-for-another-request");
+    return true;
+  }
+  ++stats_.joined;
+  record item;
+  item.entry = entry;
+  item.deadline_at = now_ + kMaxDeadline;
+  item.expires = now_ + kUnacknowledgedLife;
+  const bool open = first.state == record_state::kWaiting || first.state == record_state::kRunning;
+  if (open) {
+    first.joined.emplace_back(entry, message.id);
+    item.state = record_state::kRunning;
+    item.expires = kFarFuture;
+  } else {
+    item.state = first.state;
+    item.answer = first.answer;
+    item.answer.id = message.id;
+    kept_bytes_ += item.answer.body.data.size();
+    Answer(entry, message.id, item.answer);
+  }
+  records_.emplace(message.id, std::move(item));
+  return true;
+}
+
+void upstream_core::RefuseAttempt(const std::string& entry, const std::string& id,
+                                  std::string_view reason) {
+  ++stats_.refused;
+  record item;
+  item.state = record_state::kNotRun;
+  item.entry = entry;
+  item.expires = now_ + kTombstoneLife;
+  item.answer.id = id;
+  item.answer.state = attempt_state::kNotRun;
+  item.answer.reason = reason;
+  Answer(entry, id, item.answer);
+  if (records_.size() < kMaxRecords) records_.emplace(id, std::move(item));
+}
+
+void upstream_core::OnResolve(const std::string& entry, const resolve& message) {
+  const auto known = records_.find(message.id);
+  if (known == records_.end()) {
+    RefuseAttempt(entry, message.id, "not-received");
+    return;
+  }
+  record& item = known->second;
+  item.entry = entry;
+  const bool open = item.state == record_state::kWaiting || item.state == record_state::kRunning;
+  if (!open) {
+    Answer(entry, message.id, item.answer);
+    return;
+  }
+  attempt_answer running;
+  running.id = message.id;
+  running.state = attempt_state::kRunning;
+  Send(entry, std::move(running));
+}
+
+void upstream_core::OnDone(const attempt_done& message) {
+  for (const auto& id : message.ids) {
+    const auto known = records_.find(id);
+    if (known == records_.end()) continue;
+    record& item = known->second;
+    const bool closed = item.expires != kFarFuture;
+    if (!closed || !item.key.empty() || item.state == record_state::kNotRun) continue;
+    kept_bytes_ -= item.answer.body.data.size();
+    item.answer.body.data.clear();
+    item.expires = std::min(item.expires, now_ + kAcknowledgedLife);
+  }
+}
+
+void upstream_core::OnClaim(const std::string& entry, const claim& message) {
+  claim_answer answer;
+  answer.id = message.id;
+  const auto here = by_key_.find(message.key);
+  const bool ran_here =
+      here != by_key_.end() && records_.at(here->second).state != record_state::kNotRun;
+  const auto known = claims_.find(message.key);
+  const bool foreign = known != claims_.end() && known->second.request != message.id;
+  if (ran_here) {
+    answer.state = claim_state::kHere;
+  } else if (foreign) {
+    answer.state = claim_state::kClaimed;
+    answer.home = known->second.home;
+    answer.home_incarnation = known->second.home_incarnation;
+  } else if (draining_ || claims_.size() >= kMaxClaims) {
+    answer.state = claim_state::kRefused;
+  } else {
+    claims_[message.key] = {message.id, message.home, message.home_incarnation,
+                            now_ + kKeyLifetime};
+    answer.state = claim_state::kGranted;
+  }
+  Send(entry, std::move(answer));
+}
+
+void upstream_core::StartWaiting() {
+  while (running_ < options_.slots && !waiting_.empty()) {
+    const std::string id = waiting_.front();
+    waiting_.pop_front();
+    record& item = records_.at(id);
+    if (now_ >= item.deadline_at) {
+      attempt_answer late;
+      late.state = attempt_state::kNotRun;
+      late.reason = "deadline-passed";
+      Settle(id, item, std::move(late));
+      continue;
+    }
+    ++running_;
+    ++stats_.started;
+    item.state = record_state::kRunning;
+    actions_->push_back(call_upstream{std::move(item.request), item.deadline_at - now_});
+    item.request = attempt{};
+  }
+}
+
+void upstream_core::On(const upstream_done& event) {
+  const auto known = records_.find(event.id);
+  if (known == records_.end() || known->second.state != record_state::kRunning) return;
+  --running_;
+  Settle(event.id, known->second, event.answer);
+}
+
+void upstream_core::Settle(const std::string& id, record& item, attempt_answer answer) {
+  answer.id = id;
+  switch (answer.state) {
+    case attempt_state::kFinished:
+      item.state = record_state::kFinished;
+      break;
+    case attempt_state::kNotRun:
+      item.state = record_state::kNotRun;
+      break;
+    default:
+      item.state = record_state::kUnknown;
+      break;
+  }
+  item.answer = std::move(answer);
+  item.expires = now_ + (item.key.empty() ? kUnacknowledgedLife : kKeyLifetime);
+  kept_bytes_ += item.answer.body.data.size();
+  Answer(item.entry, id, item.answer);
+  for (const auto& [entry, joined_id] : item.joined) {
+    record& joined = records_.at(joined_id);
+    joined.state = item.state;
+    joined.answer = item.answer;
+    joined.answer.id = joined_id;
+    joined.expires = now_ + kUnacknowledgedLife;
+    kept_bytes_ += joined.answer.body.data.size();
+    Answer(joined.entry, joined_id, joined.answer);
+  }
+  item.joined.clear();
+}
+
+void upstream_core::Answer(const std::string& entry, const std::string& id,
+                           const attempt_answer& answer) {
+  attempt_answer reply = answer;
+  reply.id = id;
+  Send(entry, std::move(reply));
+}
+
+void upstream_core::Expire() {
+  if (now_ < next_expiry_) return;
+  next_expiry_ = now_ + kExpiryInterval;
+  std::erase_if(records_, [this](const auto& entry) {
+    const record& item = entry.second;
+    if (item.expires > now_) return false;
+    kept_bytes_ -= item.answer.body.data.size();
+    const auto keyed = by_key_.find(item.key);
+    if (keyed != by_key_.end() && keyed->second == entry.first) by_key_.erase(keyed);
+    return true;
+  });
+  std::erase_if(claims_, [this](const auto& entry) { return entry.second.expires <= now_; });
+}
+
+void upstream_core::GrantCredits() {
+  int connected = 0;
+  int demand = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.connected) continue;
+    ++connected;
+    demand += entry.demand;
+  }
+  if (connected == 0) return;
+  // Max-min fair shares of the slots by demand; what nobody wants is spread evenly. Each entry has
+  // at least one credit, so that a first request does not wait for a grant.
+  int left = options_.slots;
+  int unsatisfied = connected;
+  int share = 0;
+  std::vector<int> demands;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.connected) demands.push_back(entry.demand);
+  }
+  std::sort(demands.begin(), demands.end());
+  for (const int wanted : demands) {
+    share = left / unsatisfied;
+    if (wanted >= share) break;
+    left -= wanted;
+    --unsatisfied;
+  }
+  const int spare = std::max(0, options_.slots - demand) / connected;
+  for (auto& [id, entry] : entries_) {
+    if (!entry.connected) continue;
+    const int satisfied = entry.demand < share ? entry.demand : share;
+    const int base = demand <= options_.slots ? entry.demand + spare : satisfied;
+    const int credits = draining_ ? 0 : std::max(1, base);
+    if (credits == entry.credits_told) continue;
+    entry.credits_told = credits;
+    Send(id, slot_credit{credits});
+  }
+}
+
+void upstream_core::Announce(const std::string& entry) {
+  announce offer;
+  offer.service = options_.service;
+  offer.slots = options_.slots;
+  offer.leaving = draining_;
+  Send(entry, std::move(offer));
+}
+
+void upstream_core::Send(std::string_view peer, peer_message message) {
+  actions_->push_back(send_to_peer{std::string(peer), std::move(message)});
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/requests/upstream_core.h
@@ -0,0 +1,140 @@
+/** \file
+ * Decides at an upstream's agent: the last authority over the upstream's slots.
+ */
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "kernel/base/millis.h"
+#include "kernel/model/duty_events.h"
+#include "kernel/model/link_events.h"
+
+namespace eelgrass {
+
+/** Asks the upstream to run an attempt. */
+struct call_upstream {
+  attempt request;
+  millis time_left;
+};
+
+/** How a call to the upstream ended. */
+struct upstream_done {
+  std::string id;         // of the attempt
+  attempt_answer answer;  // kFinished, kNotRun or kUnknown
+};
+
+using upstream_event = std::variant<peer_up, peer_down, peer_said, upstream_done, drain_wanted>;
+using upstream_action = std::variant<send_to_peer, call_upstream>;
+
+/** What an upstream agent offers. */
+struct upstream_options {
+  std::string agent;
+  int64_t incarnation = 0;
+  std::string service;
+  int slots = 0;
+};
+
+/** Counters of the agent since its start. */
+struct upstream_stats {
+  int64_t started = 0;
+  int64_t refused = 0;
+  int64_t barred = 0;  // late first copies refused by a tombstone
+  int64_t joined = 0;  // attempts answered from another attempt with the same key
+  int running = 0;
+  int queued = 0;
+  size_t records = 0;
+  size_t kept_bytes = 0;
+};
+
+/**
+ * Runs each attempt at most once and never more than `slots` at a time. Keeps the answer of an
+ * attempt until the entry has acknowledged it, and of a keyed request for the key's lifetime. An
+ * attempt that is asked about before it has come is barred. Everything that is kept is bounded;
+ * what does not fit is refused as not run.
+ */
+class upstream_core {
+ public:
+  explicit upstream_core(upstream_options options);
+
+  void Decide(std::span<const upstream_event> events, millis now,
+              std::vector<upstream_action>& actions);
+
+  bool drained() const { return draining_ && running_ == 0 && waiting_.empty(); }
+  upstream_stats stats() const;
+
+ private:
+  enum class record_state { kWaiting, kRunning, kFinished, kNotRun, kUnknown };
+
+  struct record {
+    record_state state = record_state::kWaiting;
+    std::string entry;  // where the answer goes
+    attempt request;    // emptied when it starts
+    millis deadline_at;
+    millis expires;  // kFarFuture while it is open
+    attempt_answer answer;
+    std::string key;
+    std::string fingerprint;                                  // of a keyed request
+    std::vector<std::pair<std::string, std::string>> joined;  // entry and attempt
+  };
+
+  struct entry_view {
+    int demand = 0;
+    int credits_told = -1;
+    bool connected = false;
+    int64_t incarnation = 0;
+    millis clock_offset = kFarFuture;  // least difference seen between our clock and the entry's
+  };
+
+  struct claim_record {
+    std::string request;
+    std::string home;
+    int64_t home_incarnation = 0;
+    millis expires;
+  };
+
+  void On(const peer_up& event);
+  void On(const peer_down& event);
+  void On(const peer_said& event);
+  void On(const upstream_done& event);
+  void On(const drain_wanted& event);
+
+  void OnAttempt(const std::string& entry, const attempt& message);
+  void OnResolve(const std::string& entry, const resolve& message);
+  void OnDone(const attempt_done& message);
+  void OnClaim(const std::string& entry, const claim& message);
+  void OnHeartbeat(const std::string& entry, const entry_heartbeat& message);
+
+  bool JoinByKey(const std::string& entry, const attempt& message);
+  std::string ReasonToRefuse(const std::string& entry, const attempt& message) const;
+  void RefuseAttempt(const std::string& entry, const std::string& id, std::string_view reason);
+  void StartWaiting();
+  void Settle(const std::string& id, record& item, attempt_answer answer);
+  void Answer(const std::string& entry, const std::string& id, const attempt_answer& answer);
+  void Expire();
+  void GrantCredits();
+  void Announce(const std::string& entry);
+  void Send(std::string_view peer, peer_message message);
+
+  const upstream_options options_;
+  std::map<std::string, entry_view, std::less<>> entries_;
+  std::unordered_map<std::string, record> records_;
+  std::unordered_map<std::string, std::string> by_key_;  // key to attempt
+  std::unordered_map<std::string, claim_record> claims_;
+  std::deque<std::string> waiting_;
+  std::vector<upstream_action>* actions_ = nullptr;
+  millis now_;
+  millis next_expiry_;
+  int running_ = 0;
+  size_t kept_bytes_ = 0;
+  bool draining_ = false;
+  upstream_stats stats_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/requests/upstream_table.cc
@@ -0,0 +1,96 @@
+#include "kernel/requests/upstream_table.h"
+
+#include <algorithm>
+
+namespace eelgrass {
+namespace {
+
+constexpr double kServiceTimeWeight = 0.1;
+constexpr int kFailuresToEject = 5;
+constexpr millis kFirstEjection{1000};
+constexpr int kMaxEjectionDoublings = 5;
+
+bool TakesWork(const upstream_view& agent) {
+  return agent.connected && !agent.leaving && agent.slots > 0;
+}
+
+}  // namespace
+
+upstream_view& upstream_table::Up(const hello& peer) {
+  upstream_view& agent = agents_[peer.id];
+  if (agent.incarnation != peer.incarnation) agent = upstream_view{};
+  agent.id = peer.id;
+  agent.incarnation = peer.incarnation;
+  agent.domain = peer.domain;
+  agent.connected = true;
+  return agent;
+}
+
+upstream_view* upstream_table::Find(std::string_view agent) {
+  const auto found = agents_.find(agent);
+  return found == agents_.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string_view> upstream_table::Members(std::string_view service) const {
+  std::vector<std::string_view> members;
+  for (const auto& [id, agent] : agents_) {
+    if (agent.service == service && TakesWork(agent)) members.push_back(id);
+  }
+  return members;
+}
+
+std::vector<route_candidate> upstream_table::Candidates(std::string_view service,
+                                                        millis now) const {
+  std::vector<route_candidate> candidates;
+  for (const auto& [id, agent] : agents_) {
+    if (agent.service != service || !TakesWork(agent) || agent.ejected_until > now) continue;
+    const int free = agent.credits - agent.in_flight;
+    if (free <= 0) continue;
+    candidates.push_back({id, agent.domain, free, agent.in_flight, agent.mean_service_ms});
+  }
+  return candidates;
+}
+
+int upstream_table::Slots(std::string_view service) const {
+  int slots = 0;
+  for (const auto& [id, agent] : agents_) {
+    if (agent.service == service && TakesWork(agent)) slots += agent.credits;
+  }
+  return slots;
+}
+
+void upstream_table::RecordSuccess(upstream_view& agent, double service_ms) {
+  agent.failures_in_row = 0;
+  agent.ejections = 0;
+  if (agent.mean_service_ms == 0) agent.mean_service_ms = service_ms;
+  agent.mean_service_ms += kServiceTimeWeight * (service_ms - agent.mean_service_ms);
+}
+
+void upstream_table::RecordFailure(upstream_view& agent, millis now) {
+  ++agent.failures_in_row;
+  if (agent.failures_in_row < kFailuresToEject || !MayEject(agent.service, now)) return;
+  agent.failures_in_row = kFailuresToEject - 1;  // One more failure after the return ejects again.
+  const int doublings = std::min(agent.ejections, kMaxEjectionDoublings);
+  agent.ejected_until = now + kFirstEjection * (int64_t{1} << doublings);
+  ++agent.ejections;
+}
+
+bool upstream_table::MayEject(std::string_view service, millis now) const {
+  int members = 0;
+  int ejected = 0;
+  for (const auto& [id, agent] : agents_) {
+    if (agent.service != service || !TakesWork(agent)) continue;
+    ++members;
+    if (agent.ejected_until > now) ++ejected;
+  }
+  return (ejected + 1) * 2 <= members;
+}
+
+void upstream_table::Expire(millis now, millis keep) {
+  std::erase_if(agents_, [&](const auto& entry) {
+    const upstream_view& agent = entry.second;
+    return !agent.connected && agent.in_flight == 0 && now - agent.lost_at > keep;
+  });
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/plugins/admission/predicted_wait/predicted_wait.cc
@@ -0,0 +1,26 @@
+/** \file
+ * Admits a request when it is expected to be answered within its deadline.
+ */
+#include "kernel/requests/admission_policy.h"
+
+namespace eelgrass {
+namespace {
+
+/**
+ * Predicts the wait of the arriving request as (L + 1) * S / c: requests ahead, mean service time
+ * and slots. The idea of steering by this prediction is puma-plus's (docs/MEASUREMENTS.md).
+ */
+class predicted_wait : public admission_policy {
+ public:
+  bool Admit(const admission_view& view) const override {
+    if (view.queued >= view.max_queue) return false;
+    if (view.mean_service_ms <= 0 || view.slots == 0) return true;
+    const double wait = (view.queued_ahead + 1) * view.mean_service_ms / view.slots;
+    return wait + view.mean_service_ms <= static_cast<double>(view.deadline.count());
+  }
+};
+
+const admission_registration<predicted_wait> kRegistration("predicted_wait");
+
+}  // namespace
+}  // namespace eelgrass
--- /dev/null
+++ b/src/plugins/placement/best_fit/best_fit.cc
@@ -0,0 +1,110 @@
+/** \file
+ * Places gangs so that large free shapes stay whole.
+ */
+#include <algorithm>
+#include <tuple>
+#include <unordered_map>
+
+#include "kernel/jobs/placement_policy.h"
+
+namespace eelgrass {
+namespace {
+
+/** Workers of one group that have room for a task. */
+struct group_candidate {
+  int tasks = 0;  // that fit
+  int free = 0;   // accelerators, or cores where there are none
+  double disturbance = 0;
+  std::vector<placed_part> parts;
+};
+
+int FreeUnits(const worker_room& room, const resources& each) {
+  return each.accelerators > 0 ? room.room.accelerators : room.room.cores;
+}
+
+/**
+ * Chooses the group that is disturbed least and, of those, the one with the least room left over.
+ * Inside the group a gang with adjacency takes the emptiest workers first, so that it spreads over
+ * few; one without fills the fullest first.
+ */
+class best_fit : public placement_policy {
+ public:
+  bool Place(const gang_shape& shape, std::span<const worker_room> rooms,
+             std::vector<placed_part>& parts) const override {
+    if (TooLittle(shape, rooms)) return false;
+    std::unordered_map<std::string_view, size_t> index;
+    std::vector<group_candidate> groups;
+    for (size_t i = 0; i < rooms.size(); ++i) {
+      const int count = CountFitting(shape.each, rooms[i].room, shape.tasks);
+      if (count == 0) continue;
+      const auto [slot, added] = index.try_emplace(GroupOf(rooms[i], shape.within), groups.size());
+      if (added) groups.emplace_back();
+      group_candidate& group = groups[slot->second];
+      group.tasks += count;
+      group.free += FreeUnits(rooms[i], shape.each);
+      group.disturbance += rooms[i].disturbance;
+      group.parts.push_back({i, count});
+    }
+    group_candidate* best = nullptr;
+    for (auto& group : groups) {
+      if (group.tasks < shape.tasks) continue;
+      if (best == nullptr || Cost(group) < Cost(*best)) best = &group;
+    }
+    if (best == nullptr) return false;
+    Fill(shape, rooms, *best, parts);
+    return true;
+  }
+
+ private:
+  static std::tuple<double, int> Cost(const group_candidate& group) {
+    const double each = group.disturbance / static_cast<double>(group.parts.size());
+    return {each, group.free};
+  }
+
+  static bool TooLittle(const gang_shape& shape, std::span<const worker_room> rooms) {
+    int64_t free = 0;
+    for (const auto& room : rooms) free += FreeUnits(room, shape.each);
+    const int each = shape.each.accelerators > 0 ? shape.each.accelerators : shape.each.cores;
+    return free < int64_t{each} * shape.tasks;
+  }
+
+  static void Fill(const gang_shape& shape, std::span<const worker_room> rooms,
+                   group_candidate& group, std::vector<placed_part>& parts) {
+    const bool spread_little = shape.within != adjacency::kAny;
+    std::sort(group.parts.begin(), group.parts.end(), [&](const auto& a, const auto& b) {
+      const auto key = [&](const placed_part& part) {
+        const int free = FreeUnits(rooms[part.worker], shape.each);
+        return std::make_tuple(rooms[part.worker].disturbance, spread_little ? -free : free,
+                               part.worker);
+      };
+      return key(a) < key(b);
+    });
+    parts.clear();
+    int left = shape.tasks;
+    for (size_t i = 0; i < group.parts.size() && left > 0; ++i) {
+      if (spread_little) PreferTightest(rooms, group.parts, i, left);
+      const int count = std::min(left, group.parts[i].tasks);
+      parts.push_back({group.parts[i].worker, count});
+      left -= count;
+    }
+  }
+
+  /** Puts at `i` the worker with the least room of those that hold all that is left. */
+  static void PreferTightest(std::span<const worker_room> rooms, std::vector<placed_part>& parts,
+                             size_t i, int left) {
+    size_t chosen = i;
+    for (size_t j = i; j < parts.size(); ++j) {
+      if (parts[j].tasks < left) continue;
+      const auto& room = rooms[parts[j].worker];
+      const auto& best = rooms[parts[chosen].worker];
+      if (room.disturbance > best.disturbance) break;
+      if (room.room.accelerators <= best.room.accelerators) chosen = j;
+    }
+    if (parts[chosen].tasks >= left) std::swap(parts[i], parts[chosen]);
+  }
+};
+
+const placement_registration<best_fit> kRegistration("best_fit");
+
+}  // namespace
+}  // namespace eelgrass
--- /dev/null
+++ b/src/plugins/store/curl/curl_client.cc
@@ -0,0 +1,181 @@
+/** \file
+ * HTTP client on libcurl's multi interface.
+ */
+#include <curl/curl.h>
+#include <pthread.h>
+
+#include <algorithm>
+#include <memory>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+#include "kernel/base/bounded_ring.h"
+#include "kernel/io/http_client.h"
+
+namespace eelgrass {
+namespace {
+
+constexpr int kLongestPollMs = 1000;
+constexpr long kMaxIdleConnections = 64;
+
+/** One call in flight. */
+struct transfer {
+  http_call call;
+  http_client::callback done;
+  CURL* handle = nullptr;
+  curl_slist* headers = nullptr;
+  http_response response;
+};
+
+size_t TakeBody(char* data, size_t size, size_t count, void* user) {
+  static_cast<transfer*>(user)->response.body.data.append(data, size * count);
+  return size * count;
+}
+
+size_t TakeHeader(char* data, size_t size, size_t count, void* user) {
+  const std::string_view line(data, size * count);
+  const size_t colon = line.find(':');
+  if (colon == std::string_view::npos) return line.size();
+  const size_t start = line.find_first_not_of(" \t", colon + 1);
+  const size_t end = line.find_last_not_of(" \t\r\n");
+  std::string value;
+  if (start != std::string_view::npos && end >= start) value = line.substr(start, end - start + 1);
+  auto& response = static_cast<transfer*>(user)->response;
+  response.headers.push_back({std::string(line.substr(0, colon)), std::move(value)});
+  return line.size();
+}
+
+/** Whether the request cannot have reached the server. */
+bool NeverSent(CURLcode code) {
+  switch (code) {
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/** Runs all transfers on one thread, which sleeps in curl_multi_poll. */
+class curl_client : public http_client {
+ public:
+  explicit curl_client(client_options options) : ring_(options.ring_capacity) {
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    multi_ = curl_multi_init();
+    curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      static_cast<long>(options.max_connections));
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+    thread_ = std::thread([this] { Run(); });
+    pthread_setname_np(thread_.native_handle(), "http-client");
+  }
+
+  ~curl_client() override {
+    Stop();
+    curl_multi_cleanup(multi_);
+  }
+
+  void Start(http_call call, callback done) override {
+    auto item = std::make_unique<transfer>();
+    item->call = std::move(call);
+    item->done = std::move(done);
+    if (ring_.TryPush(std::move(item))) {
+      curl_multi_wakeup(multi_);
+      return;
+    }
+    item->done(Fail(error_kind::kExhausted, "http-call", item->call.url, "too many calls waiting"));
+  }
+
+  void Stop() override {
+    if (!thread_.joinable()) return;
+    ring_.Close();
+    curl_multi_wakeup(multi_);
+    thread_.join();
+  }
+
+ private:
+  void Run() {
+    std::vector<std::unique_ptr<transfer>> batch;
+    constexpr size_t kAll = SIZE_MAX;
+    while (ring_.PopBatch(batch, kAll, millis(0))) {
+      for (auto& item : batch) Begin(std::move(item));
+      batch.clear();
+      int running = 0;
+      curl_multi_perform(multi_, &running);
+      Collect();
+      curl_multi_poll(multi_, nullptr, 0, kLongestPollMs, nullptr);
+    }
+    while (!active_.empty()) End(active_.begin()->first, CURLE_ABORTED_BY_CALLBACK);
+  }
+
+  void Begin(std::unique_ptr<transfer> item) {
+    CURL* handle = curl_easy_init();
+    item->handle = handle;
+    const http_call& call = item->call;
+    for (const auto& field : call.headers) {
+      item->headers = curl_slist_append(item->headers, (field.name + ": " + field.value).c_str());
+    }
+    item->headers = curl_slist_append(item->headers, "Expect:");
+    curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+    if (call.method == "HEAD") {
+      curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+    } else if (!call.body.data.empty() || call.method == "POST" || call.method == "PUT") {
+      curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(call.body.data.size()));
+      curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data.data());
+    }
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, item->headers);
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, call.once ? 1L : 0L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, call.once ? 1L : 0L);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &TakeBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, item.get());
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &TakeHeader);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, item.get());
+    curl_multi_add_handle(multi_, handle);
+    active_.emplace(handle, std::move(item));
+  }
+
+  void Collect() {
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg == CURLMSG_DONE) End(message->easy_handle, message->data.result);
+    }
+  }
+
+  void End(CURL* handle, CURLcode code) {
+    const auto found = active_.find(handle);
+    const std::unique_ptr<transfer> item = std::move(found->second);
+    active_.erase(found);
+    long status = 0;
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    curl_multi_remove_handle(multi_, handle);
+    curl_easy_cleanup(handle);
+    curl_slist_free_all(item->headers);
+    if (code == CURLE_OK) {
+      item->response.status = static_cast<int>(status);
+      item->done(std::move(item->response));
+      return;
+    }
+    const error_kind kind = NeverSent(code) ? error_kind::kUnavailable : error_kind::kUnknown;
+    item->done(Fail(kind, "http-call", item->call.url, curl_easy_strerror(code)));
+  }
+
+  CURLM* multi_ = nullptr;
+  bounded_ring<std::unique_ptr<transfer>> ring_;
+  std::unordered_map<CURL*, std::unique_ptr<transfer>> active_;
+  std::thread thread_;
+};
+
+const client_registration<curl_client> kRegistration("curl");
+
+}  // namespace
+}  // namespace eelgrass
