--- a/src/kernel/config/document_rules.cc
+++ b/src/kernel/config/document_rules.cc
@@ -127,16 +127,14 @@
     const bool declared = std::any_of(doc_.domains.begin(), doc_.domains.end(),
                                       [](const auto& domain) { return !domain.racks.empty(); });
     if (!declared) return;
-    document all_in = doc_;
-    for (auto& domain : all_in.domains) domain.out = false;
-    const int unfit = CountUnfitGuarantees(all_in, {});
+    const int unfit = CountUnfitGuarantees(doc_, {});
     if (unfit > 0) {
       Add("/organisations", std::to_string(unfit) + " guaranteed shapes do not fit the racks",
           "guarantees that all fit the declared racks at once");
       return;
     }
     for (size_t i = 0; i < doc_.domains.size(); ++i) {
-      const int suspended = CountUnfitGuarantees(all_in, doc_.domains[i].name);
+      const int suspended = CountUnfitGuarantees(doc_, doc_.domains[i].name);
       if (suspended == 0) continue;
       Add(At("/domains", i),
           "while " + doc_.domains[i].name + " is out, " + std::to_string(suspended) +
@@ -154,19 +152,9 @@
 document_issues CheckRules(const document& doc) { return rule_checker(doc).Run(); }
 
 int CountUnfitGuarantees(const document& doc, std::string_view without_domain) {
-  std::vector<ledger_worker> workers;
-  for (const auto& domain : doc.domains) {
-    if (domain.out || domain.name == without_domain) continue;
-    for (const auto& rack : domain.racks) {
-      for (int i = 0; i < rack.workers; ++i) {
-        const std::string rack_name = domain.name + "/" + rack.name;
-        workers.push_back({rack_name + "/" + std::to_string(i), rack_name, domain.name,
-                           domain.region, rack.each});
-      }
-    }
-  }
   guarantee_ledger ledger;
-  ledger.Update(doc, workers, [](std::string_view, std::string_view) { return resources{}; });
+  ledger.Update(doc, DeclaredWorkers(doc, without_domain),
+                [](std::string_view, std::string_view) { return resources{}; });
   return ledger.suspended();
 }
 
--- a/src/kernel/config/document_rules.h
+++ b/src/kernel/config/document_rules.h
@@ -25,7 +25,7 @@
 
 checked_document CheckDocument(std::string_view text);
 
-/** How many guaranteed shapes do not fit on the declared racks of the domains that are in. */
+/** How many guaranteed shapes do not fit on the declared racks, without one failure domain. */
 int CountUnfitGuarantees(const document& doc, std::string_view without_domain);
 
 }  // namespace eelgrass
--- a/src/kernel/jobs/cluster.cc
+++ b/src/kernel/jobs/cluster.cc
@@ -32,9 +32,10 @@
 }
 
 void cluster::Allocate(std::string_view job, allocation what) {
-  Free(job);
-  Apply(job, what, 1);
-  allocations_[std::string(job)] = std::move(what);
+  const std::string key(job);  // `job` may be a view into what is freed
+  Free(key);
+  Apply(key, what, 1);
+  allocations_[key] = std::move(what);
 }
 
 void cluster::Free(std::string_view job) {
--- a/src/kernel/jobs/guarantee_ledger.cc
+++ b/src/kernel/jobs/guarantee_ledger.cc
@@ -54,6 +54,21 @@
 
 }  // namespace
 
+std::vector<ledger_worker> DeclaredWorkers(const document& doc, std::string_view without_domain) {
+  std::vector<ledger_worker> workers;
+  for (const auto& domain : doc.domains) {
+    if (domain.name == without_domain) continue;
+    for (const auto& rack : domain.racks) {
+      const std::string name = domain.name + "/" + rack.name;
+      for (int i = 0; i < rack.workers; ++i) {
+        workers.push_back(
+            {name + "/" + std::to_string(i), name, domain.name, domain.region, rack.each});
+      }
+    }
+  }
+  return workers;
+}
+
 void guarantee_ledger::Update(const document& doc, std::span<const ledger_worker> workers,
                               const own_usage& usage) {
   MatchCells(doc);
--- a/src/kernel/jobs/guarantee_ledger.h
+++ b/src/kernel/jobs/guarantee_ledger.h
@@ -24,6 +24,12 @@
   resources capacity;
 };
 
+/**
+ * Workers as the document's racks declare them, in all failure domains but one; an empty name
+ * leaves none out.
+ */
+std::vector<ledger_worker> DeclaredWorkers(const document& doc, std::string_view without_domain = {});
+
 /** A share of one worker. */
 struct worker_share {
   std::string worker;
--- a/src/kernel/jobs/job_planner.cc
+++ b/src/kernel/jobs/job_planner.cc
@@ -18,11 +18,6 @@
 constexpr millis kLedgerPatience{30000};  // a worker away for less keeps its guarantees
 constexpr millis kForgetWorker{3600000};
 constexpr millis kReturnStep{200};  // between workers of a domain that comes back
-constexpr int kMaxTasks = 128;
-
-error Refusal(std::string_view detail) {
-  return {error_kind::kInvalid, "check-job", "", std::string(detail)};
-}
 
 }  // namespace
 
@@ -30,21 +25,37 @@
                          std::unique_ptr<placement_policy> placement, record_table& table)
     : table_(table),
       scheduler_(std::move(ordering), std::move(placement)),
-      document_(std::make_shared<document>()) {}
+      document_(std::make_shared<document>()),
+      submission_(document_) {}
 
 void job_planner::On(const document_changed& event) {
   document_ = event.doc;
+  submission_ = submission_rules(document_);
   plan_due_ = true;
   ledger_due_ = true;
 }
 
-void job_planner::On(const peer_up& event, millis /*now*/) {
+void job_planner::On(const peer_up& event, millis now) {
   if (event.peer.role != peer_role::kWorkerAgent) return;
+  const worker_state* known = machines_.Find(event.peer.id);
+  if (known != nullptr && known->incarnation != event.peer.incarnation) {
+    AskAbout(event.peer.id, now);
+  }
   machines_.Up(event.peer);
   plan_due_ = true;
   ledger_due_ = true;
 }
 
+void job_planner::AskAbout(std::string_view anchor, millis now) {
+  for (const auto& [id, row] : rows_) {
+    const bool concerned = IsActive(row.state) && row.members.front().agent == anchor;
+    if (!concerned) continue;
+    const auto [item, added] = watches_.try_emplace(id);
+    item->second.last_report = now - kRunningReportTimeout;
+    item->second.next_query = now;
+  }
+}
+
 void job_planner::On(const peer_down& event, millis now) {
   worker_state* worker = machines_.Find(event.peer);
   if (worker == nullptr || worker->incarnation != event.incarnation) return;
@@ -112,6 +123,8 @@
   rows_[row.id] = row;
   if (IsActive(row.state)) {
     machines_.Allocate(row.id, {row.spec.organisation, row.members, row.borrowing});
+    // The row may not know yet that its guarantee has moved away.
+    if (!row.borrowing && !Covered(*machines_.FindAllocation(row.id))) ledger_due_ = true;
     return;
   }
   watches_.erase(row.id);
@@ -335,20 +348,22 @@
   PromoteCovered();
 }
 
+bool job_planner::Covered(const allocation& held) const {
+  return std::all_of(held.members.begin(), held.members.end(), [&](const auto& member) {
+    return machines_.OwnUsage(held.organisation, member.agent)
+        .Fits(ledger_.Share(held.organisation, member.agent));
+  });
+}
+
 void job_planner::DemoteUncovered() {
-  std::vector<std::string> uncovered;
+  std::vector<std::string> own;
   for (const auto& [job, held] : machines_.allocations()) {
-    if (held.borrowing) continue;
-    const bool covered =
-        std::all_of(held.members.begin(), held.members.end(), [&](const auto& member) {
-          return machines_.OwnUsage(held.organisation, member.agent)
-              .Fits(ledger_.Share(held.organisation, member.agent));
-        });
-    if (covered) continue;
-    uncovered.push_back(job);
-  }
-  for (const auto& job : uncovered) {
+    if (!held.borrowing) own.push_back(job);
+  }
+  for (const auto& job : own) {
     allocation held = *machines_.FindAllocation(job);
+    if (Covered(held)) continue;
+    // Each one that becomes a borrower leaves more of the share to the others.
     held.borrowing = true;
     machines_.Allocate(job, std::move(held));
     ++stats_.uncovered;
@@ -362,26 +377,22 @@
 
 void job_planner::PromoteCovered() {
   if (!state_.leading) return;
-  std::vector<std::string> covered;
+  std::vector<std::string> candidates;
   for (const auto& [job, held] : machines_.allocations()) {
     const auto row = rows_.find(job);
     const bool steady = row != rows_.end() && row->second.state == job_state::kRunning &&
                         !row->second.cancel_wanted && !flows_.contains(job);
-    if (!held.borrowing || !steady) continue;
+    if (held.borrowing && steady) candidates.push_back(job);
+  }
+  for (const auto& job : candidates) {
+    allocation held = *machines_.FindAllocation(job);
     const bool fits = std::all_of(held.members.begin(), held.members.end(), [&](const auto& m) {
-      const worker_state* worker = machines_.Find(m.agent);
       const resources own = machines_.OwnUsage(held.organisation, m.agent);
-      return worker != nullptr && (own + m.amount).Fits(ledger_.Share(held.organisation, m.agent));
+      return (own + m.amount).Fits(ledger_.Share(held.organisation, m.agent));
     });
     if (!fits) continue;
-    allocation promoted = held;
-    promoted.borrowing = false;
-    covered.push_back(job);
-    // One at a time: the next one has to see this one's use of the share.
-    machines_.Allocate(job, std::move(promoted));
-    break;
-  }
-  for (const auto& job : covered) {
+    held.borrowing = false;
+    machines_.Allocate(job, std::move(held));
     job_row next = rows_.at(job);
     next.borrowing = false;
     Change(std::move(next), write_rank::kBulk);
@@ -621,39 +632,7 @@
 }
 
 result<void> job_planner::CheckSubmission(const job_spec& spec) const {
-  if (spec.tasks < 1 || spec.tasks > kMaxTasks) {
-    return Refusal("tasks must be from 1 to " + std::to_string(kMaxTasks));
-  }
-  if (!spec.per_task.valid() || spec.per_task.empty()) {
-    return Refusal("per_task must ask for accelerators, cores or memory");
-  }
-  if (document_->FindJobClass(spec.job_class) == nullptr) {
-    return Refusal("no job class '" + spec.job_class + "'");
-  }
-  // What the document declares decides, not who happens to be connected.
-  std::map<std::string, int> fitting;
-  int racks = 0;
-  for (const auto& domain : document_->domains) {
-    for (const auto& rack : domain.racks) {
-      const int on_one = CountFitting(spec.per_task, rack.each, spec.tasks);
-      const int in_rack = on_one * rack.workers;
-      const std::string numbered = domain.name + "/" + rack.name;
-      const std::string group = spec.within == adjacency::kWorker   ? numbered + "/worker"
-                                : spec.within == adjacency::kRack   ? numbered
-                                : spec.within == adjacency::kDomain ? domain.name
-                                : spec.within == adjacency::kRegion ? domain.region
-                                                                    : "all";
-      fitting[group] += spec.within == adjacency::kWorker ? on_one : in_rack;
-      ++racks;
-    }
-  }
-  if (racks == 0) return Ok();
-  int most = 0;
-  for (const auto& [group, tasks] : fitting) most = std::max(most, tasks);
-  if (most >= spec.tasks) return Ok();
-  return Refusal("can never run: at most " + std::to_string(most) + " such tasks fit within one " +
-                 std::string(AdjacencyName(spec.within)) + ", " + std::to_string(spec.tasks) +
-                 " are asked for");
+  return submission_.Check(spec);
 }
 
 job_explanation job_planner::Explain(const job_row& row, millis /*wall_now*/) const {
--- a/src/kernel/jobs/job_planner.h
+++ b/src/kernel/jobs/job_planner.h
@@ -17,6 +17,7 @@
 #include "kernel/jobs/guarantee_ledger.h"
 #include "kernel/jobs/job_scheduler.h"
 #include "kernel/jobs/runtime_estimator.h"
+#include "kernel/jobs/submission_rules.h"
 #include "kernel/model/duty_events.h"
 #include "kernel/model/link_events.h"
 
@@ -102,6 +103,8 @@
     millis bar_seen{0};
   };
 
+  /** Has the gangs of a restarted anchor asked about at once. */
+  void AskAbout(std::string_view anchor, millis now);
   void OnReport(std::string_view agent, const gang_report& report);
   void OnFinal(const job_row& row, const gang_report& report);
   void OnBarred(const job_row& row, std::string_view agent);
@@ -118,6 +121,7 @@
   void WatchActive();
   void WatchLost(const job_row& row, watch& item);
   void UpdateLedger();
+  bool Covered(const allocation& held) const;
   void DemoteUncovered();
   void PromoteCovered();
   void Plan();
@@ -138,6 +142,7 @@
   record_table& table_;
   job_scheduler scheduler_;
   std::shared_ptr<const document> document_;
+  submission_rules submission_;
   cluster machines_;
   guarantee_ledger ledger_;
   runtime_estimator estimator_;
--- a/src/kernel/jobs/job_scheduler.cc
+++ b/src/kernel/jobs/job_scheduler.cc
@@ -3,10 +3,11 @@
 #include <algorithm>
 #include <tuple>
 
+#include "kernel/jobs/submission_rules.h"
+
 namespace eelgrass {
 namespace {
 
-constexpr millis kUrgentCheckpoint{1500};    // longest checkpoint that urgent work waits for
 constexpr millis kNormalCheckpoint{600000};  // longest checkpoint that other work waits for
 constexpr millis kWindowMargin{60000};
 constexpr int kHoldProbes = 12;
@@ -29,16 +30,6 @@
   return kind != nullptr ? kind->checkpoint_ms : millis(0);
 }
 
-/**
- * Whether a job may run outside its guarantee: one that must not run twice has to be able to save
- * itself within the time that urgent work waits.
- */
-bool MayBorrow(const schedule_view& view, const job_row& row) {
-  const job_class* kind = view.doc.FindJobClass(row.spec.job_class);
-  if (kind == nullptr || kind->idempotent) return true;
-  return kind->checkpoint_ms > millis(0) && kind->checkpoint_ms <= kUrgentCheckpoint;
-}
-
 /** Work of a running job that would be lost if it were stopped without a checkpoint. */
 millis UnsavedWork(const schedule_view& view, const job_row& row) {
   return view.wall_now - millis(row.started_ms);
@@ -102,7 +93,9 @@
 
 std::optional<start_decision> job_scheduler::TryMode(const schedule_view& view, const job_row& row,
                                                      mode how) {
-  if (how == mode::kBorrow && !MayBorrow(view, row)) return std::nullopt;
+  const job_class* kind = view.doc.FindJobClass(row.spec.job_class);
+  const bool tied = kind != nullptr && !MayBorrow(*kind);
+  if (how == mode::kBorrow && tied) return std::nullopt;
   const std::string key = FailureKey(row, how);
   if (failed_.contains(key)) return std::nullopt;
   CollectRooms(view, row, how);
--- a/standins/task_log.h
+++ b/standins/task_log.h
@@ -19,6 +19,7 @@
   int64_t opened_ms = 0;  // monotonic; 0: the gate was never opened
   int64_t ended_ms = 0;   // 0: still runs
   bool success = false;
+  int64_t started_ms = 0;  // when the tasks were started behind the gate
 };
 
 /** Shared by all workers of one stand-in process. */
