--- a/scenarios/jobs.lua
+++ b/scenarios/jobs.lua
@@ -329,3 +329,18 @@
   expect(world.run_until_ended(400000), "all end")
   world.check()
 end)
+
+scenario("two entries plan at the same time, each with borrowers to stop", 10, function()
+  world.deploy(CHARQUI)
+  for i = 1, 10 do
+    world.submit("e1", {organisation = "calidad", class = "quote-batch", accelerators = 8,
+      within = "worker", run_ms = 30000, number = i})
+  end
+  world.run(4000)
+  -- Renewals of the planner's row are lost, so that several entries believe that they plan.
+  world.store{lost_percent = 60}
+  submit_mix(8)
+  world.run(math.random(5000, 20000))
+  world.store{}
+  expect_all_finished(400000)
+end)
--- a/src/kernel/jobs/job_planner.cc
+++ b/src/kernel/jobs/job_planner.cc
@@ -103,8 +103,9 @@
   const bool ours_pending = table_.Busy("jobs/" + row->id) && known != rows_.end();
   if (event.what == table_event::kind::kChanged && ours_pending) return;
   if (flow != flows_.end()) {
-    const bool evicting = flow->second.at == phase::kEvicting;
-    if (!evicting || row->cancel_wanted) {
+    const bool still_waits = flow->second.at == phase::kEvicting &&
+                             row->state == job_state::kQueued && !row->cancel_wanted;
+    if (!still_waits) {
       flows_.erase(flow);
       machines_.Free(row->id);
     }
@@ -543,6 +544,7 @@
 
 void job_planner::AdvanceFlows() {
   std::vector<std::string> late;
+  std::vector<std::string> ready;
   for (auto& [job, flow] : flows_) {
     if (flow.at == phase::kReserving && state_.now >= flow.deadline) late.push_back(job);
     if (flow.at != phase::kEvicting) continue;
@@ -555,8 +557,9 @@
       gone = false;
       StopGang(row->second, victim.checkpoint, "reclaimed");
     }
-    if (gone) Claim(flow);
+    if (gone) ready.push_back(job);
   }
+  for (const auto& job : ready) Claim(flows_.at(job));
   for (const auto& job : late) Abort(job, "an agent did not answer the reservation");
 }
 
--- a/src/kernel/requests/request_router.cc
+++ b/src/kernel/requests/request_router.cc
@@ -13,6 +13,7 @@
 constexpr millis kRetryPause{20};
 constexpr millis kDemandInterval{20};
 constexpr millis kMaxDeadline{120000};
+constexpr double kServiceMargin = 1.5;   // of the mean service time, left when an attempt starts
 constexpr int kDefaultConnections = 2048;  // open requests for each organisation
 
 constexpr int kServiceUnavailable = 503;
@@ -101,19 +102,12 @@
     return false;
   }
   const fair_queue& queue = queues_[request.service];
-  double total_ms = 0;
-  int measured = 0;
-  for (const auto& [id, agent] : upstreams_.all()) {
-    if (agent.service != request.service || agent.mean_service_ms == 0) continue;
-    total_ms += agent.mean_service_ms;
-    ++measured;
-  }
   admission_view view;
   view.queued = queue.size();
   view.queued_ahead = queue.CountAhead(request.organisation, WeightOf(request.organisation));
   view.max_queue = service.max_queue;
   view.slots = upstreams_.Slots(request.service);
-  view.mean_service_ms = measured > 0 ? total_ms / measured : 0;
+  view.mean_service_ms = upstreams_.MeanServiceMs(request.service);
   view.deadline = request.deadline > millis(0) ? request.deadline : service.default_deadline_ms;
   if (admission_->Admit(view)) return true;
   Refuse(request, kServiceUnavailable,
@@ -227,6 +221,12 @@
   const auto chosen = routing_->Choose(candidates, options_.domain);
   if (!chosen) return false;
   flight& item = flights_.at(queues_[service].Pop());
+  const double mean = upstreams_.MeanServiceMs(service);
+  const auto needed = millis(static_cast<int64_t>(mean * kServiceMargin));
+  if (item.deadline_at - now_ < needed) {
+    FinishNotRun(item, "wait-for-slot", "too little time is left to run it");
+    return true;
+  }
   if (!item.request.idempotent && !item.request.key.empty()) {
     StartKeyed(item);
     return true;
@@ -358,7 +358,9 @@
   }
   item.avoid.push_back(peer);
   const bool in_time = now_ + kRetryPause < item.deadline_at;
-  if (!in_time || !budget_.TakeRetry(item.request.organisation)) {
+  // An attempt that never reached its agent has cost the upstreams nothing.
+  const bool free = reason == "not-received" || reason == "leaving";
+  if (!in_time || !(free || budget_.TakeRetry(item.request.organisation))) {
     if (known_not_run) {
       FinishNotRun(item, "run-attempt", std::string(reason) + " at " + peer);
     } else {
@@ -438,7 +440,7 @@
     if (!agent.connected || agent.slots == 0) continue;
     const int count = members[agent.service];
     const int share = (wanted[agent.service] + count - 1) / count;
-    const int demand = std::min(agent.slots, std::max(share, agent.in_flight));
+    const int demand = std::min(2 * agent.slots, std::max(share, agent.in_flight));
     if (demand == agent.demand_told) continue;
     agent.demand_told = demand;
     Send(id, slot_demand{demand});
--- a/src/kernel/requests/upstream_core.cc
+++ b/src/kernel/requests/upstream_core.cc
@@ -17,6 +17,21 @@
 constexpr size_t kMaxClaims = 100000;
 constexpr size_t kMaxKeptBytes = 24 << 20;
 constexpr size_t kMaxWaitingPerSlot = 4;
+constexpr int kSlotsPerWaiting = 2;  // one request may wait for every two slots
+
+/** The most that one demand is granted when `total` is shared max-min fairly. */
+int FairShare(std::vector<int> demands, int total) {
+  std::sort(demands.begin(), demands.end());
+  auto unsatisfied = static_cast<int>(demands.size());
+  int share = total;
+  for (const int wanted : demands) {
+    share = total / unsatisfied;
+    if (wanted >= share) break;
+    total -= wanted;
+    --unsatisfied;
+  }
+  return share;
+}
 
 std::string Fingerprint(const attempt& message) {
   return Sha256Hex(message.method + "\n" + message.path + "\n" + message.body.data);
@@ -73,7 +88,7 @@
   } else if (const auto* claimed = std::get_if<claim>(&event.message)) {
     OnClaim(event.peer, *claimed);
   } else if (const auto* demand = std::get_if<slot_demand>(&event.message)) {
-    entries_[event.peer].demand = std::clamp(demand->wanted, 0, options_.slots);
+    entries_[event.peer].demand = std::clamp(demand->wanted, 0, 2 * options_.slots);
   } else if (const auto* beat = std::get_if<entry_heartbeat>(&event.message)) {
     OnHeartbeat(event.peer, *beat);
   }
@@ -316,36 +331,24 @@
 }
 
 void upstream_core::GrantCredits() {
-  int connected = 0;
+  std::vector<int> demands;
   int demand = 0;
   for (const auto& [id, entry] : entries_) {
     if (!entry.connected) continue;
-    ++connected;
+    demands.push_back(entry.demand);
     demand += entry.demand;
   }
-  if (connected == 0) return;
-  // Max-min fair shares of the slots by demand; what nobody wants is spread evenly. Each entry has
-  // at least one credit, so that a first request does not wait for a grant.
-  int left = options_.slots;
-  int unsatisfied = connected;
-  int share = 0;
-  std::vector<int> demands;
-  for (const auto& [id, entry] : entries_) {
-    if (entry.connected) demands.push_back(entry.demand);
-  }
-  std::sort(demands.begin(), demands.end());
-  for (const int wanted : demands) {
-    share = left / unsatisfied;
-    if (wanted >= share) break;
-    left -= wanted;
-    --unsatisfied;
-  }
-  const int spare = std::max(0, options_.slots - demand) / connected;
+  if (demands.empty()) return;
+  // Some requests wait here, so that a slot is filled again without a round trip to an entry.
+  const int total = options_.slots + std::max(1, options_.slots / kSlotsPerWaiting);
+  const auto connected = static_cast<int>(demands.size());
+  const int share = FairShare(std::move(demands), total);
+  const int spare = std::max(0, total - demand) / connected;
   for (auto& [id, entry] : entries_) {
     if (!entry.connected) continue;
-    const int satisfied = entry.demand < share ? entry.demand : share;
-    const int base = demand <= options_.slots ? entry.demand + spare : satisfied;
-    const int credits = draining_ ? 0 : std::max(1, base);
+    const int wanted = demand <= total ? entry.demand + spare : std::min(entry.demand, share);
+    // An entry always has one credit, so that a first request does not wait for a grant.
+    const int credits = draining_ ? 0 : std::max(1, wanted);
     if (credits == entry.credits_told) continue;
     entry.credits_told = credits;
     Send(id, slot_credit{credits});
--- a/src/kernel/requests/upstream_table.cc
+++ b/src/kernel/requests/upstream_table.cc
@@ -59,6 +59,17 @@
   return slots;
 }
 
+double upstream_table::MeanServiceMs(std::string_view service) const {
+  double total = 0;
+  int measured = 0;
+  for (const auto& [id, agent] : agents_) {
+    if (agent.service != service || agent.mean_service_ms == 0) continue;
+    total += agent.mean_service_ms;
+    ++measured;
+  }
+  return measured > 0 ? total / measured : 0;
+}
+
 void upstream_table::RecordSuccess(upstream_view& agent, double service_ms) {
   agent.failures_in_row = 0;
   agent.ejections = 0;
--- a/src/kernel/requests/upstream_table.h
+++ b/src/kernel/requests/upstream_table.h
@@ -52,6 +52,9 @@
   /** Requests that this entry may have in flight at the service's agents. */
   int Slots(std::string_view service) const;
 
+  /** Mean over the service's agents that have answered; 0 when none has. */
+  double MeanServiceMs(std::string_view service) const;
+
   void RecordSuccess(upstream_view& agent, double service_ms);
 
   /**
--- a/src/plugins/admission/predicted_wait/predicted_wait.cc
+++ b/src/plugins/admission/predicted_wait/predicted_wait.cc
@@ -6,6 +6,8 @@
 namespace eelgrass {
 namespace {
 
+constexpr double kShareOfDeadline = 0.8;  // the rest allows for the spread of service times
+
 /**
  * Predicts the wait of the arriving request as (L + 1) * S / c: requests ahead, mean service time
  * and slots. The idea of steering by this prediction is puma-plus's (docs/MEASUREMENTS.md).
@@ -16,7 +18,8 @@
     if (view.queued >= view.max_queue) return false;
     if (view.mean_service_ms <= 0 || view.slots == 0) return true;
     const double wait = (view.queued_ahead + 1) * view.mean_service_ms / view.slots;
-    return wait + view.mean_service_ms <= static_cast<double>(view.deadline.count());
+    const double allowed = kShareOfDeadline * static_cast<double>(view.deadline.count());
+    return wait + view.mean_service_ms <= allowed;
   }
 };
 
--- a/tests/scenario/scenario_runner.cc
+++ b/tests/scenario/scenario_runner.cc
@@ -6,6 +6,7 @@
 #include <lualib.h>
 }
 
+#include <cstdlib>
 #include <fstream>
 #include <memory>
 #include <sstream>
@@ -321,6 +322,8 @@
   world_options options;
   options.seed = seed;
   job_world world(options);
+  const char* traced = std::getenv("EELGRASS_TRACE_JOB");
+  if (traced != nullptr) world.network().TraceJob(traced);
   lua_pushlightuserdata(lua, &world);
   lua_setfield(lua, LUA_REGISTRYINDEX, kWorldKey);
   lua_getglobal(lua, "math");
--- a/tests/world/fake_network.cc
+++ b/tests/world/fake_network.cc
@@ -1,10 +1,12 @@
 #include "tests/world/fake_network.h"
 
 #include <algorithm>
+#include <iostream>
 
 namespace eelgrass {
 namespace {
 constexpr millis kNoticeSilence{2500};
+constexpr millis kLaneSilence{1200};  // a tick later than the transport's own bound
 constexpr millis kNoticeEnd{50};
 constexpr millis kConnect{20};
 constexpr int kDelaySpreadMs = 3;
@@ -23,7 +25,9 @@
 }
 
 bool fake_network::Reaches(const std::string& a, const std::string& b) const {
-  return nodes_.contains(a) && nodes_.contains(b) && !cut_.contains(PairOf(a, b));
+  const pair key = PairOf(a, b);
+  return nodes_.contains(a) && nodes_.contains(b) && !cut_.contains(key) &&
+         !silent_.contains(key);
 }
 
 void fake_network::Join(const hello& self, receiver receive) {
@@ -122,7 +126,34 @@
   events_.After(kConnect, [this, a, b] { Up(a, b); });
 }
 
+void fake_network::SilenceLane(const std::string& a, const std::string& b) {
+  const pair key = PairOf(a, b);
+  silent_.insert(key);
+  events_.After(kLaneSilence, [this, key] {
+    silent_.erase(key);
+    Tell(key.first, lane_lost{key.second});
+    Tell(key.second, lane_lost{key.first});
+  });
+}
+
+void fake_network::Trace(const std::string& from, const std::string& to,
+                         const peer_message& message) const {
+  std::visit(
+      [&](const auto& m) {
+        if constexpr (requires { m.gang.job; }) {
+          if (m.gang.job != traced_job_) return;
+          std::cerr << events_.now().count() << " " << from << " -> " << to << " type "
+                    << message.index() << " start " << m.gang.epoch;
+          if constexpr (requires { m.reason; }) std::cerr << " " << m.reason;
+          if constexpr (requires { m.state; }) std::cerr << " " << GangStateName(m.state);
+          std::cerr << "\n";
+        }
+      },
+      message);
+}
+
 void fake_network::Send(const std::string& from, const std::string& to, peer_message message) {
+  if (!traced_job_.empty()) Trace(from, to, message);
   if (!Reaches(from, to)) return;
   const bool direct = !Connects(nodes_.at(from).self, nodes_.at(to).self);
   if (!direct && !linked_.contains(PairOf(from, to))) return;
--- a/tests/world/fake_network.h
+++ b/tests/world/fake_network.h
@@ -39,6 +39,9 @@
   void Cut(const std::string& a, const std::string& b);
   void Heal(const std::string& a, const std::string& b);
 
+  /** One connection goes silent for good while new ones work: what is sent meanwhile is lost. */
+  void SilenceLane(const std::string& a, const std::string& b);
+
   void Send(const std::string& from, const std::string& to, peer_message message);
 
   /** Makes messages overtake each other. */
@@ -46,6 +49,9 @@
 
   uint64_t messages() const { return messages_; }
 
+  /** Prints every message about a job to standard error, to find out what happened to it. */
+  void TraceJob(std::string job) { traced_job_ = std::move(job); }
+
  private:
   struct node {
     hello self;
@@ -65,16 +71,19 @@
   void Down(const std::string& a, const std::string& b);
   void Tell(const std::string& to, link_event event);
   millis Delay();
+  void Trace(const std::string& from, const std::string& to, const peer_message& message) const;
 
   timeline& events_;
   std::mt19937_64 random_;
   std::map<std::string, node> nodes_;
   std::set<std::string> paused_;
   std::set<pair> cut_;
+  std::set<pair> silent_;
   std::map<pair, std::pair<int64_t, int64_t>> linked_;  // to the incarnations that see each other
   std::map<pair, millis> last_delivery_;                // from, to
   bool crossing_ = false;
   uint64_t messages_ = 0;
+  std::string traced_job_;
 };
 
 }  // namespace eelgrass
