--- a/src/kernel/jobs/gang_anchor.cc
+++ b/src/kernel/jobs/gang_anchor.cc
@@ -257,7 +257,10 @@
   Send(entry, std::move(report));
 }
 
-bool gang_anchor::idle() const { return gangs_.empty(); }
+bool gang_anchor::all_concluded() const {
+  return std::all_of(gangs_.begin(), gangs_.end(),
+                     [](const auto& entry) { return IsFinalState(entry.second.state); });
+}
 
 void gang_anchor::Tick() {
   for (auto& [id, item] : gangs_) TickGang(id, item);
--- a/src/kernel/jobs/gang_anchor.h
+++ b/src/kernel/jobs/gang_anchor.h
@@ -46,7 +46,10 @@
   void StopAll(std::string_view reason, millis checkpoint);
 
   bool Decides(const gang_id& gang) const { return gangs_.contains(gang); }
-  bool idle() const;
+  bool idle() const { return gangs_.empty(); }
+
+  /** Whether all gangs have ended, though their reports may not be acknowledged. */
+  bool all_concluded() const;
   size_t size() const { return gangs_.size(); }
 
   /** Messages for members and, with an empty peer, for every entry. */
--- a/src/kernel/jobs/worker_core.cc
+++ b/src/kernel/jobs/worker_core.cc
@@ -11,6 +11,7 @@
 constexpr millis kIsolationCheckpoint{10000};
 constexpr millis kUsageInterval{1000};
 constexpr millis kDrainCheckpoint{30000};
+constexpr millis kReportPatience{10000};  // for the acknowledgement of the last reports
 
 }  // namespace
 
@@ -46,9 +47,19 @@
     if (!members_.parts().empty()) actions_->push_back(renew_tasks{kTaskLease.count()});
   }
   TellUsage();
+  const bool ended = draining_ && anchor_.all_concluded();
+  if (ended && concluded_at_ == kFarFuture) concluded_at_ = now_;
   actions_ = nullptr;
 }
 
+bool worker_core::drained() const {
+  if (!draining_ || !members_.parts().empty()) return false;
+  if (anchor_.idle()) return true;
+  const bool heard = std::any_of(entries_.begin(), entries_.end(),
+                                 [](const auto& entry) { return entry.second; });
+  return anchor_.all_concluded() && (!heard || now_ - concluded_at_ >= kReportPatience);
+}
+
 void worker_core::UpdateObstacle() {
   if (draining_) {
     members_.SetObstacle("leaving");
--- a/src/kernel/jobs/worker_core.h
+++ b/src/kernel/jobs/worker_core.h
@@ -51,7 +51,8 @@
   void Decide(std::span<const worker_event> events, millis now, millis wall_now,
               std::vector<worker_action>& actions);
 
-  bool drained() const { return draining_ && anchor_.idle() && members_.parts().empty(); }
+  /** Whether everything has ended and, if an entry is left to hear it, has been reported. */
+  bool drained() const;
   const gang_member_table& members() const { return members_; }
   worker_stats stats() const;
 
@@ -89,6 +90,7 @@
   millis next_usage_{0};
   bool first_ = true;
   bool draining_ = false;
+  millis concluded_at_ = kFarFuture;  // when the last gang ended while draining
   worker_stats stats_;
 };
 
--- a/src/plugins/peer/asio/asio_hub.cc
+++ b/src/plugins/peer/asio/asio_hub.cc
@@ -109,7 +109,11 @@
     acceptor_.close(ignored);
     // Lanes that still have something to send get one more tick to do so.
     timer_.expires_after(std::chrono::milliseconds(kTick.count()));
-    timer_.async_wait([this](asio::error_code) { context_.stop(); });
+    timer_.async_wait([this](asio::error_code) {
+      const auto lanes = lanes_;
+      for (const auto& [number, lane] : lanes) lane->Close("stopping");
+      context_.stop();
+    });
   });
   thread_.join();
 }
--- a/tests/scenario/main.cc
+++ b/tests/scenario/main.cc
@@ -21,9 +21,9 @@
   int passed = 0;
   int failed = 0;
   for (const auto& file : values->words()) {
-    const auto results =
-        RunScenarioFile(file, values->text("only"), static_cast<uint64_t>(values->number("first-seed")),
-                        static_cast<int>(values->number("seeds")));
+    const auto results = RunScenarioFile(file, values->text("only"),
+                                         static_cast<uint64_t>(values->number("first-seed")),
+                                         static_cast<int>(values->number("seeds")));
     for (const auto& result : results) {
       ++(result.passed ? passed : failed);
       if (result.passed) continue;
--- a/tests/scenario/scenario_runner.cc
+++ b/tests/scenario/scenario_runner.cc
@@ -81,10 +81,11 @@
   }
   job_world& world = World(lua);
   const std::string key = TextField(lua, 2, "key", "");
-  const uint64_t ticket = world.Submit(
-      Text(lua, 1), spec, key.empty() ? "k" + std::to_string(world.events().now().count()) + "-" +
-                                            std::to_string(Field(lua, 2, "number", 0))
-                                      : key);
+  const uint64_t ticket =
+      world.Submit(Text(lua, 1), spec,
+                   key.empty() ? "k" + std::to_string(world.events().now().count()) + "-" +
+                                     std::to_string(Field(lua, 2, "number", 0))
+                               : key);
   lua_pushinteger(lua, static_cast<lua_Integer>(ticket));
   return 1;
 }
@@ -104,9 +105,9 @@
   }
   if (const auto* refused = std::get_if<refusal>(&answer.view)) {
     lua_pushstring(lua, "refused");
-    lua_pushstring(lua, (std::string(ErrorKindName(refused->problem.kind)) + ": " +
-                         refused->problem.detail)
-                            .c_str());
+    lua_pushstring(
+        lua, (std::string(ErrorKindName(refused->problem.kind)) + ": " + refused->problem.detail)
+                 .c_str());
     return 2;
   }
   lua_pushstring(lua, "other");
@@ -272,21 +273,34 @@
   return luaL_error(lua, "violations:%s", all.c_str());
 }
 
-constexpr luaL_Reg kFunctions[] = {
-    {"deploy", Deploy},         {"submit", Submit},
-    {"answer", Answer},         {"cancel", Cancel},
-    {"run", Run},               {"run_until_ended", RunUntilEnded},
-    {"kill_entry", KillEntry},  {"start_entry", StartEntry},
-    {"kill_agent", KillAgent},  {"restart_agent", RestartAgent},
-    {"kill_machine", KillMachine}, {"pause", Pause},
-    {"resume", Resume},         {"cut", Cut},
-    {"heal", Heal},             {"crossing", Crossing},
-    {"store", Store},           {"fail_worker", FailWorker},
-    {"domain", Domain},         {"count", Count},
-    {"row", Row},               {"members", Members},
-    {"start_delay", StartDelay}, {"leader", Leader},
-    {"version", Version},       {"working", Working},
-    {"check", Check},           {nullptr, nullptr}};
+constexpr luaL_Reg kFunctions[] = {{"deploy", Deploy},
+                                   {"submit", Submit},
+                                   {"answer", Answer},
+                                   {"cancel", Cancel},
+                                   {"run", Run},
+                                   {"run_until_ended", RunUntilEnded},
+                                   {"kill_entry", KillEntry},
+                                   {"start_entry", StartEntry},
+                                   {"kill_agent", KillAgent},
+                                   {"restart_agent", RestartAgent},
+                                   {"kill_machine", KillMachine},
+                                   {"pause", Pause},
+                                   {"resume", Resume},
+                                   {"cut", Cut},
+                                   {"heal", Heal},
+                                   {"crossing", Crossing},
+                                   {"store", Store},
+                                   {"fail_worker", FailWorker},
+                                   {"domain", Domain},
+                                   {"count", Count},
+                                   {"row", Row},
+                                   {"members", Members},
+                                   {"start_delay", StartDelay},
+                                   {"leader", Leader},
+                                   {"version", Version},
+                                   {"working", Working},
+                                   {"check", Check},
+                                   {nullptr, nullptr}};
 
 /** scenario(name, seeds, function): remembers the scenario in a table. */
 constexpr char kPrelude[] = R"lua(
--- a/tests/world/fake_network.cc
+++ b/tests/world/fake_network.cc
@@ -26,8 +26,7 @@
 
 bool fake_network::Reaches(const std::string& a, const std::string& b) const {
   const pair key = PairOf(a, b);
-  return nodes_.contains(a) && nodes_.contains(b) && !cut_.contains(key) &&
-         !silent_.contains(key);
+  return nodes_.contains(a) && nodes_.contains(b) && !cut_.contains(key) && !silent_.contains(key);
 }
 
 void fake_network::Join(const hello& self, receiver receive) {
--- a/tests/world/fake_runtime.cc
+++ b/tests/world/fake_runtime.cc
@@ -24,9 +24,8 @@
   item.run_ms = order.run_ms;
   item.fails = order.fails || fail_all_;
   item.number = ++last_number_;
-  item.log_index =
-      log_.Add({worker_, order.gang.job, order.gang.epoch, order.tasks, 0, 0, false,
-                             events_.now().count()});
+  item.log_index = log_.Add(
+      {worker_, order.gang.job, order.gang.epoch, order.tasks, 0, 0, false, events_.now().count()});
   parts_[order.gang] = item;
   events_.After(kStartTime, [this, gang = order.gang] { Tell(tasks_started{gang, true, {}}); });
   events_.At(lease_until_, [this] { CheckLease(); });
--- a/tests/world/fake_store.cc
+++ b/tests/world/fake_store.cc
@@ -19,8 +19,7 @@
     });
     return;
   }
-  const bool lost =
-      write && static_cast<int>(random_() % kPercent) < lost_percent_;
+  const bool lost = write && static_cast<int>(random_() % kPercent) < lost_percent_;
   const bool late = delay_ >= kCallTimeout;
   const millis effect = delay_ / 2;
   events_.After(effect, [this, call, lost, late, write, token, effect, reply = std::move(reply)] {
--- a/tests/world/job_world.cc
+++ b/tests/world/job_world.cc
@@ -14,8 +14,8 @@
 constexpr millis kEntryTick{50};
 constexpr millis kAgentTick{100};
 constexpr millis kWake{1};
-constexpr millis kDomainBound{2000};        // no start later than this after a domain went out
-constexpr int64_t kPartialBoundMs = 7000;   // two leases and a second: the anchor's and the worker's
+constexpr millis kDomainBound{2000};       // no start later than this after a domain went out
+constexpr int64_t kPartialBoundMs = 7000;  // two leases and a second: the anchor's and the worker's
 constexpr millis kCheckInterval{500};
 constexpr int kWritesPerSecond = 100;
 constexpr millis kScanInterval{500};
@@ -93,8 +93,8 @@
     } else if (auto* answer = std::get_if<operator_answer>(&action)) {
       const auto* job = std::get_if<job_detail>(&answer->view);
       if (job != nullptr && job->accepted) {
-        const job_class* kind = state.core->keeper().current()->FindJobClass(
-            job->job.spec.job_class);
+        const job_class* kind =
+            state.core->keeper().current()->FindJobClass(job->job.spec.job_class);
         accepted_[job->job.id] = {job->job.spec.tasks, kind == nullptr || kind->idempotent};
       }
       answers_[answer->caller] = {true, std::move(answer->view)};
@@ -230,8 +230,7 @@
   return ticket;
 }
 
-uint64_t job_world::Submit(const std::string& entry, const job_spec& spec,
-                           const std::string& key) {
+uint64_t job_world::Submit(const std::string& entry, const job_spec& spec, const std::string& key) {
   return Order(entry, std::make_unique<submit_job_command>(spec, key));
 }
 
--- a/tests/world/job_world.h
+++ b/tests/world/job_world.h
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
+#include "kernel/config/agent_config.h"
 #include "kernel/control/control_core.h"
 #include "kernel/jobs/worker_core.h"
-#include "kernel/config/agent_config.h"
 #include "standins/outcome_check.h"
 #include "standins/task_log.h"
 #include "tests/world/fake_network.h"
--- a/tests/world/request_world.cc
+++ b/tests/world/request_world.cc
@@ -52,12 +52,11 @@
       std::move(admission_registry::Instance().Create(options_.admission).value()));
   state->inbox.emplace_back(document_changed{document_});
   entries_[id] = std::move(state);
-  network_.Join({id, last_incarnation_, peer_role::kEntry, id, "d1", {}, {}},
-                [this, id](link_event event) {
-                  std::visit([&](auto& e) { entries_.at(id)->inbox.emplace_back(std::move(e)); },
-                             event);
-                  Wake(id);
-                });
+  network_.Join(
+      {id, last_incarnation_, peer_role::kEntry, id, "d1", {}, {}}, [this, id](link_event event) {
+        std::visit([&](auto& e) { entries_.at(id)->inbox.emplace_back(std::move(e)); }, event);
+        Wake(id);
+      });
   TickEntry(id, generation);
   Beat(id, generation);
 }
@@ -300,9 +299,8 @@
 }
 
 int request_world::Executions(const std::string& request) const {
-  return static_cast<int>(
-      std::count_if(executions_.begin(), executions_.end(),
-                    [&](const auto& item) { return item.request == request; }));
+  return static_cast<int>(std::count_if(executions_.begin(), executions_.end(),
+                                        [&](const auto& item) { return item.request == request; }));
 }
 
 }  // namespace eelgrass
