--- a/src/daemons/ctl/ctl_commands.cc
+++ b/src/daemons/ctl/ctl_commands.cc
@@ -245,6 +245,11 @@
     {"domains in", "NAME", "take a failure domain back in", "POST", "/v1/domains/{}/in", "change"},
     {"workers list", "", "list workers", "GET", "/v1/workers", "workers"},
     {"upstreams list", "", "list upstreams", "GET", "/v1/upstreams", "upstreams"},
+    {"report burn", "", "show the service-level burn", "GET", "/v1/report/burn?format=text", ""},
+    {"report html", "", "print the service-level burn as a page with plots", "GET",
+     "/v1/report/burn?format=html", ""},
+    {"report json", "", "print the service-level burn as JSON", "GET",
+     "/v1/report/burn?format=json", ""},
     {"status", "", "show the state of the system", "GET", "/v1/status", "status"},
 };
 
--- a/src/daemons/node/control_duty.cc
+++ b/src/daemons/node/control_duty.cc
@@ -5,8 +5,15 @@
 namespace eelgrass {
 
 control_duty::control_duty(control_core& core, peer_hub& hub, table_store& store,
-                           event_sink<router_event>& router, const clock& time, metrics& counters)
-    : core_(core), hub_(hub), store_(store), router_(router), clock_(time), counters_(counters) {}
+                           event_sink<router_event>& router, event_sink<report_event>& reports,
+                           const clock& time, metrics& counters)
+    : core_(core),
+      hub_(hub),
+      store_(store),
+      router_(router),
+      reports_(reports),
+      clock_(time),
+      counters_(counters) {}
 
 void control_duty::Handle(std::span<control_event> events, millis now) {
   core_.Decide(events, now, clock_.WallNow(), actions_);
@@ -26,8 +33,11 @@
   } else if (const auto* changed = std::get_if<document_changed>(&action)) {
     front_->SetDocument(changed->doc);
     router_.Deliver(*changed);
+    reports_.Deliver(*changed);
     version_ = changed->doc->version;
     log_event("config-in-force").With("version", changed->doc->version);
+  } else if (auto* ended = std::get_if<burn_sample>(&action)) {
+    if (!reports_.Offer(std::move(*ended))) counters_.Count("report_samples_dropped_total");
   }
 }
 
--- a/src/daemons/node/control_duty.h
+++ b/src/daemons/node/control_duty.h
@@ -21,7 +21,8 @@
 class control_duty : public duty_handler<control_event>, public store_listener {
  public:
   control_duty(control_core& core, peer_hub& hub, table_store& store,
-               event_sink<router_event>& router, const clock& time, metrics& counters);
+               event_sink<router_event>& router, event_sink<report_event>& reports,
+               const clock& time, metrics& counters);
 
   /** Must be called before the duty starts. */
   void SetFront(caller_front& front) { front_ = &front; }
@@ -41,6 +42,7 @@
   peer_hub& hub_;
   table_store& store_;
   event_sink<router_event>& router_;
+  event_sink<report_event>& reports_;
   const clock& clock_;
   metrics& counters_;
   caller_front* front_ = nullptr;
--- a/src/daemons/node/entry_node.cc
+++ b/src/daemons/node/entry_node.cc
@@ -8,6 +8,8 @@
 
 constexpr size_t kRouterRing = 8192;
 constexpr size_t kControlRing = 16384;
+constexpr size_t kReportRing = 16384;
+constexpr millis kReportTick{1000};
 constexpr millis kRouterTick{20};
 constexpr millis kControlTick{50};
 constexpr millis kMainTick{200};
@@ -46,6 +48,7 @@
 
 result<void> entry_node::Start() {
   BOOST_OUTCOME_TRY(Build());
+  report_duty_->Start();
   router_duty_->Start();
   control_duty_->Start();
   BOOST_OUTCOME_TRY(hub_->Start(*links_));
@@ -84,20 +87,32 @@
   control.scan_interval = millis(settings_.number("store-scan-ms"));
   control.bootstrap_digest = settings_.text("bootstrap-digest");
   control_ = std::make_unique<control_core>(control, std::move(ordering), std::move(placement));
-  router_handler_ = std::make_unique<router_duty>(*router_, *hub_, counters_);
+  reports_ = std::make_unique<report_core>("burn-" + id + "-" + std::to_string(incarnation));
+  report_handler_ =
+      std::make_unique<report_duty>(*reports_, *client_, settings_.text("store-url"), clock_);
+  report_duty_ = std::make_unique<duty<report_event>>(
+      duty_options{"report", kReportRing, 256, kReportTick}, clock_, *report_handler_);
+  router_handler_ = std::make_unique<router_duty>(*router_, *hub_, *report_duty_, counters_);
   router_duty_ = std::make_unique<duty<router_event>>(
       duty_options{"router", kRouterRing, 64, kRouterTick}, clock_, *router_handler_);
-  control_handler_ =
-      std::make_unique<control_duty>(*control_, *hub_, *store_, *router_duty_, clock_, counters_);
+  control_handler_ = std::make_unique<control_duty>(*control_, *hub_, *store_, *router_duty_,
+                                                    *report_duty_, clock_, counters_);
   control_duty_ = std::make_unique<duty<control_event>>(
       duty_options{"control", kControlRing, 256, kControlTick}, clock_, *control_handler_);
   links_ = std::make_unique<entry_links>(*router_duty_, *control_duty_);
-  front_context context{
-      *server_, *router_duty_, *control_duty_, counters_, id, settings_.text("bootstrap-digest")};
+  front_context context{*server_,
+                        *router_duty_,
+                        *control_duty_,
+                        *report_duty_,
+                        counters_,
+                        id,
+                        settings_.text("bootstrap-digest")};
   front_ = BOOST_OUTCOME_TRYX(caller_front_registry::Instance().Create("rest", std::move(context)));
   router_handler_->SetFront(*front_);
   control_handler_->SetFront(*front_);
   control_handler_->SetSelf(*control_duty_);
+  report_handler_->SetFront(*front_);
+  report_handler_->SetSelf(*report_duty_);
   return Ok();
 }
 
@@ -111,6 +126,7 @@
   server_->Stop();
   control_duty_->Stop();
   router_duty_->Stop();
+  report_duty_->Stop();
   client_->Stop();
   hub_->Stop();
   const bool whole = Finished();
@@ -150,6 +166,7 @@
   };
   show(router_duty_->name(), router_duty_->stats());
   show(control_duty_->name(), control_duty_->stats());
+  show(report_duty_->name(), report_duty_->stats());
   const hub_stats hub = hub_->stats();
   counters_.Set("peer_bytes_in_total", static_cast<int64_t>(hub.bytes_in));
   counters_.Set("peer_bytes_out_total", static_cast<int64_t>(hub.bytes_out));
--- a/src/daemons/node/entry_node.h
+++ b/src/daemons/node/entry_node.h
@@ -8,6 +8,7 @@
 #include "daemons/node/control_duty.h"
 #include "daemons/node/entry_links.h"
 #include "daemons/node/process_signals.h"
+#include "daemons/node/report_duty.h"
 #include "daemons/node/router_duty.h"
 #include "kernel/base/duty.h"
 #include "kernel/base/settings.h"
@@ -45,6 +46,9 @@
   std::unique_ptr<http_front> server_;
   std::unique_ptr<request_router> router_;
   std::unique_ptr<control_core> control_;
+  std::unique_ptr<report_core> reports_;
+  std::unique_ptr<report_duty> report_handler_;
+  std::unique_ptr<duty<report_event>> report_duty_;
   std::unique_ptr<router_duty> router_handler_;
   std::unique_ptr<control_duty> control_handler_;
   std::unique_ptr<duty<router_event>> router_duty_;
--- a/src/daemons/node/router_duty.cc
+++ b/src/daemons/node/router_duty.cc
@@ -2,8 +2,34 @@
 
 namespace eelgrass {
 
-router_duty::router_duty(request_router& router, peer_hub& hub, metrics& counters)
-    : router_(router), hub_(hub), counters_(counters) {}
+namespace {
+
+constexpr int kFirstServerError = 500;
+constexpr int kTooManyRequests = 429;
+
+/** Whether an outcome says something about the service: a caller's own mistake does not. */
+bool Counts(const caller_answer& answer) {
+  const bool served = answer.outcome == request_outcome::kCompleted;
+  return served || answer.status >= kFirstServerError || answer.status == kTooManyRequests;
+}
+
+}  // namespace
+
+router_duty::router_duty(request_router& router, peer_hub& hub, event_sink<report_event>& reports,
+                         metrics& counters)
+    : router_(router), hub_(hub), reports_(reports), counters_(counters) {}
+
+void router_duty::Carry(const caller_answer& answer) {
+  front_->Answer(answer);
+  counters_.Record("request_latency_ms", static_cast<double>(answer.latency.count()));
+  if (!Counts(answer)) return;
+  const bool good =
+      answer.outcome == request_outcome::kCompleted && answer.status < kFirstServerError;
+  burn_sample sample{answer.organisation, answer.service,      good,
+                     answer.latency,      answer.problem.step, answer.problem.peer};
+  // A full ring costs the report a sample; the caller has its answer.
+  if (!reports_.Offer(std::move(sample))) counters_.Count("report_samples_dropped_total");
+}
 
 void router_duty::Handle(std::span<router_event> events, millis now) {
   router_.Decide(events, now, actions_);
@@ -11,7 +37,7 @@
     if (const auto* send = std::get_if<send_to_peer>(&action)) {
       hub_.Send(send->peer, send->message);
     } else {
-      front_->Answer(std::get<caller_answer>(action));
+      Carry(std::get<caller_answer>(action));
     }
   }
   actions_.clear();
--- a/src/daemons/node/router_duty.h
+++ b/src/daemons/node/router_duty.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "kernel/base/duty_handler.h"
+#include "kernel/base/event_sink.h"
 #include "kernel/base/metrics.h"
 #include "kernel/io/caller_front.h"
 #include "kernel/io/peer_hub.h"
@@ -17,7 +18,8 @@
 /** Runs the router's decisions and carries out its actions. */
 class router_duty : public duty_handler<router_event> {
  public:
-  router_duty(request_router& router, peer_hub& hub, metrics& counters);
+  router_duty(request_router& router, peer_hub& hub, event_sink<report_event>& reports,
+              metrics& counters);
 
   /** Must be called before the duty starts. */
   void SetFront(caller_front& front) { front_ = &front; }
@@ -28,8 +30,11 @@
   int in_flight() const { return in_flight_; }
 
  private:
+  void Carry(const caller_answer& answer);
+
   request_router& router_;
   peer_hub& hub_;
+  event_sink<report_event>& reports_;
   metrics& counters_;
   caller_front* front_ = nullptr;
   std::vector<router_action> actions_;
--- a/src/kernel/control/control_core.cc
+++ b/src/kernel/control/control_core.cc
@@ -98,6 +98,19 @@
   if (stored) directory_.On(event, now_);
   if (stored) planner_.On(event);
   AnswerTickets(event);
+  SampleEnd(event);
+}
+
+void control_core::SampleEnd(const table_event& event) {
+  const auto* row = std::get_if<job_row>(&event.value);
+  const bool ended = row != nullptr && event.what == table_event::kind::kWritten &&
+                     IsFinal(row->state) && row->state != job_state::kCancelled;
+  if (!ended) return;
+  const bool good = row->state == job_state::kFinished;
+  const std::string worker = row->failed_workers.empty() ? "" : row->failed_workers.back();
+  const millis latency(row->ended_ms - row->submitted_ms);
+  actions_->push_back(burn_sample{row->spec.organisation, row->spec.job_class, good, latency,
+                                  good ? "" : "run-job", worker});
 }
 
 void control_core::On(operator_order& event) {
--- a/src/kernel/control/control_core.h
+++ b/src/kernel/control/control_core.h
@@ -20,6 +20,7 @@
 #include "kernel/jobs/job_planner.h"
 #include "kernel/model/duty_events.h"
 #include "kernel/model/link_events.h"
+#include "kernel/report/burn_table.h"
 
 namespace eelgrass {
 
@@ -31,7 +32,8 @@
 
 using control_event = std::variant<peer_up, lane_lost, peer_down, peer_said, store_answer,
                                    operator_order, drain_wanted>;
-using control_action = std::variant<send_to_peer, store_call, operator_answer, document_changed>;
+using control_action =
+    std::variant<send_to_peer, store_call, operator_answer, document_changed, burn_sample>;
 
 struct control_options {
   entry_identity self;
@@ -90,6 +92,7 @@
   void On(drain_wanted& event);
 
   void OnTable(const table_event& event);
+  void SampleEnd(const table_event& event);
   void AnswerTickets(const table_event& event);
   void AnswerOutcomes();
   void ExpireTickets();
--- a/src/kernel/io/caller_front.h
+++ b/src/kernel/io/caller_front.h
@@ -11,6 +11,7 @@
 #include "kernel/base/plugin_registry.h"
 #include "kernel/control/control_core.h"
 #include "kernel/io/http_front.h"
+#include "kernel/report/report_core.h"
 #include "kernel/requests/request_router.h"
 
 namespace eelgrass {
@@ -20,6 +21,7 @@
   http_front& server;
   event_sink<router_event>& router;
   event_sink<control_event>& control;
+  event_sink<report_event>& reports;
   metrics& counters;
   std::string entry;             // id, for problem documents
   std::string bootstrap_digest;  // of the token that is an operator's until a document is accepted
@@ -33,6 +35,7 @@
   virtual result<void> Start() = 0;
   virtual void Answer(const caller_answer& answer) = 0;
   virtual void Answer(const operator_answer& answer) = 0;
+  virtual void Answer(const report_answer& answer) = 0;
 
   /** The document whose tokens are valid. */
   virtual void SetDocument(std::shared_ptr<const document> doc) = 0;
--- a/src/kernel/requests/caller_request.h
+++ b/src/kernel/requests/caller_request.h
@@ -44,6 +44,9 @@
   std::vector<header_field> headers;
   bytes body;
   error problem;
+  std::string organisation;
+  std::string service;
+  millis latency{0};  // since the request came in
 };
 
 }  // namespace eelgrass
--- a/src/kernel/requests/request_router.cc
+++ b/src/kernel/requests/request_router.cc
@@ -78,6 +78,7 @@
   item.request = request;
   const millis left =
       request.deadline > millis(0) ? request.deadline : service->default_deadline_ms;
+  item.arrived_at = now_;
   item.deadline_at = now_ + std::min(left, kMaxDeadline);
   ++stats_.fresh;
   budget_.AddFresh(request.organisation);
@@ -472,11 +473,16 @@
   reply.outcome = request_outcome::kNotRun;
   reply.status = status;
   reply.problem = std::move(problem);
+  reply.organisation = request.organisation;
+  reply.service = request.service;
   actions_->push_back(std::move(reply));
 }
 
 void request_router::Finish(flight& item, caller_answer answer) {
   answer.caller = item.request.caller;
+  answer.organisation = item.request.organisation;
+  answer.service = item.request.service;
+  answer.latency = now_ - item.arrived_at;
   if (item.state == flight_state::kClaiming) --claiming_[item.request.service];
   --open_by_organisation_[item.request.organisation];
   const uint64_t id = item.id;
--- a/src/kernel/requests/request_router.h
+++ b/src/kernel/requests/request_router.h
@@ -77,6 +77,7 @@
   struct flight {
     uint64_t id = 0;
     caller_request request;
+    millis arrived_at;
     millis deadline_at;
     flight_state state = flight_state::kQueued;
     int attempts = 0;
--- a/src/plugins/front/rest/rest_front.cc
+++ b/src/plugins/front/rest/rest_front.cc
@@ -7,6 +7,7 @@
 
 #include "kernel/base/digest.h"
 #include "kernel/io/caller_front.h"
+#include "kernel/report/burn_format.h"
 #include "plugins/front/rest/rest_replies.h"
 #include "plugins/front/rest/rest_routes.h"
 
@@ -95,6 +96,15 @@
     context_.server.Respond(answer.caller, ViewResponse(answer.view));
   }
 
+  void Answer(const report_answer& answer) override {
+    const auto format = burn_format_registry::Instance().Create(answer.format);
+    http_response response;
+    response.status = 200;
+    response.headers.push_back({"Content-Type", format.value()->content_type()});
+    response.body.data = format.value()->Write(answer.report);
+    context_.server.Respond(answer.caller, std::move(response));
+  }
+
  private:
   std::shared_ptr<const document> Document() const {
     std::lock_guard lock(mutex_);
@@ -185,7 +195,23 @@
                 "the entry's request ring is full");
   }
 
+  void Report(const http_request& request) {
+    const std::string_view asked = request.Parameter("format");
+    const std::string format = asked.empty() ? "text" : std::string(asked);
+    const auto known = burn_format_registry::Instance().Create(format);
+    if (!known) {
+      const error& problem = known.error();
+      context_.server.Respond(request.id, ProblemResponse(StatusOf(problem.kind), problem));
+      return;
+    }
+    if (context_.reports.Offer(report_wanted{request.id, format})) return;
+    const error full{error_kind::kExhausted, "queue-report", context_.entry,
+                     "the entry's report ring is full"};
+    context_.server.Respond(request.id, ProblemResponse(kServiceUnavailable, full));
+  }
+
   void Command(const http_request& request, const principal& who) {
+    if (who.is_operator() && request.path() == "/v1/report/burn") return Report(request);
     auto command = RouteCommand(request);
     if (!command) {
       const error& problem = command.error();
