--- a/bench/bench_planning.cc
+++ b/bench/bench_planning.cc
@@ -125,7 +125,7 @@
   std::vector<const job_row*> running_;
 };
 
-void BM_Plan(benchmark::State& state) {
+void PlanRound(benchmark::State& state) {
   planning_rig rig(static_cast<int>(state.range(0)));
   std::vector<double> times;
   size_t decided = 0;
@@ -141,7 +141,8 @@
   state.counters["ms_a_start"] =
       decided > 0 ? times[times.size() / 2] / static_cast<double>(decided) : 0;
 }
-BENCHMARK(BM_Plan)->Arg(10)->Arg(50)->Arg(100)->Arg(200)->Arg(1000)->Unit(benchmark::kMillisecond);
+BENCHMARK(PlanRound)->Arg(10)->Arg(50)->Arg(100)->Arg(200)->Arg(1000)->Unit(
+    benchmark::kMillisecond);
 
 }  // namespace
 }  // namespace eelgrass
--- a/bench/job_trial.cc
+++ b/bench/job_trial.cc
@@ -145,7 +145,8 @@
     const double wrong = std::exp(known->second + noise(random_));
     const double factor = options_.true_times ? 1 : wrong;
     const double bounded = std::clamp(factor, 1 / kMaxDeclaredFactor, kMaxDeclaredFactor);
-    spec.declared_ms = millis(static_cast<int64_t>(spec.run_ms.count() * bounded));
+    spec.declared_ms =
+        millis(static_cast<int64_t>(static_cast<double>(spec.run_ms.count()) * bounded));
     item.left_ms = spec.run_ms.count();
     work += static_cast<double>(size) * static_cast<double>(spec.run_ms.count());
     jobs_.push_back(std::move(item));
--- a/bench/measure_jobs.cc
+++ b/bench/measure_jobs.cc
@@ -53,9 +53,10 @@
       options.jobs = jobs;
       options.domain_out = domain_out;
       const trial_result r = RunTrial(doc, options);
-      const double values[] = {r.mean_completion, r.p50_completion, r.p95_completion,
-                               r.mean_slowdown,   r.largest_wait,   r.fragmentation * 100,
-                               r.mean_reclaim,    r.domain_work,    double(r.evictions)};
+      const double values[] = {
+          r.mean_completion, r.p50_completion, r.p95_completion,
+          r.mean_slowdown,   r.largest_wait,   r.fragmentation * 100,
+          r.mean_reclaim,    r.domain_work,    static_cast<double>(r.evictions)};
       for (size_t i = 0; i < std::size(values); ++i) columns[i].push_back(values[i]);
       violations += r.violations;
     }
--- a/src/kernel/report/report_core.cc
+++ b/src/kernel/report/report_core.cc
@@ -3,6 +3,7 @@
 namespace eelgrass {
 namespace {
 constexpr millis kSnapshotInterval{30000};
+constexpr millis kReadInterval{10000};
 }
 
 report_core::report_core(std::string own_name)
@@ -29,10 +30,13 @@
       document_ = changed->doc;
     }
   }
-  if (now < next_snapshot_) return;
-  next_snapshot_ = now + kSnapshotInterval;
-  own_.Compact(wall_now);
-  actions.push_back(write_snapshot{own_name_, own_});
+  if (now >= next_snapshot_) {
+    next_snapshot_ = now + kSnapshotInterval;
+    own_.Compact(wall_now);
+    actions.push_back(write_snapshot{own_name_, own_});
+  }
+  if (now < next_read_) return;
+  next_read_ = now + kReadInterval;
   actions.push_back(list_snapshots{});
 }
 
--- a/src/kernel/report/report_core.h
+++ b/src/kernel/report/report_core.h
@@ -54,7 +54,8 @@
 
 /**
  * Writes a snapshot of the entry's own outcomes every half minute under a name with its start, and
- * reads those of the others. What a process that was replaced had written is kept; what it had not
+ * reads those of the others every ten
+ * seconds. What a process that was replaced had written is kept; what it had not
  * written yet, half a minute at the most, is lost.
  */
 class report_core {
@@ -72,6 +73,7 @@
   burn_table own_;
   std::map<std::string, burn_table> others_;
   millis next_snapshot_{0};
+  millis next_read_{0};
 };
 
 }  // namespace eelgrass
