--- a/src/kernel/report/report_core.cc
+++ b/src/kernel/report/report_core.cc
@@ -4,7 +4,7 @@
 namespace {
 constexpr millis kSnapshotInterval{30000};
 constexpr millis kReadInterval{10000};
-}
+}  // namespace
 
 report_core::report_core(std::string own_name)
     : own_name_(std::move(own_name)), document_(std::make_shared<document>()) {}
