--- a/src/kernel/io/http_messages.cc
+++ b/src/kernel/io/http_messages.cc
@@ -18,12 +18,14 @@
 }
 
 std::string_view http_request::path() const {
-  return std::string_view(target).substr(0, target.find('?'));
+  const std::string_view whole = target;
+  return whole.substr(0, whole.find('?'));
 }
 
 std::string_view http_request::query() const {
-  const size_t mark = target.find('?');
-  return mark == std::string::npos ? std::string_view() : std::string_view(target).substr(mark + 1);
+  const std::string_view whole = target;
+  const size_t mark = whole.find('?');
+  return mark == std::string_view::npos ? std::string_view() : whole.substr(mark + 1);
 }
 
 std::string_view http_request::Parameter(std::string_view name) const {
--- a/src/plugins/front/rest/rest_front.cc
+++ b/src/plugins/front/rest/rest_front.cc
@@ -152,7 +152,8 @@
   }
 
   void Relay(http_request request, const principal& who) {
-    const std::string_view rest = std::string_view(request.target).substr(kServices.size());
+    const std::string_view target = request.target;
+    const std::string_view rest = target.substr(kServices.size());
     const size_t end = rest.find_first_of("/?");
     caller_request call;
     call.caller = request.id;
