--- a/tests/scenario/scenario_runner.cc
+++ b/tests/scenario/scenario_runner.cc
@@ -234,9 +234,10 @@
   const job_row* row = World(lua).Row(Text(lua, 1));
   lua_newtable(lua);
   if (row == nullptr) return 1;
-  for (size_t i = 0; i < row->members.size(); ++i) {
-    lua_pushstring(lua, row->members[i].agent.c_str());
-    lua_rawseti(lua, -2, static_cast<lua_Integer>(i + 1));
+  lua_Integer place = 0;
+  for (const auto& member : row->members) {
+    lua_pushstring(lua, member.agent.c_str());
+    lua_rawseti(lua, -2, ++place);
   }
   return 1;
 }
