--- a/bench/job_trial.cc
+++ b/bench/job_trial.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <map>
 #include <random>
 
@@ -30,9 +29,8 @@
     int64_t arrived = 0;
     int64_t first_start = -1;
     int64_t ended = -1;
-    int64_t left_ms = 0;      // true work left
-    int64_t wanted_own = -1;  // since when it waits for borrowers to leave
-    uint64_t run = 0;         // raised at each start
+    int64_t left_ms = 0;  // true work left
+    uint64_t run = 0;     // raised at each start
     bool running = false;
   };
 
