--- a/bench/bench_planning.cc
+++ b/bench/bench_planning.cc
@@ -8,6 +8,7 @@
 #include <random>
 
 #include "kernel/jobs/job_scheduler.h"
+#include "tests/world/announce_worker.h"
 
 namespace eelgrass {
 namespace {
@@ -63,12 +64,7 @@
                            "d" + std::to_string(rack % 6),
                            "r",
                            {fast ? 8 : 0, 64, 256}};
-      machines_.Up({worker.id, 1, peer_role::kWorkerAgent, worker.id, worker.domain, {}, {}});
-      announce offer;
-      offer.rack = worker.rack;
-      offer.region = worker.region;
-      offer.capacity = worker.capacity;
-      machines_.Offer(worker.id, offer);
+      AnnounceWorker(machines_, worker);
       usable_.insert(worker.id);
       workers.push_back(std::move(worker));
     }
--- a/bench/job_trial.cc
+++ b/bench/job_trial.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <random>
 
+#include "tests/world/announce_worker.h"
 #include "tests/world/timeline.h"
 
 namespace eelgrass {
@@ -93,12 +94,7 @@
 void trial::MakeWorkers() {
   workers_ = DeclaredWorkers(doc_);
   for (const auto& worker : workers_) {
-    machines_.Up({worker.id, 1, peer_role::kWorkerAgent, worker.id, worker.domain, {}, {}});
-    announce offer;
-    offer.rack = worker.rack;
-    offer.region = worker.region;
-    offer.capacity = worker.capacity;
-    machines_.Offer(worker.id, offer);
+    AnnounceWorker(machines_, worker);
     usable_.insert(worker.id);
     accelerators_ += worker.capacity.accelerators;
   }
--- a/tests/stories/guarantee_story.cc
+++ b/tests/stories/guarantee_story.cc
@@ -6,6 +6,7 @@
 #include "kernel/jobs/cluster.h"
 #include "kernel/jobs/guarantee_ledger.h"
 #include "kernel/jobs/job_scheduler.h"
+#include "tests/world/announce_worker.h"
 
 namespace eelgrass {
 namespace {
@@ -130,12 +131,7 @@
     cluster machines;
     std::set<std::string, std::less<>> usable;
     for (const auto& worker : workers) {
-      machines.Up({worker.id, 1, peer_role::kWorkerAgent, worker.id, worker.domain, {}, {}});
-      announce offer;
-      offer.rack = worker.rack;
-      offer.region = worker.region;
-      offer.capacity = kNode;
-      machines.Offer(worker.id, offer);
+      AnnounceWorker(machines, worker);
       usable.insert(worker.id);
     }
     job_scheduler scheduler(queue_registry::Instance().Create("fair_share").value(),
