--- /dev/null
+++ b/src/daemons/eelgrass_batch.cc
@@ -0,0 +1,76 @@
+/** \file
+ * The programs for batch jobs on the users' platform: "eelgrass_batch entry" and
+ * "eelgrass_batch agent".
+ */
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <span>
+#include <string_view>
+
+#include "daemons/node/batch_agent.h"
+#include "daemons/node/batch_entry.h"
+#include "kernel/base/log_event.h"
+#include "kernel/base/system_clock.h"
+
+namespace {
+
+constexpr int kBadUse = 2;
+constexpr int kNotStarted = 1;
+
+constexpr std::string_view kUse =
+    "eelgrass_batch ROLE\n"
+    "  entry   accepts batch jobs and plans them\n"
+    "  agent   stands beside a worker and carries out the plan there\n"
+    "The deployment's settings are read from the file that the platform names.\n";
+
+template <typename Node>
+int RunNode(const eelgrass::deployment& place, const eelgrass::process_signals& signals) {
+  const eelgrass::system_clock time;
+  Node node(place, time);
+  const auto started = node.Start();
+  if (!started) {
+    std::cerr << eelgrass::ToString(started.error()) << "\n";
+    return kNotStarted;
+  }
+  return node.Run(signals);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const eelgrass::process_signals signals;
+  const std::span<char*> arguments(argv, static_cast<size_t>(argc));
+  const std::string_view role = argc == 2 ? arguments[1] : "";
+  if (role == "--help" || role == "-h") {
+    std::cout << kUse;
+    return 0;
+  }
+  if (role == "--version") {
+    std::cout << "eelgrass_batch " << EELGRASS_VERSION << "\n";
+    return 0;
+  }
+  if (role != "entry" && role != "agent") {
+    std::cerr << kUse;
+    return kBadUse;
+  }
+  eelgrass::StartLogging(arguments[0]);
+  const auto source = eelgrass::deployment_registry::Instance().Create("platform");
+  if (!source) {
+    std::cerr << eelgrass::ToString(source.error()) << "\n";
+    return kNotStarted;
+  }
+  const std::string variable(source.value()->path_variable());
+  const char* path = std::getenv(variable.c_str());
+  if (path == nullptr) {
+    std::cerr << "the variable " << variable << " does not name a settings file\n";
+    return kBadUse;
+  }
+  const auto place = source.value()->Load(path);
+  if (!place) {
+    std::cerr << eelgrass::ToString(place.error()) << "\n";
+    return kBadUse;
+  }
+  if (role == "entry") return RunNode<eelgrass::batch_entry>(place.value(), signals);
+  return RunNode<eelgrass::batch_agent>(place.value(), signals);
+}
--- /dev/null
+++ b/src/daemons/node/batch_agent.cc
@@ -0,0 +1,102 @@
+#include "daemons/node/batch_agent.h"
+
+#include "daemons/node/batch_peers.h"
+#include "kernel/base/log_event.h"
+
+namespace eelgrass {
+namespace {
+
+constexpr size_t kRing = 2048;
+constexpr millis kTick{50};
+constexpr millis kMainTick{500};
+
+/** A hold answers within its own wait; this is what the worker may take beyond that. */
+constexpr millis kHoldSlack{700};
+
+/** A worker on the same VM answers within a few milliseconds, or not at all. */
+constexpr millis kOrderTimeout{500};
+
+}  // namespace
+
+batch_agent::batch_agent(deployment place, const clock& time)
+    : place_(std::move(place)), clock_(time) {}
+
+batch_agent::~batch_agent() { Stop(); }
+
+result<void> batch_agent::Build() {
+  codec_ = BOOST_OUTCOME_TRYX(codec_registry::Instance().Create("cbor"));
+  const hub_options hub = MakeBatchHub(place_, peer_role::kWorkerAgent, clock_);
+  hub_ = BOOST_OUTCOME_TRYX(hub_registry::Instance().Create("asio", hub, *codec_, clock_));
+  client_ = BOOST_OUTCOME_TRYX(client_registry::Instance().Create("curl", client_options{}));
+  control_ = BOOST_OUTCOME_TRYX(worker_control_registry::Instance().Create("platform", *client_));
+  front_options beats;
+  beats.listen = place_.control_address;
+  server_ = BOOST_OUTCOME_TRYX(front_registry::Instance().Create("restinio", beats));
+  front_ = BOOST_OUTCOME_TRYX(beat_front_registry::Instance().Create("platform", *server_));
+  core_ = std::make_unique<agent_core>(SeedAddresses(place_));
+  duty_ =
+      std::make_unique<duty<agent_event>>(duty_options{"agent", kRing, 64, kTick}, clock_, *this);
+  return Ok();
+}
+
+result<void> batch_agent::Start() {
+  BOOST_OUTCOME_TRY(Build());
+  BOOST_OUTCOME_TRY(hub_->Start(*this));
+  duty_->Start();
+  BOOST_OUTCOME_TRY(front_->Start(*this));
+  log_event("agent-started").With("node", place_.node).With("worker", place_.worker_address);
+  return Ok();
+}
+
+bool batch_agent::OnBeat(worker_beat beat) { return duty_->Offer(std::move(beat)); }
+
+bool batch_agent::OnLeft(worker_left left) { return duty_->Offer(std::move(left)); }
+
+void batch_agent::OnLink(link_event event) {
+  if (auto* up = std::get_if<peer_up>(&event)) duty_->Deliver(std::move(*up));
+  if (auto* down = std::get_if<peer_down>(&event)) duty_->Deliver(std::move(*down));
+  if (auto* said = std::get_if<peer_said>(&event)) duty_->Deliver(std::move(*said));
+}
+
+void batch_agent::Handle(std::span<agent_event> events, millis now) {
+  core_->Decide(events, now, actions_);
+  for (auto& action : actions_) Carry(action);
+  actions_.clear();
+}
+
+void batch_agent::Carry(agent_action& action) {
+  const auto deliver = [this](auto answer) { duty_->Deliver(std::move(answer)); };
+  if (const auto* send = std::get_if<send_to_peer>(&action)) {
+    hub_->Send(send->peer, send->message);
+  } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
+    hub_->Dial(dial->address);
+  } else if (const auto* hold = std::get_if<hold_call>(&action)) {
+    control_->Hold(*hold, hold->wait + kHoldSlack, deliver);
+  } else if (const auto* start = std::get_if<start_call>(&action)) {
+    control_->Start(*start, kOrderTimeout, deliver);
+  } else if (const auto* stop = std::get_if<stop_call>(&action)) {
+    control_->Stop(*stop, kOrderTimeout, deliver);
+  } else if (const auto* pace = std::get_if<pace_call>(&action)) {
+    control_->Pace(*pace, kOrderTimeout, deliver);
+  }
+}
+
+int batch_agent::Run(const process_signals& signals) {
+  while (true) {
+    const signal_wish wish = signals.Next(kMainTick);
+    if (wish == signal_wish::kStop) break;
+    if (wish == signal_wish::kReload) log_event("reload-requested").With("node", place_.node);
+  }
+  Stop();
+  log_event("agent-stopped").With("node", place_.node);
+  return 0;
+}
+
+void batch_agent::Stop() {
+  if (server_) server_->Stop();
+  if (client_) client_->Stop();
+  if (duty_) duty_->Stop();
+  if (hub_) hub_->Stop();
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/daemons/node/batch_agent.h
@@ -0,0 +1,55 @@
+/** \file
+ * The agent beside a batch worker.
+ */
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "daemons/node/process_signals.h"
+#include "daemons/node/status_page.h"
+#include "kernel/base/duty.h"
+#include "kernel/batch/agent_core.h"
+#include "kernel/io/deployment.h"
+#include "kernel/io/job_front.h"
+#include "kernel/io/peer_hub.h"
+#include "kernel/io/worker_control.h"
+
+namespace eelgrass {
+
+/** Runs an agent_core against the workers that register at this process. */
+class batch_agent : public beat_listener, public link_listener, public duty_handler<agent_event> {
+ public:
+  batch_agent(deployment place, const clock& time);
+  ~batch_agent() override;
+
+  result<void> Start();
+
+  /** Runs until a stop signal. Returns the exit code. */
+  int Run(const process_signals& signals);
+
+  bool OnBeat(worker_beat beat) override;
+  bool OnLeft(worker_left left) override;
+  void OnLink(link_event event) override;
+  void Handle(std::span<agent_event> events, millis now) override;
+
+ private:
+  result<void> Build();
+  void Carry(agent_action& action);
+  void Stop();
+
+  const deployment place_;
+  const clock& clock_;
+  metrics counters_;
+  std::unique_ptr<peer_codec> codec_;
+  std::unique_ptr<peer_hub> hub_;
+  std::unique_ptr<http_client> client_;
+  std::unique_ptr<worker_control> control_;
+  std::unique_ptr<http_front> server_;
+  std::unique_ptr<beat_front> front_;
+  std::unique_ptr<agent_core> core_;
+  std::unique_ptr<duty<agent_event>> duty_;
+  std::vector<agent_action> actions_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/daemons/node/batch_entry.cc
@@ -0,0 +1,224 @@
+#include "daemons/node/batch_entry.h"
+
+#include <algorithm>
+
+#include "daemons/node/batch_peers.h"
+#include "kernel/base/digest.h"
+#include "kernel/base/log_event.h"
+
+namespace eelgrass {
+namespace {
+
+constexpr size_t kGatewayRing = 4096;
+constexpr size_t kPlannerRing = 8192;
+constexpr millis kGatewayTick{50};
+constexpr millis kPlannerTick{50};
+constexpr millis kMainTick{200};
+constexpr int kNonceBytes = 8;
+
+/** Larger bodies end the connection; the configuration's own bound is below. */
+constexpr int64_t kMaxBodyBytes = 1 << 20;
+
+/** The balancer needs two missed checks, one second apart, to send its connections elsewhere. */
+constexpr millis kBalancerNotice{2500};
+
+/** Kept back of the time that the platform gives a process to end. */
+constexpr millis kStopReserve{1000};
+
+/** Share of a lease's upper bound that is granted at a time, in percent. */
+constexpr int64_t kGrantPercent = 75;
+constexpr int64_t kPercent = 100;
+
+}  // namespace
+
+gateway_duty::gateway_duty(gateway_core& core, peer_hub& hub, job_front& front, status_page& status,
+                           metrics& counters)
+    : core_(core), hub_(hub), front_(front), status_(status), counters_(counters) {}
+
+void gateway_duty::Join(store_port<gateway_event>& store, event_sink<planner_event>& planner) {
+  store_ = &store;
+  planner_ = &planner;
+}
+
+void gateway_duty::Handle(std::span<gateway_event> events, millis now) {
+  core_.Decide(events, now, actions_);
+  for (auto& action : actions_) Carry(action);
+  actions_.clear();
+  open_calls_ = core_.open_calls();
+}
+
+void gateway_duty::Carry(gateway_action& action) {
+  if (const auto* reply = std::get_if<caller_reply>(&action)) {
+    counters_.Count("calls_total{answer=\"" + std::string(CallAnswerName(reply->answer)) + "\"}");
+    front_.Reply(*reply);
+  } else if (const auto* request = std::get_if<store_request>(&action)) {
+    counters_.Count("store_calls_total{duty=\"gateway\"}");
+    store_->Submit(*request);
+  } else if (const auto* send = std::get_if<send_to_peer>(&action)) {
+    hub_.Send(send->peer, send->message);
+  } else if (auto* ask = std::get_if<ask_own_planner>(&action)) {
+    // Asked again by the core if the ring is full.
+    planner_->Offer(own_inquiry{std::move(ask->inquiry)});
+  } else if (auto* news = std::get_if<operator_news>(&action)) {
+    planner_->Deliver(operators_say{std::move(news->state), news->confirmed});
+  } else if (const auto* ready = std::get_if<ready_change>(&action)) {
+    status_.SetReady(ready->ready);
+  } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
+    hub_.Dial(dial->address);
+  }
+}
+
+planner_duty::planner_duty(planner_core& core, peer_hub& hub, const clock& time, metrics& counters)
+    : core_(core), hub_(hub), clock_(time), counters_(counters) {}
+
+void planner_duty::Join(store_port<planner_event>& store, event_sink<gateway_event>& gateway) {
+  store_ = &store;
+  gateway_ = &gateway;
+}
+
+void planner_duty::Handle(std::span<planner_event> events, millis now) {
+  core_.Decide(events, now, clock_.WallNow(), actions_);
+  for (auto& action : actions_) Carry(action);
+  actions_.clear();
+  handed_over_ = core_.handed_over();
+}
+
+void planner_duty::Carry(planner_action& action) {
+  if (const auto* request = std::get_if<store_request>(&action)) {
+    counters_.Count("store_calls_total{duty=\"planner\"}");
+    store_->Submit(*request);
+  } else if (const auto* send = std::get_if<send_to_peer>(&action)) {
+    hub_.Send(send->peer, send->message);
+  } else if (auto* tell = std::get_if<tell_gateway>(&action)) {
+    // A full ring means that the gateway asks again.
+    gateway_->Offer(own_planner_said{std::move(tell->message)});
+  }
+}
+
+batch_entry::batch_entry(deployment place, const clock& time)
+    : place_(std::move(place)), clock_(time) {}
+
+batch_entry::~batch_entry() { Stop(); }
+
+result<void> batch_entry::Build() {
+  codec_ = BOOST_OUTCOME_TRYX(codec_registry::Instance().Create("cbor"));
+  const hub_options hub = MakeBatchHub(place_, peer_role::kEntry, clock_);
+  hub_ = BOOST_OUTCOME_TRYX(hub_registry::Instance().Create("asio", hub, *codec_, clock_));
+  client_ = BOOST_OUTCOME_TRYX(client_registry::Instance().Create("curl", client_options{}));
+  store_ = BOOST_OUTCOME_TRYX(row_store_registry::Instance().Create(
+      "platform", row_store_options{place_.store_address}, *client_));
+  front_options callers;
+  callers.listen = place_.front_address;
+  callers.max_body = kMaxBodyBytes;
+  front_server_ = BOOST_OUTCOME_TRYX(front_registry::Instance().Create("restinio", callers));
+  front_options balancer;
+  balancer.listen = place_.ready_address;
+  ready_server_ = BOOST_OUTCOME_TRYX(front_registry::Instance().Create("restinio", balancer));
+  front_ = BOOST_OUTCOME_TRYX(job_front_registry::Instance().Create("platform", *front_server_));
+  source_ = BOOST_OUTCOME_TRYX(operator_source_registry::Instance().Create("platform"));
+  records_ = BOOST_OUTCOME_TRYX(record_codec_registry::Instance().Create("json"));
+  order_ = BOOST_OUTCOME_TRYX(unit_order_registry::Instance().Create("deadline"));
+  status_ = std::make_unique<status_page>(*ready_server_, counters_);
+  gateway_ = std::make_unique<gateway_core>(
+      gateway_options{place_.node, hub.self.address, place_.bounds.revocation}, *source_,
+      *records_);
+  planner_options planning;
+  planning.node = place_.node;
+  planning.nonce = RandomHex(kNonceBytes);
+  planning.peer_address = hub.self.address;
+  planning.early = place_.bounds.early;
+  planning.longest_hold = place_.bounds.longest_hold;
+  planning.tracking.grant = place_.bounds.longest_hold * kGrantPercent / kPercent;
+  planning.tracking.stop_timeout = place_.bounds.stop_timeout;
+  planning.tracking.gang_timeout = place_.bounds.gang_timeout;
+  planning.starts.remote_factor = place_.bounds.remote_factor;
+  planning.starts.stop_timeout = place_.bounds.stop_timeout;
+  planner_ = std::make_unique<planner_core>(planning, *records_, *order_);
+  gateway_handler_ = std::make_unique<gateway_duty>(*gateway_, *hub_, *front_, *status_, counters_);
+  planner_handler_ = std::make_unique<planner_duty>(*planner_, *hub_, clock_, counters_);
+  gateway_duty_ = std::make_unique<duty<gateway_event>>(
+      duty_options{"gateway", kGatewayRing, 64, kGatewayTick}, clock_, *gateway_handler_);
+  planner_duty_ = std::make_unique<duty<planner_event>>(
+      duty_options{"planner", kPlannerRing, 64, kPlannerTick}, clock_, *planner_handler_);
+  gateway_store_ = std::make_unique<store_port<gateway_event>>(*store_, *gateway_duty_);
+  planner_store_ = std::make_unique<store_port<planner_event>>(*store_, *planner_duty_);
+  gateway_handler_->Join(*gateway_store_, *planner_duty_);
+  planner_handler_->Join(*planner_store_, *gateway_duty_);
+  return Ok();
+}
+
+result<void> batch_entry::Start() {
+  BOOST_OUTCOME_TRY(Build());
+  BOOST_OUTCOME_TRY(hub_->Start(*this));
+  gateway_duty_->Start();
+  planner_duty_->Start();
+  BOOST_OUTCOME_TRY(status_->Start());
+  BOOST_OUTCOME_TRY(front_->Start(*this));
+  for (const auto& seed : SeedAddresses(place_)) hub_->Dial(seed);
+  log_event("entry-started")
+      .With("node", place_.node)
+      .With("domain", place_.domain)
+      .With("front", place_.front_address)
+      .With("store", place_.store_address);
+  return Ok();
+}
+
+bool batch_entry::OnCall(caller_call call) { return gateway_duty_->Offer(std::move(call)); }
+
+void batch_entry::OnLink(link_event event) {
+  if (std::holds_alternative<lane_lost>(event)) return;
+  if (const auto* up = std::get_if<peer_up>(&event)) {
+    gateway_duty_->Deliver(*up);
+    planner_duty_->Deliver(*up);
+  } else if (const auto* down = std::get_if<peer_down>(&event)) {
+    gateway_duty_->Deliver(*down);
+    planner_duty_->Deliver(*down);
+  } else if (auto* said = std::get_if<peer_said>(&event)) {
+    const bool both = std::holds_alternative<planner_notice>(said->message);
+    const bool callers = std::holds_alternative<job_reply>(said->message);
+    if (both || callers) gateway_duty_->Deliver(peer_said(*said));
+    if (!callers) planner_duty_->Deliver(std::move(*said));
+  }
+}
+
+int batch_entry::Run(const process_signals& signals) {
+  while (true) {
+    const signal_wish wish = signals.Next(kMainTick);
+    if (wish == signal_wish::kStop) break;
+    if (wish == signal_wish::kReload) log_event("reload-requested").With("node", place_.node);
+  }
+  Drain(signals);
+  Stop();
+  log_event("entry-stopped").With("node", place_.node);
+  return 0;
+}
+
+/** Not ready at once; serves on until the balancer has noticed and all calls are answered. */
+void batch_entry::Drain(const process_signals& signals) {
+  log_event("drain-begins").With("node", place_.node);
+  const millis began = clock_.Now();
+  const millis longest = std::max(place_.bounds.grace - kStopReserve, kMainTick);
+  gateway_duty_->Deliver(gateway_drain{});
+  planner_duty_->Deliver(planner_drain{});
+  front_->CloseAfterReplies();
+  while (clock_.Now() - began < longest) {
+    signals.Next(kMainTick / 4);
+    const bool idle = gateway_handler_->open_calls() == 0 && front_server_->open_requests() == 0;
+    const bool noticed = clock_.Now() - began >= std::min(kBalancerNotice, longest);
+    if (idle && noticed && planner_handler_->handed_over()) break;
+  }
+  log_event("drain-ends")
+      .With("open_calls", static_cast<int64_t>(gateway_handler_->open_calls()))
+      .With("took_ms", (clock_.Now() - began).count());
+}
+
+void batch_entry::Stop() {
+  if (front_server_) front_server_->Stop();
+  if (ready_server_) ready_server_->Stop();
+  if (client_) client_->Stop();
+  if (gateway_duty_) gateway_duty_->Stop();
+  if (planner_duty_) planner_duty_->Stop();
+  if (hub_) hub_->Stop();
+}
+
+}  // namespace eelgrass
--- a/src/daemons/node/process_signals.cc
+++ b/src/daemons/node/process_signals.cc
@@ -14,21 +14,35 @@
   return set;
 }
 
+sigset_t AllSignals() {
+  sigset_t set = StopSignals();
+  sigaddset(&set, SIGHUP);
+  return set;
+}
+
+/** The signal that came within the time; 0 or less when none did. */
+int Await(const sigset_t& set, millis time) {
+  constexpr int64_t kMillisPerSecond = 1000;
+  constexpr int64_t kNanosPerMilli = 1000000;
+  const timespec limit{time.count() / kMillisPerSecond,
+                       time.count() % kMillisPerSecond * kNanosPerMilli};
+  return sigtimedwait(&set, nullptr, &limit);
+}
+
 }  // namespace
 
 process_signals::process_signals() {
-  const sigset_t set = StopSignals();
+  const sigset_t set = AllSignals();
   pthread_sigmask(SIG_BLOCK, &set, nullptr);
   signal(SIGPIPE, SIG_IGN);
 }
 
-bool process_signals::WaitFor(millis time) const {
-  constexpr int64_t kMillisPerSecond = 1000;
-  constexpr int64_t kNanosPerMilli = 1000000;
-  const sigset_t set = StopSignals();
-  const timespec limit{time.count() / kMillisPerSecond,
-                       time.count() % kMillisPerSecond * kNanosPerMilli};
-  return sigtimedwait(&set, nullptr, &limit) > 0;
+bool process_signals::WaitFor(millis time) const { return Await(StopSignals(), time) > 0; }
+
+signal_wish process_signals::Next(millis time) const {
+  const int number = Await(AllSignals(), time);
+  if (number <= 0) return signal_wish::kNone;
+  return number == SIGHUP ? signal_wish::kReload : signal_wish::kStop;
 }
 
 void process_signals::Wait() const {
--- a/src/daemons/node/process_signals.h
+++ b/src/daemons/node/process_signals.h
@@ -1,5 +1,5 @@
 /** \file
- * Waiting for SIGTERM and SIGINT.
+ * Waiting for SIGTERM, SIGINT and SIGHUP.
  */
 #pragma once
 
@@ -7,7 +7,10 @@
 
 namespace eelgrass {
 
-/** Blocks the stop signals in every thread, so that the main thread can wait for them. */
+/** What a signal asks of the process. */
+enum class signal_wish { kNone, kStop, kReload };
+
+/** Blocks the signals in every thread, so that the main thread can wait for them. */
 class process_signals {
  public:
   /** Must be made before any thread is started. */
@@ -16,6 +19,9 @@
   /** Waits until a stop signal comes or the time is over; true for a signal. */
   bool WaitFor(millis time) const;
 
+  /** Waits for a signal to stop or to read the settings again (SIGHUP), up to a time. */
+  signal_wish Next(millis time) const;
+
   /** Waits until a stop signal comes. */
   void Wait() const;
 };
--- /dev/null
+++ b/src/kernel/batch/agent_core.h
@@ -0,0 +1,62 @@
+/** \file
+ * What the agent beside batch workers decides.
+ */
+#pragma once
+
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "kernel/batch/worker_steward.h"
+#include "kernel/model/link_events.h"
+
+namespace eelgrass {
+
+using agent_event = std::variant<worker_beat, worker_left, hold_answer, start_answer, stop_answer,
+                                 pace_answer, peer_up, peer_down, peer_said>;
+using agent_action =
+    std::variant<hold_call, start_call, stop_call, pace_call, send_to_peer, dial_peer>;
+
+/**
+ * Keeps a steward for each worker at this VM (two while one is being replaced by the next), follows
+ * whoever plans under the highest term, and keeps connections to all entries.
+ */
+class agent_core {
+ public:
+  /** `entries` are the addresses of some entries, to begin with. */
+  explicit agent_core(std::vector<std::string> entries);
+
+  void Decide(std::span<agent_event> events, millis now, std::vector<agent_action>& actions);
+
+ private:
+  void On(const worker_beat& beat, millis now);
+  void On(const worker_left& left, millis now);
+  void On(const hold_answer& answer, millis now);
+  void On(const start_answer& answer, millis now);
+  void On(const stop_answer& answer, millis now);
+  void On(const pace_answer& answer, millis now);
+  void On(const peer_up& event, millis now);
+  void On(const peer_down& event, millis now);
+  void On(const peer_said& event, millis now);
+  void OnNotice(std::string_view peer, const planner_notice& notice, millis now);
+  void SetTerm(int64_t term, std::string_view planner, millis now);
+  void DropReplaced(const worker_steward& newest);
+  void ReportGone(const worker_identity& worker);
+  void SendReports(millis now);
+  void Dial(std::span<const std::string> addresses);
+  worker_steward* Find(std::string_view worker);
+
+  std::map<std::string, worker_steward, std::less<>> stewards_;  // by the worker's id
+  std::set<std::string> dialled_;
+  std::vector<std::string> seeds_;
+  std::vector<agent_action>* out_ = nullptr;
+  int64_t term_ = 0;
+  std::string planner_;  // id of the entry; empty: nobody
+  int64_t report_sequence_ = 0;
+  millis next_report_{0};
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/batch_records.h
@@ -0,0 +1,69 @@
+/** \file
+ * What the product keeps in the platform's store about batch jobs.
+ */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "kernel/base/error.h"
+#include "kernel/base/plugin_registry.h"
+#include "kernel/model/batch_job.h"
+
+namespace eelgrass {
+
+/** Progress of a task, or of a whole gang under the index of its first task. */
+struct task_progress {
+  int occurrence = 0;
+  int step = 0;
+  int index = 0;
+  bool done = false;
+  int failures = 0;
+  int64_t last_failed_run = 0;  // so that an end that is listed twice counts once
+  std::string saved;            // latest checkpoint; empty: none
+};
+
+/** Progress of a job. A final job keeps its state only. */
+struct job_progress {
+  std::string job;
+  batch_state state = batch_state::kPending;
+  std::vector<task_progress> tasks;  // those that are not as at the start
+};
+
+/** Who plans. Each write of the planner rewrites this row under the condition of its revision. */
+struct term_record {
+  std::string holder;  // id of the entry; empty: handed over
+  std::string nonce;   // of the holder's takeover
+  int64_t fence = 0;   // revision of the takeover; 0 in the row that takes over
+  int64_t write = 0;   // counts the holder's writes
+};
+
+/** A worker on which runs may have been started. */
+struct worker_record {
+  std::string id;
+  std::string agent;
+  std::string address;
+};
+
+/** Writes and reads the records. Stateless. */
+class batch_record_codec {
+ public:
+  virtual ~batch_record_codec() = default;
+  virtual std::string Encode(const batch_job& job) const = 0;
+  virtual std::string Encode(const job_progress& progress) const = 0;
+  virtual std::string Encode(const term_record& term) const = 0;
+  virtual std::string Encode(const worker_record& worker) const = 0;
+  virtual result<batch_job> DecodeJob(std::string_view text) const = 0;
+  virtual result<job_progress> DecodeProgress(std::string_view text) const = 0;
+  virtual result<term_record> DecodeTerm(std::string_view text) const = 0;
+  virtual result<worker_record> DecodeWorker(std::string_view text) const = 0;
+};
+
+using record_codec_registry = plugin_registry<batch_record_codec>;
+
+template <typename Implementation>
+using record_codec_registration =
+    plugin_registration<record_codec_registry, batch_record_codec, Implementation>;
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/caller_call.h
@@ -0,0 +1,57 @@
+/** \file
+ * Calls of the batch queues' callers and the answers to them.
+ */
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "kernel/base/millis.h"
+#include "kernel/model/batch_job.h"
+
+namespace eelgrass {
+
+enum class call_kind { kSubmit, kState, kCancel };
+
+/** A call as the front has decoded it. */
+struct caller_call {
+  uint64_t id = 0;  // of the front's request
+  call_kind kind = call_kind::kState;
+  std::string host;
+  std::string path;
+  std::string key;               // empty: none was sent
+  millis wait{0};                // how long the caller waits for the answer; 0: not said
+  std::optional<batch_job> job;  // submissions; none when the body cannot be read
+  std::string problem;           // why there is no job
+  int64_t body_bytes = 0;
+};
+
+enum class call_answer {
+  kAccepted,
+  kState,
+  kWaiting,  // number of waiting jobs of a queue
+  kCancelled,
+  kNoSuchJob,
+  kNoSuchQueue,
+  kNoSuchKey,
+  kMalformed,
+  kTooLarge,
+  kBusy,            // not done: too much is waiting
+  kUnavailable,     // not done: the system cannot do it now
+  kOutcomeUnknown,  // may have been done
+};
+
+/** Name of the answer in logs and metrics. */
+std::string_view CallAnswerName(call_answer answer);
+
+struct caller_reply {
+  uint64_t id = 0;
+  call_answer answer = call_answer::kUnavailable;
+  batch_state state = batch_state::kPending;
+  int64_t waiting = 0;
+  millis retry_after{0};  // refusals only
+  std::string detail{};
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/gateway_core.cc
@@ -0,0 +1,367 @@
+#include "kernel/batch/gateway_core.h"
+
+#include <algorithm>
+
+#include "kernel/base/log_event.h"
+
+namespace eelgrass {
+namespace {
+
+/** A job's id: sixteen hexadecimal digits, by the platform's interface. */
+constexpr size_t kJobIdLetters = 16;
+
+/** How long callers wait when they do not say; the deadline of the deployments' callers. */
+constexpr millis kUsualWait{3000};
+
+/** Kept back of a caller's wait, so that the answer still arrives: client latency and queueing. */
+constexpr millis kAnswerMargin{200};
+
+/** An inquiry is repeated after this; a round trip to the planner takes a few milliseconds. */
+constexpr millis kAskAgain{400};
+
+/** When to come back after a refusal: a takeover of the planner or a short store fault is over. */
+constexpr millis kComeBack{1000};
+
+/** Keyed calls are refused this long before a withdrawn key would have to be: the answer's way. */
+constexpr millis kFreshMargin{800};
+
+/** A refused insertion is tried again for this long before the caller is told. */
+constexpr millis kInsertPatience{1500};
+
+bool IsJobId(std::string_view text) {
+  return text.size() == kJobIdLetters && std::all_of(text.begin(), text.end(), [](char c) {
+           return std::isxdigit(static_cast<unsigned char>(c)) != 0;
+         });
+}
+
+}  // namespace
+
+gateway_core::gateway_core(gateway_options options, const operator_source& source,
+                           const batch_record_codec& codec)
+    : options_(std::move(options)), source_(source), codec_(codec), operators_(source) {}
+
+void gateway_core::Decide(std::span<gateway_event> events, millis now,
+                          std::vector<gateway_action>& actions) {
+  out_ = &actions;
+  for (auto& event : events) {
+    std::visit([&](auto& e) { On(e, now); }, event);
+  }
+  Retry(now);
+  FollowOperators(now);
+  KeepRoster(now);
+  const bool ready = operators_.known() && !draining_;
+  if (ready != ready_) {
+    ready_ = ready;
+    out_->emplace_back(ready_change{ready});
+    log_event("ready-changed").With("ready", ready ? 1 : 0);
+  }
+  out_ = nullptr;
+}
+
+bool gateway_core::Fresh(millis now) const {
+  return now - operators_.confirmed() < options_.revocation - kFreshMargin;
+}
+
+void gateway_core::On(caller_call& call, millis now) {
+  open_call open;
+  const millis wait = call.wait > millis(0) ? call.wait : kUsualWait;
+  open.arrived = now;
+  open.deadline = now + std::max(wait - kAnswerMargin, wait / 2);
+  open.call = std::move(call);
+  Admit(std::move(open), now);
+}
+
+void gateway_core::Admit(open_call call, millis now) {
+  if (!Allow(call, now)) return;
+  const int64_t token = ++last_token_;
+  open_call& open = calls_.emplace(token, std::move(call)).first->second;
+  if (open.call.kind == call_kind::kSubmit) {
+    Insert(token, open, now);
+  } else {
+    Ask(token, open, now);
+  }
+}
+
+/** Checks a call against the configuration; answers it when it is not allowed. */
+bool gateway_core::Allow(open_call& call, millis now) {
+  const auto refuse = [&](call_answer answer, std::string_view detail) {
+    caller_reply reply{call.call.id, answer};
+    reply.detail = detail;
+    if (answer == call_answer::kUnavailable) reply.retry_after = kComeBack;
+    Answer(call, std::move(reply), now);
+    return false;
+  };
+  if (!operators_.known()) return refuse(call_answer::kUnavailable, "no configuration yet");
+  const batch_config& config = *operators_.state().config;
+  const batch_queue* queue = config.FindQueue(call.call.host, call.call.path);
+  if (queue == nullptr) return refuse(call_answer::kNoSuchQueue, "no such queue");
+  call.queue = queue->name;
+  call.job = call.call.path.substr(queue->path_prefix.size());
+  if (!queue->open_to_all) {
+    if (!Fresh(now)) return refuse(call_answer::kUnavailable, "the configuration may be outdated");
+    const batch_organisation* owner = config.FindKey(call.call.key);
+    if (owner == nullptr) return refuse(call_answer::kNoSuchKey, "unknown key");
+    call.organisation = owner->name;
+  }
+  if (call.call.body_bytes > config.max_body_bytes) {
+    return refuse(call_answer::kTooLarge, "the body is too large");
+  }
+  const bool whole_queue = call.job.empty() && call.call.kind == call_kind::kState;
+  if (!whole_queue && !IsJobId(call.job)) {
+    return refuse(call_answer::kNoSuchQueue, "no job can have this id");
+  }
+  if (call.call.kind == call_kind::kSubmit && !call.call.job) {
+    return refuse(call_answer::kMalformed, call.call.problem);
+  }
+  return true;
+}
+
+void gateway_core::Insert(int64_t token, open_call& call, millis now) {
+  if (call.value.empty()) {
+    batch_job job = *call.call.job;
+    job.id = call.job;
+    job.queue = call.queue;
+    job.organisation = call.organisation;
+    call.value = codec_.Encode(job);
+  }
+  row_transaction change;
+  const row_key at{std::string(kJobsTable), "", call.job};
+  change.conditions.push_back({at, 0});
+  change.conditions.push_back({source_.config_row(), operators_.state().config_revision});
+  change.writes.push_back({at, call.value});
+  call.in_store = true;
+  ++call.tries;
+  const millis left = call.deadline - now;
+  out_->emplace_back(store_request{token, std::move(change), std::min(kStoreTimeout, left)});
+}
+
+void gateway_core::On(store_reply& reply, millis now) {
+  if (reply.token == follower_token_) {
+    follower_token_ = 0;
+    operators_.On(std::get<rows_result>(reply.answer), now);
+    return;
+  }
+  if (reply.token == roster_token_) return OnRoster(reply, now);
+  const auto found = calls_.find(reply.token);
+  if (found == calls_.end()) return;
+  OnInserted(found->second, std::get<transaction_result>(reply.answer), now);
+  if (found->second.call.id == 0) calls_.erase(found);
+}
+
+void gateway_core::OnInserted(open_call& call, const transaction_result& result, millis now) {
+  call.in_store = false;
+  switch (result.outcome) {
+    case row_outcome::kDone:
+      return Answer(call, {call.call.id, call_answer::kAccepted}, now);
+    case row_outcome::kConflict:
+      if (SettleConflict(call, result, now)) return;
+      call.next_try = now;
+      return;
+    case row_outcome::kUnknown:
+    case row_outcome::kHistoryGone:
+      call.doubtful = true;
+      call.next_try = now;
+      return;
+    case row_outcome::kNotDone:
+      call.next_try = now + kStoreRetryPause;
+      if (!call.doubtful && now - call.arrived > kInsertPatience) GiveUp(call, now);
+      return;
+  }
+}
+
+/** Answers a call whose insertion met other rows, unless it has to be tried again. */
+bool gateway_core::SettleConflict(open_call& call, const transaction_result& result, millis now) {
+  for (const auto& found : result.current) {
+    if (found.at.table == kJobsTable && found.revision > 0) {
+      const auto job = codec_.DecodeJob(found.value);
+      const bool same =
+          job && job.value().queue == call.queue && job.value().organisation == call.organisation;
+      if (same) {
+        Answer(call, {call.call.id, call_answer::kAccepted}, now);
+      } else {
+        caller_reply reply{call.call.id, call_answer::kMalformed};
+        reply.detail = "another job has this id";
+        Answer(call, std::move(reply), now);
+      }
+      return true;
+    }
+    operators_.Adopt(found, now);
+  }
+  // The job is not there, and an earlier try that is still under way carries the revision of an
+  // older configuration: it cannot be done any more.
+  call.doubtful = false;
+  if (!Allow(call, now)) return true;
+  call.value.clear();
+  return false;
+}
+
+void gateway_core::Ask(int64_t id, open_call& call, millis now) {
+  call.next_try = now + kAskAgain;
+  if (planner_.planner.empty()) return;
+  job_inquiry inquiry;
+  inquiry.id = id;
+  inquiry.job = call.job;
+  inquiry.queue = call.queue;
+  if (call.call.kind == call_kind::kCancel) {
+    inquiry.question = job_question::kCancel;
+  } else {
+    inquiry.question = call.job.empty() ? job_question::kWaiting : job_question::kState;
+  }
+  ++call.tries;
+  call.asked = true;
+  if (planner_.planner == options_.node) {
+    out_->emplace_back(ask_own_planner{std::move(inquiry)});
+  } else {
+    out_->emplace_back(send_to_peer{planner_.planner, std::move(inquiry)});
+  }
+}
+
+void gateway_core::OnReply(const job_reply& reply, millis now) {
+  const auto found = calls_.find(reply.id);
+  if (found == calls_.end()) return;
+  open_call& call = found->second;
+  caller_reply answer{call.call.id};
+  switch (reply.outcome) {
+    case inquiry_outcome::kNotPlanner:
+    case inquiry_outcome::kUnavailable:
+      return;  // asked again when it is due, or when somebody else plans
+    case inquiry_outcome::kNoSuchJob:
+      answer.answer = call_answer::kNoSuchJob;
+      break;
+    case inquiry_outcome::kKnown:
+      if (call.call.kind == call_kind::kCancel) {
+        answer.answer = call_answer::kCancelled;
+      } else {
+        answer.answer = call.job.empty() ? call_answer::kWaiting : call_answer::kState;
+      }
+      break;
+  }
+  answer.state = reply.state;
+  answer.waiting = reply.waiting;
+  Answer(call, std::move(answer), now);
+  calls_.erase(found);
+}
+
+void gateway_core::On(peer_up& event, millis) {
+  if (event.peer.role == peer_role::kEntry) linked_.insert(event.peer.id);
+}
+
+void gateway_core::On(peer_down& event, millis) {
+  linked_.erase(event.peer);
+  if (event.peer == planner_.planner) planner_.planner.clear();
+}
+
+void gateway_core::On(peer_said& event, millis now) {
+  if (const auto* notice = std::get_if<planner_notice>(&event.message)) OnNotice(*notice, now);
+  if (const auto* reply = std::get_if<job_reply>(&event.message)) OnReply(*reply, now);
+}
+
+void gateway_core::On(own_planner_said& event, millis now) {
+  if (const auto* notice = std::get_if<planner_notice>(&event.message)) OnNotice(*notice, now);
+  if (const auto* reply = std::get_if<job_reply>(&event.message)) OnReply(*reply, now);
+}
+
+void gateway_core::OnNotice(const planner_notice& notice, millis now) {
+  if (notice.term < planner_.term) return;
+  const bool changed = notice.planner != planner_.planner || notice.term != planner_.term;
+  planner_ = notice;
+  if (!changed) return;
+  for (auto& [token, call] : calls_) {
+    if (call.call.kind != call_kind::kSubmit) call.next_try = now;
+  }
+}
+
+void gateway_core::On(gateway_drain&, millis) { draining_ = true; }
+
+void gateway_core::Retry(millis now) {
+  for (auto& [token, call] : calls_) {
+    if (now >= call.deadline) {
+      GiveUp(call, now);
+    } else if (!call.in_store && now >= call.next_try) {
+      if (call.call.kind == call_kind::kSubmit) {
+        Insert(token, call, now);
+      } else {
+        Ask(token, call, now);
+      }
+    }
+  }
+  std::erase_if(calls_, [](const auto& entry) { return entry.second.call.id == 0; });
+}
+
+void gateway_core::GiveUp(open_call& call, millis now) {
+  const bool submitted = call.call.kind == call_kind::kSubmit;
+  const bool cancelled = call.call.kind == call_kind::kCancel;
+  const bool unknown = submitted ? call.doubtful || call.in_store : cancelled && call.asked;
+  caller_reply reply{call.call.id};
+  reply.answer = unknown ? call_answer::kOutcomeUnknown : call_answer::kUnavailable;
+  reply.retry_after = unknown ? millis(0) : kComeBack;
+  reply.detail = submitted ? "the store did not answer in time" : "nobody plans at the moment";
+  Answer(call, std::move(reply), now);
+}
+
+/** Answers a call; its id becomes 0, which marks it as answered. */
+void gateway_core::Answer(open_call& call, caller_reply reply, millis now) {
+  const bool quiet = call.call.kind == call_kind::kState &&
+                     (reply.answer == call_answer::kState || reply.answer == call_answer::kWaiting);
+  if (!quiet) {
+    log_event("call-answered")
+        .With("job", call.job)
+        .With("queue", call.queue)
+        .With("organisation", call.organisation)
+        .With("kind", static_cast<int64_t>(call.call.kind))
+        .With("answer", CallAnswerName(reply.answer))
+        .With("state", BatchStateName(reply.state))
+        .With("tries", call.tries)
+        .With("took_ms", (now - call.arrived).count())
+        .With("config_revision", operators_.state().config_revision)
+        .With("config_age_ms", (now - operators_.confirmed()).count())
+        .With("detail", reply.detail);
+  }
+  out_->emplace_back(std::move(reply));
+  call.call.id = 0;
+}
+
+void gateway_core::FollowOperators(millis now) {
+  if (auto request = operators_.Next(now)) {
+    follower_token_ = ++last_token_;
+    request->token = follower_token_;
+    out_->emplace_back(std::move(*request));
+  }
+  const bool news = operators_.changes() != told_changes_;
+  if (!operators_.known() || (!news && operators_.confirmed() == told_confirmed_)) return;
+  told_changes_ = operators_.changes();
+  told_confirmed_ = operators_.confirmed();
+  out_->emplace_back(operator_news{operators_.state(), operators_.confirmed()});
+}
+
+/** Registers this entry in the store and finds the others there, once after the start. */
+void gateway_core::KeepRoster(millis now) {
+  if (roster_token_ != 0 || roster_read_ || now < roster_next_) return;
+  roster_token_ = ++last_token_;
+  if (!registered_) {
+    row_transaction change;
+    change.writes.push_back(
+        {{std::string(kEntriesTable), "", options_.node}, options_.peer_address});
+    out_->emplace_back(store_request{roster_token_, std::move(change), kStoreTimeout});
+    return;
+  }
+  out_->emplace_back(
+      store_request{roster_token_, row_range{std::string(kEntriesTable), "", ""}, kStoreTimeout});
+}
+
+void gateway_core::OnRoster(const store_reply& reply, millis now) {
+  roster_token_ = 0;
+  if (const auto* written = std::get_if<transaction_result>(&reply.answer)) {
+    registered_ = written->outcome == row_outcome::kDone;
+    if (!registered_) roster_next_ = now + kStoreRetryPause;
+    return;
+  }
+  const auto& rows = std::get<rows_result>(reply.answer);
+  roster_read_ = rows.outcome == row_outcome::kDone;
+  if (!roster_read_) roster_next_ = now + kStoreRetryPause;
+  for (const auto& found : rows.rows) {
+    if (found.value != options_.peer_address) out_->emplace_back(dial_peer{found.value});
+  }
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/gateway_core.h
@@ -0,0 +1,134 @@
+/** \file
+ * What an entry decides about callers' calls.
+ */
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "kernel/batch/batch_records.h"
+#include "kernel/batch/caller_call.h"
+#include "kernel/batch/operator_follower.h"
+#include "kernel/model/link_events.h"
+
+namespace eelgrass {
+
+/** The planner of this process answers an inquiry, or says who plans. */
+struct own_planner_said {
+  std::variant<job_reply, planner_notice> message;
+};
+
+/** The process is to end: take no new work. */
+struct gateway_drain {};
+
+using gateway_event = std::variant<caller_call, store_reply, peer_up, peer_down, peer_said,
+                                   own_planner_said, gateway_drain>;
+
+/** Asks the planner of this process. */
+struct ask_own_planner {
+  job_inquiry inquiry;
+};
+
+/** Tells the planner of this process what operators want. */
+struct operator_news {
+  operator_state state;
+  millis confirmed{0};
+};
+
+/** Whether the balancer should send new connections. */
+struct ready_change {
+  bool ready = false;
+};
+
+using gateway_action = std::variant<caller_reply, store_request, send_to_peer, ask_own_planner,
+                                    operator_news, ready_change, dial_peer>;
+
+struct gateway_options {
+  std::string node;          // id of this entry
+  std::string peer_address;  // where this entry accepts peers
+  millis revocation{5000};   // a withdrawn key has to be refused after this
+};
+
+/**
+ * Accepts jobs by one conditional insertion that also proves the configuration to be the newest,
+ * so that no job is accepted under a key that was withdrawn. Everything else about jobs is asked of
+ * the planner, wherever it is. A refusal as "not done" is only given when nothing was or will be
+ * done; otherwise the outcome is called unknown.
+ */
+class gateway_core {
+ public:
+  gateway_core(gateway_options options, const operator_source& source,
+               const batch_record_codec& codec);
+
+  void Decide(std::span<gateway_event> events, millis now, std::vector<gateway_action>& actions);
+
+  bool ready() const { return ready_; }
+  size_t open_calls() const { return calls_.size(); }
+
+ private:
+  /** A call that has not been answered yet. */
+  struct open_call {
+    caller_call call;
+    millis arrived{0};
+    millis deadline{0};
+    std::string organisation;
+    std::string queue;
+    std::string job;        // id; empty for a whole queue
+    std::string value;      // row to insert
+    bool in_store = false;  // a transaction is under way
+    bool doubtful = false;  // an earlier try may have been done, or may still be
+    bool asked = false;     // the planner may have received the inquiry
+    millis next_try{0};
+    int tries = 0;
+  };
+
+  void On(caller_call& call, millis now);
+  void On(store_reply& reply, millis now);
+  void On(peer_up& event, millis now);
+  void On(peer_down& event, millis now);
+  void On(peer_said& event, millis now);
+  void On(own_planner_said& event, millis now);
+  void On(gateway_drain& event, millis now);
+
+  void Admit(open_call call, millis now);
+  bool Allow(open_call& call, millis now);
+  void Insert(int64_t token, open_call& call, millis now);
+  void OnInserted(open_call& call, const transaction_result& result, millis now);
+  bool SettleConflict(open_call& call, const transaction_result& result, millis now);
+  void Ask(int64_t id, open_call& call, millis now);
+  void OnReply(const job_reply& reply, millis now);
+  void OnNotice(const planner_notice& notice, millis now);
+  void Retry(millis now);
+  void GiveUp(open_call& call, millis now);
+  void Answer(open_call& call, caller_reply reply, millis now);
+  void FollowOperators(millis now);
+  void KeepRoster(millis now);
+  void OnRoster(const store_reply& reply, millis now);
+  bool Fresh(millis now) const;
+
+  const gateway_options options_;
+  const operator_source& source_;
+  const batch_record_codec& codec_;
+  operator_follower operators_;
+  std::vector<gateway_action>* out_ = nullptr;
+  std::map<int64_t, open_call> calls_;  // by token
+  int64_t last_token_ = 0;
+  int64_t follower_token_ = 0;
+  int64_t roster_token_ = 0;
+  bool registered_ = false;  // this entry's row is written
+  bool roster_read_ = false;
+  millis roster_next_{0};
+  int64_t told_changes_ = 0;
+  millis told_confirmed_{0};
+  planner_notice planner_;
+  std::set<std::string> linked_;  // entries
+  bool ready_ = false;
+  bool draining_ = false;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/job_book.cc
@@ -0,0 +1,219 @@
+#include "kernel/batch/job_book.h"
+
+#include <algorithm>
+
+#include "kernel/base/log_event.h"
+
+namespace eelgrass {
+namespace {
+
+/** An occurrence is released this much after the earliest time, since VMs' clocks differ a little.
+ */
+constexpr millis kClockSlack{200};
+
+}  // namespace
+
+unit_ref UnitOf(const task_ref& task, const batch_step& step) {
+  return {task.job, task.occurrence, task.step, step.gang ? 0 : task.index};
+}
+
+task_ref MemberOf(const unit_ref& unit, const batch_step& step, int member) {
+  return {unit.job, unit.occurrence, unit.step, step.gang ? member : unit.unit};
+}
+
+job_book::job_book(millis early) : early_(early) {}
+
+bool job_book::Add(const batch_job& job, millis now) {
+  if (jobs_.contains(job.id)) return false;
+  tracked_job tracked;
+  tracked.job = job;
+  tracked.accepted = now;
+  const int occurrences = std::max(1, job.occurrences);
+  for (int k = 0; k < occurrences; ++k) {
+    occurrence_state occurrence;
+    if (job.occurrences > 0) occurrence.due = job.first_start + job.interval * k;
+    for (const auto& step : job.steps) {
+      step_state state;
+      state.units.resize(static_cast<size_t>(step.gang ? 1 : step.count));
+      occurrence.steps.push_back(std::move(state));
+    }
+    tracked.occurrences.push_back(std::move(occurrence));
+  }
+  open_.insert(job.id);
+  jobs_.emplace(job.id, std::move(tracked));
+  return true;
+}
+
+void job_book::Restore(const job_progress& progress) {
+  tracked_job* job = Find(progress.job);
+  if (job == nullptr) return;
+  for (const auto& task : progress.tasks) {
+    const unit_ref ref{progress.job, task.occurrence, task.step, task.index};
+    unit_state* unit = Find(ref);
+    if (unit == nullptr) continue;
+    if (task.done && !unit->done) OnDone(ref, job->accepted);
+    unit->failures = task.failures;
+    unit->last_failed_run = task.last_failed_run;
+    unit->saved = task.saved;
+  }
+  if (!progress.tasks.empty()) job->begun = true;
+  if (IsFinal(progress.state)) Finish(*job, progress.state);
+  job->stored = true;
+  dirty_.erase(progress.job);
+}
+
+void job_book::Release(millis now, millis wall_now) {
+  for (const auto& id : open_) {
+    tracked_job& job = jobs_.find(id)->second;
+    for (auto& occurrence : job.occurrences) {
+      const bool due =
+          occurrence.due == millis(0) || wall_now >= occurrence.due - early_ + kClockSlack;
+      if (due) ReleaseSteps(job, occurrence, now);
+    }
+  }
+}
+
+void job_book::ReleaseSteps(tracked_job& job, occurrence_state& occurrence, millis now) {
+  for (size_t i = 0; i < occurrence.steps.size(); ++i) {
+    step_state& step = occurrence.steps[i];
+    if (step.released) continue;
+    const auto& after = job.job.steps[i].after;
+    const bool met = std::all_of(after.begin(), after.end(), [&](int earlier) {
+      const step_state& other = occurrence.steps[static_cast<size_t>(earlier)];
+      return other.done == static_cast<int>(other.units.size());
+    });
+    if (!met) continue;
+    step.released = true;
+    for (auto& unit : step.units) unit.ready_since = now;
+  }
+}
+
+tracked_job* job_book::Find(std::string_view id) {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const tracked_job* job_book::Find(std::string_view id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+unit_state* job_book::Find(const unit_ref& unit) {
+  tracked_job* job = Find(unit.job);
+  if (job == nullptr || unit.occurrence < 0 || unit.step < 0 || unit.unit < 0) return nullptr;
+  if (static_cast<size_t>(unit.occurrence) >= job->occurrences.size()) return nullptr;
+  auto& steps = job->occurrences[static_cast<size_t>(unit.occurrence)].steps;
+  if (static_cast<size_t>(unit.step) >= steps.size()) return nullptr;
+  auto& units = steps[static_cast<size_t>(unit.step)].units;
+  return static_cast<size_t>(unit.unit) < units.size() ? &units[static_cast<size_t>(unit.unit)]
+                                                       : nullptr;
+}
+
+const batch_step* job_book::StepOf(const unit_ref& unit) const {
+  const tracked_job* job = Find(unit.job);
+  if (job == nullptr || unit.step < 0) return nullptr;
+  const auto& steps = job->job.steps;
+  return static_cast<size_t>(unit.step) < steps.size() ? &steps[static_cast<size_t>(unit.step)]
+                                                       : nullptr;
+}
+
+void job_book::OnBegun(const unit_ref& unit) {
+  tracked_job* job = Find(unit.job);
+  if (job == nullptr || IsFinal(job->state)) return;
+  job->begun = true;
+  job->state = batch_state::kRunning;
+}
+
+void job_book::OnDone(const unit_ref& ref, millis now) {
+  tracked_job* job = Find(ref.job);
+  unit_state* unit = Find(ref);
+  if (job == nullptr || unit == nullptr || unit->done || IsFinal(job->state)) return;
+  unit->done = true;
+  dirty_.insert(ref.job);
+  occurrence_state& occurrence = job->occurrences[static_cast<size_t>(ref.occurrence)];
+  step_state& step = occurrence.steps[static_cast<size_t>(ref.step)];
+  if (++step.done < static_cast<int>(step.units.size())) return;
+  if (++occurrence.done < static_cast<int>(occurrence.steps.size())) {
+    if (step.released) ReleaseSteps(*job, occurrence, now);
+    return;
+  }
+  if (++job->done == static_cast<int>(job->occurrences.size())) {
+    Finish(*job, batch_state::kCompleted);
+  }
+}
+
+void job_book::OnFailed(const unit_ref& ref, int64_t run, int attempts, std::string_view worker) {
+  tracked_job* job = Find(ref.job);
+  unit_state* unit = Find(ref);
+  if (job == nullptr || unit == nullptr || unit->done || IsFinal(job->state)) return;
+  if (run <= unit->last_failed_run) return;
+  unit->last_failed_run = run;
+  ++unit->failures;
+  unit->failed_on.insert(std::string(worker));
+  dirty_.insert(ref.job);
+  const batch_step& step = job->job.steps[static_cast<size_t>(ref.step)];
+  if (step.long_running || unit->failures < attempts) return;
+  log_event("job-out-of-attempts")
+      .With("job", ref.job)
+      .With("step", ref.step)
+      .With("unit", ref.unit)
+      .With("failures", unit->failures);
+  Finish(*job, batch_state::kFailed);
+}
+
+void job_book::OnSaved(const unit_ref& ref, std::string_view saved) {
+  unit_state* unit = Find(ref);
+  if (unit != nullptr && !saved.empty() && !unit->done) unit->saved = saved;
+}
+
+bool job_book::Cancel(std::string_view id) {
+  tracked_job* job = Find(id);
+  if (job == nullptr) return false;
+  if (!IsFinal(job->state)) Finish(*job, batch_state::kCancelled);
+  return true;
+}
+
+void job_book::Finish(tracked_job& job, batch_state state) {
+  log_event("job-final").With("job", job.job.id).With("state", BatchStateName(state));
+  job.state = state;
+  job.stored = false;
+  finished_ = true;
+  dirty_.insert(job.job.id);
+  open_.erase(job.job.id);
+}
+
+job_progress job_book::Progress(const tracked_job& job) const {
+  job_progress progress;
+  progress.job = job.job.id;
+  progress.state = job.state;
+  if (IsFinal(job.state)) return progress;
+  for (size_t k = 0; k < job.occurrences.size(); ++k) {
+    for (size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
+      const auto& units = job.occurrences[k].steps[s].units;
+      for (size_t u = 0; u < units.size(); ++u) {
+        const unit_state& unit = units[u];
+        if (!unit.done && unit.failures == 0 && unit.saved.empty()) continue;
+        progress.tasks.push_back({static_cast<int>(k), static_cast<int>(s), static_cast<int>(u),
+                                  unit.done, unit.failures, unit.last_failed_run,
+                                  unit.done ? std::string() : unit.saved});
+      }
+    }
+  }
+  return progress;
+}
+
+std::vector<std::string> job_book::TakeDirty(size_t most) {
+  std::vector<std::string> taken;
+  while (!dirty_.empty() && taken.size() < most) {
+    taken.push_back(std::move(dirty_.extract(dirty_.begin()).value()));
+  }
+  return taken;
+}
+
+void job_book::OnStored(std::string_view id, batch_state state) {
+  tracked_job* job = Find(id);
+  if (job == nullptr) return;
+  if (job->state == state) job->stored = true;
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/planner_core.cc
@@ -0,0 +1,297 @@
+#include "kernel/batch/planner_core.h"
+
+#include <algorithm>
+
+#include "kernel/base/log_event.h"
+
+namespace eelgrass {
+namespace {
+
+/** Plans are made anew at least this often: timed occurrences, pauses and patience run out. */
+constexpr millis kPlanInterval{250};
+
+/** The longest that an earlier planner may have granted leases after this one's takeover. */
+constexpr millis kEarlierTrust{4000};
+
+/** A lease may last this much longer on a worker's slow clock, plus some slack. */
+constexpr int64_t kSlowClockPermille = 25;
+constexpr int64_t kPermille = 1000;
+constexpr millis kLapseSlack{300};
+
+/** Starts need to know what operators want at least this well. */
+constexpr millis kOperatorsAge{3500};
+
+/** "No such job" needs a list of jobs that is at most this old; callers see a job in 3 s. */
+constexpr millis kListAge{4500};
+
+}  // namespace
+
+planner_core::planner_core(planner_options options, const batch_record_codec& codec,
+                           const unit_order& order)
+    : options_(std::move(options)),
+      order_(order),
+      term_(options_.node, options_.nonce, codec),
+      book_(std::make_unique<job_book>(options_.early)),
+      journal_(codec, term_),
+      tracker_(std::make_unique<run_tracker>(options_.tracking, *book_, pool_)),
+      starts_(options_.starts, order_) {}
+
+void planner_core::Decide(std::span<planner_event> events, millis now, millis wall_now,
+                          std::vector<planner_action>& actions) {
+  out_ = &actions;
+  for (auto& event : events) {
+    std::visit([&](auto& e) { On(e, now); }, event);
+    if (term_.holding() != was_holding_) term_.holding() ? BeginTerm(now) : EndTerm(now);
+  }
+  if (auto call = term_.Next(now)) {
+    call->token = -1;  // the journal's tokens are positive
+    out_->emplace_back(std::move(*call));
+  }
+  if (term_.holding()) {
+    TakeWritten(now);
+    Plan(now, wall_now);
+    if (book_->TakeFinished()) journal_.Hurry();
+    std::vector<send_to_peer> orders;
+    tracker_->TakeOrders(term_.Trusted(now), orders);
+    for (auto& order : orders) out_->emplace_back(std::move(order));
+    std::vector<store_request> calls;
+    journal_.Next(*book_, pool_, now, calls);
+    for (auto& call : calls) out_->emplace_back(std::move(call));
+  }
+  Notify(now);
+  out_ = nullptr;
+}
+
+void planner_core::On(store_reply& event, millis now) {
+  if (event.token < 0) {
+    term_.On(event, now);
+  } else {
+    journal_.On(event, *book_, pool_, now);
+  }
+}
+
+void planner_core::On(peer_up& event, millis now) {
+  if (event.peer.role == peer_role::kEntry) {
+    entries_[event.peer.id] = event.peer.address;
+    term_.OnLinked(event.peer.id, now);
+  } else {
+    agents_.insert(event.peer.id);
+  }
+  if (term_.holding()) {
+    out_->emplace_back(send_to_peer{event.peer.id, Notice(now)});
+  } else if (event.peer.role != peer_role::kEntry && heard_.term > 0) {
+    out_->emplace_back(send_to_peer{event.peer.id, heard_});
+  }
+}
+
+void planner_core::On(peer_down& event, millis now) {
+  entries_.erase(event.peer);
+  agents_.erase(event.peer);
+  term_.OnUnlinked(event.peer, now);
+  tracker_->OnAgentLost(event.peer);
+}
+
+void planner_core::On(peer_said& event, millis now) {
+  if (auto* report = std::get_if<worker_report>(&event.message)) {
+    TakeReport(event.peer, *report, now);
+  } else if (const auto* notice = std::get_if<planner_notice>(&event.message)) {
+    term_.OnNotice(event.peer, *notice, now);
+    PassOn(*notice);
+  } else if (const auto* inquiry = std::get_if<job_inquiry>(&event.message)) {
+    Answer(event.peer, *inquiry, now);
+  }
+}
+
+/** Agents may not know the planner's address yet: every entry tells them. */
+void planner_core::PassOn(const planner_notice& notice) {
+  if (notice.term < heard_.term) return;
+  heard_ = notice;
+  for (const auto& id : agents_) out_->emplace_back(send_to_peer{id, notice});
+}
+
+void planner_core::On(own_inquiry& event, millis now) { Answer("", event.inquiry, now); }
+
+void planner_core::On(operators_say& event, millis) {
+  operators_ = std::move(event.state);
+  operators_confirmed_ = event.confirmed;
+  term_.OnStoreContact(event.confirmed);
+  planned_changes_ = -1;
+}
+
+void planner_core::On(planner_drain&, millis) {
+  if (term_.holding()) journal_.HandOver();
+}
+
+void planner_core::BeginTerm(millis now) {
+  was_holding_ = true;
+  planning_ = false;
+  term_began_ = now;
+  journal_.Reset();
+  pool_ = worker_pool{};
+  book_ = std::make_unique<job_book>(options_.early);
+  tracker_ = std::make_unique<run_tracker>(options_.tracking, *book_, pool_);
+  tracker_->Begin(term_.fence(), now);
+  early_reports_.clear();
+}
+
+void planner_core::EndTerm(millis) {
+  was_holding_ = false;
+  planning_ = false;
+  journal_.Reset();
+  pool_ = worker_pool{};
+  book_ = std::make_unique<job_book>(options_.early);
+  tracker_ = std::make_unique<run_tracker>(options_.tracking, *book_, pool_);
+  for (const auto& [job, askers] : cancels_) {
+    for (const auto& [asker, id] : askers) Reply(asker, {id, inquiry_outcome::kNotPlanner});
+  }
+  cancels_.clear();
+}
+
+void planner_core::TakeReport(const std::string& agent, worker_report& report, millis now) {
+  if (!term_.holding()) return;
+  if (report.term > term_.fence()) return term_.StepDown("an agent has a higher term", now);
+  if (!journal_.loaded()) {
+    early_reports_[{agent, report.worker.self.id}] = std::move(report);
+    return;
+  }
+  static const batch_config kNoConfig;
+  const batch_config& config = operators_.config == nullptr ? kNoConfig : *operators_.config;
+  tracker_->On(agent, report, config, term_.Trusted(now), now);
+  const pool_worker* worker = pool_.Find(report.worker.self.id);
+  if (worker != nullptr && worker->listing) journal_.expected().erase(report.worker.self.id);
+  if (worker != nullptr && !worker->recorded && !worker->recording) journal_.Hurry();
+}
+
+void planner_core::Answer(const std::string& asker, const job_inquiry& inquiry, millis now) {
+  job_reply reply{inquiry.id};
+  if (!term_.holding()) {
+    reply.outcome = inquiry_outcome::kNotPlanner;
+    return Reply(asker, reply);
+  }
+  if (!term_.Trusted(now) || !journal_.loaded()) return Reply(asker, reply);
+  reply.outcome = inquiry_outcome::kKnown;
+  if (inquiry.question == job_question::kWaiting) {
+    reply.waiting = CountWaiting(inquiry.queue);
+    return Reply(asker, reply);
+  }
+  const tracked_job* job = book_->Find(inquiry.job);
+  if (job == nullptr || job->job.queue != inquiry.queue) {
+    const bool certain = now - journal_.followed() < kListAge;
+    reply.outcome = certain ? inquiry_outcome::kNoSuchJob : inquiry_outcome::kUnavailable;
+    return Reply(asker, reply);
+  }
+  if (inquiry.question == job_question::kState) {
+    // A final state is shown once it is stored.
+    reply.state = job->stored ? job->state : batch_state::kRunning;
+    return Reply(asker, reply);
+  }
+  book_->Cancel(inquiry.job);
+  reply.state = job->state;
+  if (job->stored) return Reply(asker, reply);
+  journal_.Hurry();
+  cancels_[inquiry.job].emplace_back(asker, inquiry.id);
+}
+
+void planner_core::Reply(const std::string& asker, const job_reply& reply) {
+  if (asker.empty()) {
+    out_->emplace_back(tell_gateway{reply});
+  } else {
+    out_->emplace_back(send_to_peer{asker, reply});
+  }
+}
+
+int64_t planner_core::CountWaiting(std::string_view queue) const {
+  int64_t waiting = 0;
+  for (const auto& id : book_->open()) {
+    const tracked_job* job = book_->Find(id);
+    if (job->job.queue == queue && !job->begun) ++waiting;
+  }
+  return waiting;
+}
+
+void planner_core::TakeWritten(millis) {
+  const auto written = journal_.TakeWritten();
+  if (!written) return;
+  for (const auto& [id, state] : written->jobs) {
+    book_->OnStored(id, state);
+    if (!IsFinal(state)) continue;
+    log_event("job-stored").With("job", id).With("state", BatchStateName(state));
+    const auto askers = cancels_.find(id);
+    if (askers == cancels_.end()) continue;
+    for (const auto& [asker, inquiry] : askers->second) {
+      job_reply reply{inquiry, inquiry_outcome::kKnown, state};
+      Reply(asker, reply);
+    }
+    cancels_.erase(askers);
+  }
+  for (const auto& [id, number] : written->ends) {
+    pool_worker* worker = pool_.Find(id);
+    if (worker == nullptr) continue;
+    worker->ends_stored = std::max(worker->ends_stored, number);
+    worker->order_due = true;
+  }
+  for (const auto& id : written->workers) {
+    if (pool_worker* worker = pool_.Find(id)) worker->recorded = true;
+  }
+  planned_changes_ = -1;
+}
+
+/** Whether all runs of earlier terms are known or over. */
+bool planner_core::Recovered(millis now) {
+  if (planning_) return true;
+  if (!journal_.loaded()) return false;
+  if (!early_reports_.empty()) {
+    auto reports = std::move(early_reports_);
+    early_reports_.clear();
+    for (auto& [source, report] : reports) TakeReport(source.first, report, now);
+  }
+  const millis lease = options_.tracking.grant +
+                       options_.tracking.grant * kSlowClockPermille / kPermille + kLapseSlack;
+  const bool lapsed = now - term_began_ > kEarlierTrust + lease;
+  if (!journal_.expected().empty() && !lapsed) return false;
+  planning_ = true;
+  log_event("planning-begins")
+      .With("term", term_.fence())
+      .With("after_ms", (now - term_began_).count())
+      .With("unheard_workers", static_cast<int64_t>(journal_.expected().size()));
+  return true;
+}
+
+void planner_core::Plan(millis now, millis wall_now) {
+  if (!Recovered(now) || operators_.config == nullptr) return;
+  book_->Release(now, wall_now);
+  tracker_->Tick(*operators_.config, now);
+  const bool informed = now - operators_confirmed_ < kOperatorsAge;
+  if (!term_.Trusted(now) || !informed || journal_.handed_over()) return;
+  const int64_t changes = tracker_->changes() + static_cast<int64_t>(book_->all().size());
+  if (changes == planned_changes_ && now < next_plan_) return;
+  planned_changes_ = changes;
+  next_plan_ = now + kPlanInterval;
+  const planning_view view{*book_, pool_, *operators_.config, operators_.evacuated, now};
+  tracker_->Apply(starts_.Plan(view), now);
+}
+
+planner_notice planner_core::Notice(millis now) const {
+  planner_notice notice;
+  notice.term = term_.fence();
+  notice.planner = journal_.handed_over() ? std::string() : options_.node;
+  notice.store_lost = term_.store_lost(now);
+  notice.entries.push_back(options_.peer_address);
+  for (const auto& [id, address] : entries_) notice.entries.push_back(address);
+  return notice;
+}
+
+/** Tells everybody when what they should know has changed. */
+void planner_core::Notify(millis now) {
+  if (!term_.holding()) return;
+  const planner_notice notice = Notice(now);
+  const bool same = notice.term == told_.term && notice.planner == told_.planner &&
+                    notice.store_lost == told_.store_lost && notice.entries == told_.entries;
+  if (same) return;
+  told_ = notice;
+  out_->emplace_back(tell_gateway{notice});
+  for (const auto& [id, address] : entries_) out_->emplace_back(send_to_peer{id, notice});
+  for (const auto& id : agents_) out_->emplace_back(send_to_peer{id, notice});
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/planner_journal.cc
@@ -0,0 +1,236 @@
+#include "kernel/batch/planner_journal.h"
+
+#include <algorithm>
+
+#include "kernel/base/log_event.h"
+
+namespace eelgrass {
+namespace {
+
+/** The feed of new jobs answers at least this often, so that a silent connection is noticed. */
+constexpr millis kFeedWait{3000};
+
+/** Progress that nobody waits for is written together within this time. */
+constexpr millis kGroupTime{400};
+
+/** The term is rewritten at least this often, so that followers see that its holder is alive. */
+constexpr millis kRenewal{1000};
+
+/** Entries of one transaction, by the store's bound of 100 less the term's own. */
+constexpr size_t kMaxEntries = 90;
+
+}  // namespace
+
+planner_journal::planner_journal(const batch_record_codec& codec, term_keeper& term)
+    : codec_(codec), term_(term) {}
+
+void planner_journal::Reset() {
+  const int64_t last_token = last_token_;
+  stage_ = stage::kJobs;
+  loaded_ = false;
+  continue_at_.clear();
+  read_token_ = write_token_ = 0;
+  last_token_ = last_token;  // answers to earlier calls are not taken for later ones
+  revision_ = 0;
+  next_read_ = next_write_ = millis(0);
+  followed_ = millis(INT64_MIN / 4);
+  expected_.clear();
+  writing_.reset();
+  group_ = {};
+  written_.reset();
+  dirty_since_ = kFarFuture;
+  hurry_ = hand_over_ = handed_over_ = false;
+}
+
+void planner_journal::Next(job_book& book, worker_pool& pool, millis now,
+                           std::vector<store_request>& calls) {
+  if (!term_.holding()) return;
+  if (auto call = Read(now)) calls.push_back(std::move(*call));
+  if (auto call = Write(book, pool, now)) calls.push_back(std::move(*call));
+}
+
+std::optional<store_request> planner_journal::Read(millis now) {
+  if (read_token_ != 0 || now < next_read_) return std::nullopt;
+  read_token_ = ++last_token_;
+  read_sent_ = now;
+  if (stage_ == stage::kFollowing) {
+    return store_request{read_token_, row_feed{std::string(kJobsTable), revision_, kFeedWait},
+                         kFeedWait + kStoreTimeout};
+  }
+  std::string_view table = kJobsTable;
+  if (stage_ == stage::kProgress) table = kProgressTable;
+  if (stage_ == stage::kWorkers) table = kWorkersTable;
+  return store_request{read_token_, row_range{std::string(table), "", continue_at_}, kStoreTimeout};
+}
+
+std::optional<store_request> planner_journal::Write(job_book& book, worker_pool& pool, millis now) {
+  if (write_token_ != 0 || handed_over_) return std::nullopt;
+  if (writing_) {
+    if (now < next_write_) return std::nullopt;
+    term_.Reguard(*writing_);
+  } else {
+    const bool ends = std::any_of(pool.all().begin(), pool.all().end(), [](const auto& entry) {
+      return entry.second.ends_applied > entry.second.ends_stored;
+    });
+    const bool waiting = loaded_ && (book.dirty() || ends);
+    if (!waiting) dirty_since_ = kFarFuture;
+    if (waiting && dirty_since_ == kFarFuture) dirty_since_ = now;
+    const bool due = hurry_ || hand_over_ || (waiting && now - dirty_since_ >= kGroupTime) ||
+                     now - write_sent_ >= kRenewal;
+    if (!due) return std::nullopt;
+    Group(book, pool);
+  }
+  write_token_ = ++last_token_;
+  write_sent_ = now;
+  return store_request{write_token_, *writing_, kStoreTimeout};
+}
+
+/** Puts what has to be stored into one transaction. */
+void planner_journal::Group(job_book& book, worker_pool& pool) {
+  row_transaction change;
+  group_ = {};
+  hurry_ = false;
+  dirty_since_ = kFarFuture;
+  size_t room = kMaxEntries;
+  for (auto& [id, worker] : pool.all()) {
+    if (worker.recorded || worker.recording || room == 0) continue;
+    worker.recording = true;
+    const worker_record record{id, worker.agent, worker.profile.address};
+    change.writes.push_back({{std::string(kWorkersTable), "", id}, codec_.Encode(record)});
+    group_.workers.push_back(id);
+    --room;
+  }
+  if (loaded_) {
+    for (const auto& id : book.TakeDirty(room)) {
+      const tracked_job* job = book.Find(id);
+      if (job == nullptr) continue;
+      const job_progress progress = book.Progress(*job);
+      change.writes.push_back({{std::string(kProgressTable), "", id}, codec_.Encode(progress)});
+      group_.jobs.emplace_back(id, progress.state);
+    }
+    // Ends count as stored only when every job that they changed is in this or an earlier group.
+    if (!book.dirty()) {
+      for (const auto& [id, worker] : pool.all()) {
+        if (worker.ends_applied > worker.ends_stored) group_.ends[id] = worker.ends_applied;
+      }
+    }
+  }
+  group_.handed_over = hand_over_;
+  term_.Guard(change, hand_over_);
+  writing_ = std::move(change);
+}
+
+bool planner_journal::On(const store_reply& reply, job_book& book, worker_pool& pool, millis now) {
+  if (reply.token == 0) return false;
+  if (reply.token == read_token_) {
+    read_token_ = 0;
+    const auto& rows = std::get<rows_result>(reply.answer);
+    if (stage_ == stage::kFollowing) {
+      OnFeed(rows, book, now);
+    } else {
+      OnRead(rows, book, pool, now);
+    }
+    return true;
+  }
+  if (reply.token != write_token_) return false;
+  write_token_ = 0;
+  OnWritten(std::get<transaction_result>(reply.answer), now);
+  return true;
+}
+
+void planner_journal::TakeRow(const row& found, job_book& book, millis now) {
+  if (found.deleted) return;
+  auto job = codec_.DecodeJob(found.value);
+  if (!job) {
+    log_event("job-row-refused", log_level::kWarning)
+        .With("key", found.at.key)
+        .With("detail", job.error().detail);
+    return;
+  }
+  if (!book.Add(job.value(), now)) return;
+  log_event("job-known")
+      .With("job", found.at.key)
+      .With("queue", job.value().queue)
+      .With("organisation", job.value().organisation)
+      .With("revision", found.revision);
+}
+
+void planner_journal::OnRead(const rows_result& answer, job_book& book, worker_pool& pool,
+                             millis now) {
+  if (answer.outcome != row_outcome::kDone) {
+    next_read_ = now + kStoreRetryPause;
+    return;
+  }
+  for (const auto& found : answer.rows) {
+    if (stage_ == stage::kJobs) {
+      TakeRow(found, book, now);
+    } else if (stage_ == stage::kProgress) {
+      const auto progress = codec_.DecodeProgress(found.value);
+      if (progress) book.Restore(progress.value());
+    } else if (pool.Find(found.at.key) == nullptr || !pool.Find(found.at.key)->listing) {
+      expected_.insert(found.at.key);
+    }
+  }
+  if (stage_ == stage::kJobs && continue_at_.empty()) {
+    revision_ = answer.revision;
+    followed_ = read_sent_;
+  }
+  if (answer.more && !answer.rows.empty()) {
+    continue_at_ = answer.rows.back().at.key + '!';
+    return;
+  }
+  continue_at_.clear();
+  if (stage_ == stage::kJobs && loaded_) {
+    stage_ = stage::kFollowing;
+  } else if (stage_ == stage::kJobs) {
+    stage_ = stage::kProgress;
+  } else if (stage_ == stage::kProgress) {
+    stage_ = stage::kWorkers;
+  } else {
+    stage_ = stage::kFollowing;
+    loaded_ = true;
+    log_event("journal-loaded")
+        .With("jobs", static_cast<int64_t>(book.all().size()))
+        .With("open", static_cast<int64_t>(book.open().size()))
+        .With("workers", static_cast<int64_t>(expected_.size()));
+  }
+}
+
+void planner_journal::OnFeed(const rows_result& answer, job_book& book, millis now) {
+  if (answer.outcome == row_outcome::kHistoryGone) {
+    // Jobs that are known already are not added again.
+    stage_ = stage::kJobs;
+    return;
+  }
+  if (answer.outcome != row_outcome::kDone) {
+    next_read_ = now + kStoreRetryPause;
+    return;
+  }
+  for (const auto& found : answer.rows) TakeRow(found, book, now);
+  revision_ = std::max(revision_, answer.revision);
+  followed_ = std::max(followed_, answer.rows.empty() ? read_sent_ + kFeedWait : read_sent_);
+}
+
+void planner_journal::OnWritten(const transaction_result& answer, millis now) {
+  switch (term_.OnWritten(answer, write_sent_)) {
+    case term_write::kDone:
+      writing_.reset();
+      handed_over_ = group_.handed_over;
+      written_ = std::move(group_);
+      return;
+    case term_write::kTryAgain:
+      next_write_ = answer.outcome == row_outcome::kConflict ? now : now + kStoreRetryPause;
+      return;
+    case term_write::kLost:
+      term_.StepDown("its row was rewritten", now);
+      return;
+  }
+}
+
+std::optional<journal_written> planner_journal::TakeWritten() {
+  auto written = std::move(written_);
+  written_.reset();
+  return written;
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/run_tracker.cc
@@ -0,0 +1,440 @@
+#include "kernel/batch/run_tracker.h"
+
+#include <algorithm>
+
+#include "kernel/base/log_event.h"
+
+namespace eelgrass {
+namespace {
+
+/** Run numbers of one term; a term is a revision of the store, so the product stays below 2^53. */
+constexpr int64_t kRunsPerTerm = 100000;
+
+/** A worker's clock may be slow by 2%, by the platform's bound; this covers it with some slack. */
+constexpr int64_t kSlowClockPermille = 25;
+constexpr int64_t kPermille = 1000;
+constexpr millis kLapseSlack{300};
+
+/** A worker that has left ends what it runs by then. */
+constexpr millis kLeaveTime{700};
+
+/** An ordered run that has not begun after this is taken back. */
+constexpr millis kStartPatience{2000};
+
+/** After this many failures in a row, of different units, a worker gets no starts for a while. */
+constexpr int kFailuresToAvoid = 3;
+constexpr millis kAvoidTime{6000};
+
+/** A unit that could not start at a worker waits this long. */
+constexpr millis kRefusalPause{200};
+
+}  // namespace
+
+run_tracker::run_tracker(tracker_options options, job_book& book, worker_pool& pool)
+    : options_(options), book_(book), pool_(pool) {}
+
+void run_tracker::Begin(int64_t term, millis) {
+  term_ = term;
+  runs_begun_ = 0;
+  orders_sent_ = 0;
+}
+
+int64_t run_tracker::NextRun() { return term_ * kRunsPerTerm + ++runs_begun_; }
+
+void run_tracker::On(std::string_view agent, const worker_report& report,
+                     const batch_config& config, bool trusted, millis now) {
+  const worker_identity& self = report.worker.self;
+  if (report.term > term_) return;
+  pool_worker* known = pool_.Find(self.id);
+  if (!report.present) {
+    if (known != nullptr && known->profile.self == self && report.term == term_) {
+      known->listing = false;
+      known->lease_end = std::min(known->lease_end, now + kLeaveTime);
+      log_event("worker-gone").With("worker", self.id).With("runs", known->runs.size());
+    }
+    return;
+  }
+  pool_worker& worker = pool_.Get(self.id);
+  if (!(worker.profile.self == self)) {
+    if (worker.profile.self.born_ms > self.born_ms) return;
+    BeginLife(worker, report, agent, now);
+  } else if (report.sequence <= worker.report_sequence && worker.agent == agent && worker.linked) {
+    return;
+  }
+  const bool was_usable = worker.listing && !worker.profile.draining;
+  worker.agent = agent;
+  worker.linked = true;
+  worker.report_sequence = report.sequence;
+  worker.reported = now;
+  worker.profile = report.worker;
+  worker.listing = report.listed && report.term == term_;
+  worker.order_due = true;
+  if (!worker.listing) return;
+  if (trusted) {
+    const millis lease = options_.grant + options_.grant * kSlowClockPermille / kPermille;
+    worker.lease_end = std::max(worker.lease_end, now + lease + kLapseSlack);
+  }
+  if (!was_usable) ++changes_;
+  TakeEnds(worker, report, config, now);
+  TakeRunning(worker, report, now);
+  TakeRefused(worker, report, now);
+  DropUnlisted(worker, report, now);
+}
+
+void run_tracker::BeginLife(pool_worker& worker, const worker_report& report,
+                            std::string_view agent, millis now) {
+  if (!worker.profile.self.id.empty()) CloseAll(worker, "another life of the worker");
+  const bool recorded = worker.recorded;
+  const bool recording = worker.recording;
+  worker = pool_worker{};
+  worker.recorded = recorded;
+  worker.recording = recording;
+  worker.profile = report.worker;
+  worker.agent = agent;
+  ++changes_;
+  log_event("worker-known")
+      .With("worker", report.worker.self.id)
+      .With("born", report.worker.self.born_ms)
+      .With("agent", agent)
+      .With("domain", report.worker.domain)
+      .With("rack", report.worker.rack)
+      .With("accelerators", report.worker.capacity.accelerators)
+      .With("at", now.count());
+}
+
+void run_tracker::OnAgentLost(std::string_view agent) {
+  for (auto& [id, worker] : pool_.all()) {
+    if (worker.agent != agent) continue;
+    worker.linked = false;
+    worker.listing = false;
+  }
+}
+
+void run_tracker::TakeEnds(pool_worker& worker, const worker_report& report,
+                           const batch_config& config, millis now) {
+  for (const auto& end : report.ended) {
+    if (end.number <= worker.ends_applied) continue;
+    worker.ends_applied = end.number;
+    ApplyEnd(worker, end, config, now);
+  }
+}
+
+void run_tracker::ApplyEnd(pool_worker& worker, const listed_end& end, const batch_config& config,
+                           millis now) {
+  const run_ref ref{end.task, end.run};
+  const auto record = worker.runs.find(ref);
+  task_ref task;
+  if (!ParseTask(end.task, task)) return;
+  const tracked_job* job = book_.Find(task.job);
+  const bool known = record != worker.runs.end();
+  log_event("run-ended")
+      .With("task", end.task)
+      .With("run", end.run)
+      .With("how", RunEndName(end.how))
+      .With("worker", worker.profile.self.id)
+      .With("number", end.number)
+      .With("ran_ms", known ? (now - record->second.began).count() : -1)
+      .With("known", known ? 1 : 0);
+  if (job == nullptr || static_cast<size_t>(task.step) >= job->job.steps.size()) {
+    if (known) Close(worker, ref);
+    return;
+  }
+  const batch_step& step = job->job.steps[static_cast<size_t>(task.step)];
+  const unit_ref unit = UnitOf(task, step);
+  unit_state* state = book_.Find(unit);
+  if (state == nullptr) return;
+  // A run that was given up because its lease had lapsed does not count any more.
+  const bool counts =
+      known || (state->open_runs == 0 && end.run > state->last_failed_run) || end.run == state->run;
+  if (counts && !step.long_running && end.how == run_end::kDone) {
+    Note(worker, true, now);
+    book_.OnDone(unit, now);
+  }
+  if (counts && end.how == run_end::kFailed) {
+    const batch_queue* queue = config.FindQueueByName(job->job.queue);
+    Note(worker, false, now);
+    book_.OnFailed(unit, end.run, queue == nullptr ? INT32_MAX : queue->attempts,
+                   worker.profile.self.id);
+  }
+  if (counts && !end.saved.empty()) book_.OnSaved(unit, end.saved);
+  if (known) Close(worker, ref);
+  // One member's end is the end of the whole gang.
+  if (step.gang && state->open_runs > 0 && counts) Stop(unit, "a member has ended", now);
+  ++changes_;
+}
+
+/** Counts failures in a row, which tell a sick worker from a job that cannot run. */
+void run_tracker::Note(pool_worker& worker, bool good, millis now) {
+  worker.failures_in_row = good ? 0 : worker.failures_in_row + 1;
+  if (worker.failures_in_row < kFailuresToAvoid) return;
+  worker.avoid_until = now + kAvoidTime;
+  worker.failures_in_row = kFailuresToAvoid - 1;  // one more failure after the pause is enough
+  log_event("worker-avoided")
+      .With("worker", worker.profile.self.id)
+      .With("for", kAvoidTime.count());
+}
+
+void run_tracker::TakeRunning(pool_worker& worker, const worker_report& report, millis now) {
+  for (const auto& listed : report.running) {
+    const run_ref ref{listed.task, listed.run};
+    auto found = worker.runs.find(ref);
+    if (found == worker.runs.end()) {
+      if (!Adopt(worker, listed, now)) continue;
+      found = worker.runs.find(ref);
+    }
+    run_record& record = found->second;
+    if (record.began == millis(0)) {
+      record.began = now;
+      book_.OnBegun(record.unit);
+      if (unit_state* unit = book_.Find(record.unit)) ++unit->begun;
+    }
+    if (record.phase == run_phase::kOrdered) {
+      record.phase = run_phase::kRunning;
+      record.since = now;
+    }
+    record.percent = listed.percent;
+    if (!listed.saved.empty() && listed.saved != record.saved) {
+      record.saved = listed.saved;
+      record.saved_at = now;
+      book_.OnSaved(record.unit, listed.saved);
+    }
+  }
+}
+
+/**
+ * Takes over a run that this planner has not ordered: an earlier one has. It goes on if nothing
+ * else runs for its unit, and is stopped otherwise.
+ */
+bool run_tracker::Adopt(pool_worker& worker, const listed_run& listed, millis now) {
+  task_ref task;
+  if (!ParseTask(listed.task, task)) return false;
+  run_record record;
+  record.task = listed.task;
+  record.run = listed.run;
+  record.since = now;
+  record.phase = run_phase::kStopping;
+  const batch_step* step = book_.StepOf({task.job, task.occurrence, task.step, 0});
+  if (step != nullptr) {
+    record.unit = UnitOf(task, *step);
+    record.each = step->each;
+    if (step->fills) record.each.cpu_milli = 0;
+    unit_state* unit = book_.Find(record.unit);
+    const tracked_job* job = book_.Find(task.job);
+    if (unit == nullptr || job == nullptr) return false;
+    const bool free = unit->open_runs == 0 && listed.run > unit->last_failed_run;
+    const bool fellow = step->gang && unit->open_runs > 0 && unit->run == listed.run;
+    if (!unit->done && !IsFinal(job->state) && (free || fellow)) {
+      record.phase = run_phase::kRunning;
+      unit->run = listed.run;
+    }
+    ++unit->open_runs;
+  } else {
+    record.unit = {task.job, task.occurrence, -1, 0};
+  }
+  log_event("run-adopted")
+      .With("task", listed.task)
+      .With("run", listed.run)
+      .With("worker", worker.profile.self.id)
+      .With("kept", record.phase == run_phase::kRunning ? 1 : 0);
+  worker.runs.emplace(run_ref{listed.task, listed.run}, std::move(record));
+  return true;
+}
+
+void run_tracker::TakeRefused(pool_worker& worker, const worker_report& report, millis now) {
+  for (const auto& refused : report.refused) {
+    const run_ref ref{refused.task, refused.run};
+    worker.forget.push_back(ref);
+    const auto found = worker.runs.find(ref);
+    if (found == worker.runs.end()) continue;
+    const unit_ref unit = found->second.unit;
+    log_event("start-not-done")
+        .With("task", refused.task)
+        .With("run", refused.run)
+        .With("worker", worker.profile.self.id)
+        .With("reason", StartRefusalName(refused.reason));
+    Close(worker, ref);
+    if (unit_state* state = book_.Find(unit)) {
+      state->not_before = now + kRefusalPause;
+      if (refused.reason == start_refusal::kUnhealthy) Note(worker, false, now);
+      if (state->open_runs > 0) Stop(unit, "a member could not start", now);
+    }
+    ++changes_;
+  }
+}
+
+/**
+ * A run that began and is in neither list any more should not be there. It is stopped, which also
+ * bars it, before its unit may start elsewhere.
+ */
+void run_tracker::DropUnlisted(pool_worker& worker, const worker_report& report, millis now) {
+  for (auto& [ref, record] : worker.runs) {
+    if (record.began == millis(0) || record.phase == run_phase::kStopping) continue;
+    const bool listed = std::any_of(report.running.begin(), report.running.end(),
+                                    [&, task = ref.task, run = ref.run](const listed_run& l) {
+                                      return l.task == task && l.run == run;
+                                    });
+    if (listed) continue;
+    log_event("run-unlisted", log_level::kWarning)
+        .With("task", ref.task)
+        .With("run", ref.run)
+        .With("worker", worker.profile.self.id);
+    record.phase = run_phase::kStopping;
+    record.since = now;
+  }
+}
+
+void run_tracker::Close(pool_worker& worker, const run_ref& ref) {
+  const auto found = worker.runs.find(ref);
+  if (found == worker.runs.end()) return;
+  if (unit_state* unit = book_.Find(found->second.unit)) {
+    unit->open_runs = std::max(0, unit->open_runs - 1);
+    if (unit->open_runs == 0) unit->begun = 0;
+  }
+  worker.runs.erase(found);
+  worker.order_due = true;
+  ++changes_;
+}
+
+void run_tracker::CloseAll(pool_worker& worker, std::string_view reason) {
+  std::vector<run_ref> refs;
+  for (const auto& [ref, record] : worker.runs) refs.push_back(ref);
+  for (const auto& ref : refs) {
+    log_event("run-given-up")
+        .With("task", ref.task)
+        .With("run", ref.run)
+        .With("worker", worker.profile.self.id)
+        .With("reason", reason);
+    Close(worker, ref);
+  }
+}
+
+void run_tracker::Apply(const start_plan& plan, millis now) {
+  for (const auto& unit : plan.preempted) Stop(unit, "preempted", now);
+  for (const auto& start : plan.starts) {
+    const batch_step* step = book_.StepOf(start.unit);
+    unit_state* unit = book_.Find(start.unit);
+    if (step == nullptr || unit == nullptr) continue;
+    unit->run = NextRun();
+    unit->begun = 0;
+    for (size_t i = 0; i < start.workers.size(); ++i) {
+      pool_worker* worker = pool_.Find(start.workers[i]);
+      if (worker == nullptr) continue;
+      run_record record;
+      record.unit = start.unit;
+      record.task = ToText(MemberOf(start.unit, *step, static_cast<int>(i)));
+      record.run = unit->run;
+      record.each = step->each;
+      if (step->fills) record.each.cpu_milli = 0;
+      record.since = now;
+      record.saved = unit->saved;
+      log_event("run-placed")
+          .With("task", record.task)
+          .With("run", record.run)
+          .With("worker", start.workers[i])
+          .With("saved", record.saved)
+          .With("waited_ms", (now - unit->ready_since).count());
+      ++unit->open_runs;
+      worker->runs.emplace(run_ref{record.task, record.run}, std::move(record));
+    }
+  }
+  ReleaseHeld(now);
+}
+
+/** Orders the units all of whose members have room now. */
+void run_tracker::ReleaseHeld(millis now) {
+  std::map<unit_ref, std::vector<std::pair<pool_worker*, run_record*>>> held;
+  for (auto& [id, worker] : pool_.all()) {
+    for (auto& [ref, record] : worker.runs) {
+      if (record.phase == run_phase::kHeld) held[record.unit].emplace_back(&worker, &record);
+    }
+  }
+  for (auto& [unit, members] : held) {
+    std::map<pool_worker*, amounts> need;
+    for (auto& [worker, record] : members) need[worker] += record->each;
+    const bool fits = std::all_of(need.begin(), need.end(), [](const auto& entry) {
+      return entry.second.Fits(entry.first->PresentRoom());
+    });
+    if (!fits) continue;
+    for (auto& [worker, record] : members) {
+      record->phase = run_phase::kOrdered;
+      record->since = now;
+      worker->order_due = true;
+    }
+  }
+}
+
+void run_tracker::Stop(const unit_ref& unit, std::string_view reason, millis now) {
+  for (auto& [id, worker] : pool_.all()) {
+    std::vector<run_ref> unbegun;
+    for (auto& [ref, record] : worker.runs) {
+      if (!(record.unit == unit) || record.phase == run_phase::kStopping) continue;
+      if (record.phase == run_phase::kHeld) {
+        unbegun.push_back(ref);
+        continue;
+      }
+      record.phase = run_phase::kStopping;
+      record.since = now;
+      worker.order_due = true;
+      log_event("run-to-stop")
+          .With("task", ref.task)
+          .With("run", ref.run)
+          .With("worker", id)
+          .With("reason", reason);
+    }
+    for (const auto& ref : unbegun) Close(worker, ref);
+  }
+}
+
+/** Takes back units of which some member has not begun in time. */
+void run_tracker::StopOverdue(millis now) {
+  std::set<unit_ref> overdue;
+  for (auto& [id, worker] : pool_.all()) {
+    for (auto& [ref, record] : worker.runs) {
+      const bool late = record.phase == run_phase::kOrdered && now - record.since > kStartPatience;
+      if (late) overdue.insert(record.unit);
+    }
+  }
+  for (const auto& unit : overdue) Stop(unit, "not begun in time", now);
+}
+
+void run_tracker::Tick(const batch_config&, millis now) {
+  std::set<unit_ref> ended;
+  for (auto& [id, worker] : pool_.all()) {
+    if (!worker.runs.empty() && now > worker.lease_end) CloseAll(worker, "the lease has lapsed");
+    for (auto& [ref, record] : worker.runs) {
+      const tracked_job* job = book_.Find(record.unit.job);
+      const unit_state* unit = book_.Find(record.unit);
+      const bool over = job == nullptr || unit == nullptr || IsFinal(job->state) || unit->done;
+      if (over && record.phase != run_phase::kStopping) ended.insert(record.unit);
+    }
+  }
+  for (const auto& unit : ended) Stop(unit, "its job or unit has ended", now);
+  StopOverdue(now);
+  ReleaseHeld(now);
+}
+
+void run_tracker::TakeOrders(bool trusted, std::vector<send_to_peer>& orders) {
+  for (auto& [id, worker] : pool_.all()) {
+    if (!worker.order_due || !worker.linked) continue;
+    worker.order_due = false;
+    worker_order order;
+    order.term = term_;
+    order.sequence = ++orders_sent_;
+    order.worker = worker.profile.self;
+    for (const auto& [ref, record] : worker.runs) {
+      if (record.phase == run_phase::kStopping) order.stops.push_back(ref);
+      if (record.phase != run_phase::kOrdered || !trusted) continue;
+      const tracked_job* job = book_.Find(record.unit.job);
+      if (job == nullptr) continue;
+      order.starts.push_back({ref.task, ref.run, job->job.spec, record.saved});
+    }
+    order.forget = std::move(worker.forget);
+    worker.forget.clear();
+    order.seen_upto = worker.ends_stored;
+    order.grant_sequence = worker.report_sequence;
+    order.grant_ms = trusted ? options_.grant.count() : 0;
+    orders.push_back({worker.agent, std::move(order)});
+  }
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/run_tracker.h
@@ -0,0 +1,81 @@
+/** \file
+ * Keeps the planner's view of runs in step with what workers list.
+ */
+#pragma once
+
+#include <span>
+#include <string>
+#include <vector>
+
+#include "kernel/batch/job_book.h"
+#include "kernel/batch/start_planner.h"
+#include "kernel/batch/worker_pool.h"
+#include "kernel/model/link_events.h"
+
+namespace eelgrass {
+
+struct tracker_options {
+  millis grant{4500};         // lease that one report earns a worker
+  millis stop_timeout{900};   // a stop takes at most this long
+  millis gang_timeout{3000};  // a gang member waits this long for the others
+};
+
+/**
+ * Takes agents' reports, applies them to the book and the pool, and writes the orders that bring
+ * the workers to what is wanted. A run counts as over only when its worker lists its end, has
+ * certainly barred it, is another life, or when its lease has surely lapsed.
+ */
+class run_tracker {
+ public:
+  run_tracker(tracker_options options, job_book& book, worker_pool& pool);
+
+  /** A new term: orders count anew, and run numbers are above those of all earlier terms. */
+  void Begin(int64_t term, millis now);
+
+  /** Takes a report. The configuration gives the attempts that a queue allows. */
+  void On(std::string_view agent, const worker_report& report, const batch_config& config,
+          bool trusted, millis now);
+  void OnAgentLost(std::string_view agent);
+
+  /** Carries out a plan: places runs, stops what has to make room. */
+  void Apply(const start_plan& plan, millis now);
+
+  /** Stops every run of a unit. */
+  void Stop(const unit_ref& unit, std::string_view reason, millis now);
+
+  /** Stops what runs for jobs that have ended, releases held runs, ends what has lapsed. */
+  void Tick(const batch_config& config, millis now);
+
+  /** The orders that are due. Without trust in the term they start nothing and grant nothing. */
+  void TakeOrders(bool trusted, std::vector<send_to_peer>& orders);
+
+  /** Rises whenever something may have become startable. */
+  int64_t changes() const { return changes_; }
+
+ private:
+  void BeginLife(pool_worker& worker, const worker_report& report, std::string_view agent,
+                 millis now);
+  void TakeEnds(pool_worker& worker, const worker_report& report, const batch_config& config,
+                millis now);
+  void TakeRunning(pool_worker& worker, const worker_report& report, millis now);
+  void TakeRefused(pool_worker& worker, const worker_report& report, millis now);
+  void DropUnlisted(pool_worker& worker, const worker_report& report, millis now);
+  bool Adopt(pool_worker& worker, const listed_run& listed, millis now);
+  void ApplyEnd(pool_worker& worker, const listed_end& end, const batch_config& config, millis now);
+  void Close(pool_worker& worker, const run_ref& run);
+  void CloseAll(pool_worker& worker, std::string_view reason);
+  void ReleaseHeld(millis now);
+  void StopOverdue(millis now);
+  int64_t NextRun();
+  void Note(pool_worker& worker, bool good, millis now);
+
+  const tracker_options options_;
+  job_book& book_;
+  worker_pool& pool_;
+  int64_t term_ = 0;
+  int64_t runs_begun_ = 0;
+  int64_t orders_sent_ = 0;
+  int64_t changes_ = 0;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/start_planner.cc
@@ -0,0 +1,343 @@
+#include "kernel/batch/start_planner.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace eelgrass {
+namespace {
+
+/** A start is only ordered with this much of the worker's lease left: the order's way and a retry.
+ */
+constexpr millis kLeastLease{1000};
+
+/** A worker that was not heard of for this long gets no new starts; it reports every second. */
+constexpr millis kFreshReport{1600};
+
+/** How many times a unit's estimate it may wait for the rack of its data or for a single rack. */
+constexpr int64_t kRackPatience = 2;
+
+}  // namespace
+
+millis LongestChain(const batch_job& job) {
+  std::vector<millis> ends;
+  millis longest{0};
+  for (const auto& step : job.steps) {
+    millis begin{0};
+    for (int earlier : step.after) begin = std::max(begin, ends[static_cast<size_t>(earlier)]);
+    ends.push_back(begin + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+start_planner::start_planner(start_options options, const unit_order& order)
+    : options_(options), order_(order) {}
+
+start_plan start_planner::Plan(const planning_view& view) {
+  ReadRooms(view);
+  ReadGuarantees(view);
+  preempted_.clear();
+  start_plan plan;
+  std::set<std::pair<std::string, int>> full;  // steps of which nothing more fits
+  for (const auto& unit : Ready(view)) {
+    const std::pair<std::string, int> shape{unit.unit.job, unit.unit.step};
+    if (full.contains(shape)) continue;
+    auto place = Place(unit, view.now);
+    if (!place && guaranteed_.contains(unit.unit.job)) place = Preempt(unit, view, plan);
+    if (!place) {
+      full.insert(shape);
+      continue;
+    }
+    Take(unit, *place, plan);
+  }
+  return plan;
+}
+
+bool start_planner::Usable(const pool_worker& worker, const planning_view& view) const {
+  return worker.linked && worker.listing && worker.recorded && !worker.profile.draining &&
+         view.now >= worker.avoid_until && view.now - worker.reported < kFreshReport &&
+         worker.lease_end - view.now > kLeastLease &&
+         !view.evacuated.contains(worker.profile.domain);
+}
+
+void start_planner::ReadRooms(const planning_view& view) {
+  rooms_.clear();
+  running_.clear();
+  for (const auto& [id, worker] : view.pool.all()) {
+    for (const auto& [ref, record] : worker.runs) running_[record.unit].push_back(&record);
+    if (!Usable(worker, view)) continue;
+    room entry;
+    entry.worker = &worker;
+    entry.future = worker.FutureRoom();
+    const amounts present = worker.PresentRoom();
+    entry.free = {std::min(present.cpu_milli, entry.future.cpu_milli),
+                  std::min(present.memory_mb, entry.future.memory_mb),
+                  std::min(present.accelerators, entry.future.accelerators)};
+    for (const auto& [ref, record] : worker.runs) {
+      ++entry.tasks[{record.unit.job, record.unit.occurrence, record.unit.step}];
+    }
+    rooms_.push_back(std::move(entry));
+  }
+}
+
+/**
+ * An organisation's open jobs of the first priority are guaranteed in the order of their arrival,
+ * as long as all of them together need no more than its guarantee.
+ */
+void start_planner::ReadGuarantees(const planning_view& view) {
+  guaranteed_.clear();
+  std::map<std::string, std::vector<const tracked_job*>> by_owner;
+  for (const auto& id : view.book.open()) {
+    const tracked_job* job = view.book.Find(id);
+    const batch_queue* queue = view.config.FindQueueByName(job->job.queue);
+    if (queue != nullptr && queue->priority == 0) by_owner[job->job.organisation].push_back(job);
+  }
+  for (auto& [name, jobs] : by_owner) {
+    const batch_organisation* owner = view.config.FindOrganisation(name);
+    if (owner == nullptr) continue;
+    std::stable_sort(jobs.begin(), jobs.end(),
+                     [](const auto* a, const auto* b) { return a->accepted < b->accepted; });
+    int64_t left = owner->guaranteed_accelerators;
+    for (const auto* job : jobs) {
+      int64_t need = 0;
+      for (const auto& step : job->job.steps) {
+        need = std::max(need, step.each.accelerators * step.count);
+      }
+      left -= need;
+      if (left < 0) break;
+      guaranteed_.insert(job->job.id);
+    }
+  }
+}
+
+std::vector<start_planner::candidate> start_planner::Ready(const planning_view& view) const {
+  std::vector<candidate> ready;
+  for (const auto& id : view.book.open()) {
+    const tracked_job& job = *view.book.Find(id);
+    const batch_queue* queue = view.config.FindQueueByName(job.job.queue);
+    if (queue == nullptr) continue;
+    const double rank = order_.Rank(job, *queue, view.now);
+    for (size_t k = 0; k < job.occurrences.size(); ++k) {
+      for (size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
+        const step_state& step = job.occurrences[k].steps[s];
+        if (!step.released) continue;
+        for (size_t u = 0; u < step.units.size(); ++u) {
+          const unit_state& state = step.units[u];
+          if (state.done || state.open_runs > 0 || view.now < state.not_before) continue;
+          candidate unit;
+          unit.unit = {id, static_cast<int>(k), static_cast<int>(s), static_cast<int>(u)};
+          unit.job = &job;
+          unit.step = &job.job.steps[s];
+          unit.queue = queue;
+          unit.state = &state;
+          unit.each = unit.step->each;
+          if (unit.step->fills) unit.each.cpu_milli = 0;
+          unit.members = UnitSize(*unit.step);
+          unit.rank = rank;
+          ready.push_back(unit);
+        }
+      }
+    }
+  }
+  std::stable_sort(ready.begin(), ready.end(),
+                   [](const candidate& a, const candidate& b) { return a.rank < b.rank; });
+  return ready;
+}
+
+std::vector<start_planner::room*> start_planner::RoomsFor(const candidate& unit) {
+  std::vector<room*> fitting;
+  for (auto& entry : rooms_) {
+    const worker_profile& profile = entry.worker->profile;
+    const std::string& label = unit.step->required_label;
+    if (profile.service != unit.queue->service) continue;
+    if (!label.empty() && !entry.worker->HasLabel(label)) continue;
+    if (!unit.each.Fits(profile.capacity)) continue;
+    fitting.push_back(&entry);
+  }
+  // A worker on which the unit has failed comes last; then the tightest place first.
+  std::stable_sort(fitting.begin(), fitting.end(), [&](const room* a, const room* b) {
+    const auto key = [&](const room* r) {
+      return std::tuple(unit.state->failed_on.contains(r->worker->profile.self.id),
+                        r->worker->profile.cold_ms > 0, r->free.accelerators, r->free.cpu_milli);
+    };
+    return key(a) < key(b);
+  });
+  return fitting;
+}
+
+std::optional<std::vector<start_planner::room*>> start_planner::Place(const candidate& unit,
+                                                                      millis now) {
+  std::vector<room*> rooms = RoomsFor(unit);
+  const bool patient = now - unit.state->ready_since < unit.step->estimate * kRackPatience;
+  if (!unit.step->data_rack.empty()) {
+    std::vector<room*> near;
+    for (auto* entry : rooms) {
+      if (entry->worker->profile.rack == unit.step->data_rack) near.push_back(entry);
+    }
+    auto place = PlaceIn(unit, near);
+    if (place || (patient && !near.empty())) return place;
+  }
+  if (unit.step->same_rack && unit.members > 1) {
+    auto place = PlaceInOneRack(unit, rooms);
+    if (place || patient) return place;
+  }
+  return PlaceIn(unit, rooms);
+}
+
+std::optional<std::vector<start_planner::room*>> start_planner::PlaceInOneRack(
+    const candidate& unit, std::span<room* const> rooms) {
+  std::map<std::string, std::vector<room*>> racks;
+  for (auto* entry : rooms) racks[entry->worker->profile.rack].push_back(entry);
+  std::optional<std::vector<room*>> best;
+  int64_t least = std::numeric_limits<int64_t>::max();
+  for (const auto& [rack, members] : racks) {
+    auto place = PlaceIn(unit, members);
+    if (!place) continue;
+    int64_t free = 0;
+    for (const auto* entry : members) free += entry->free.accelerators;
+    if (free >= least) continue;
+    least = free;
+    best = std::move(place);
+  }
+  return best;
+}
+
+std::optional<std::vector<start_planner::room*>> start_planner::PlaceIn(
+    const candidate& unit, std::span<room* const> rooms) {
+  std::vector<room*> place;
+  const std::tuple<std::string, int, int> step{unit.unit.job, unit.unit.occurrence, unit.unit.step};
+  for (auto* entry : rooms) {
+    const int missing = unit.members - static_cast<int>(place.size());
+    if (missing == 0) break;
+    int64_t most = missing;
+    if (unit.step->max_per_worker > 0) {
+      const auto found = entry->tasks.find(step);
+      const int there = found == entry->tasks.end() ? 0 : found->second;
+      most = std::min<int64_t>(most, std::max(0, unit.step->max_per_worker - there));
+    }
+    const int64_t count = CountFitting(unit.each, entry->free, most);
+    place.insert(place.end(), static_cast<size_t>(count), entry);
+  }
+  if (static_cast<int>(place.size()) < unit.members) return std::nullopt;
+  return place;
+}
+
+void start_planner::Take(const candidate& unit, std::span<room* const> rooms, start_plan& plan) {
+  unit_start start{unit.unit, {}};
+  for (auto* entry : rooms) {
+    entry->free -= unit.each;
+    entry->future -= unit.each;
+    ++entry->tasks[{unit.unit.job, unit.unit.occurrence, unit.unit.step}];
+    start.workers.push_back(entry->worker->profile.self.id);
+  }
+  plan.starts.push_back(std::move(start));
+}
+
+bool start_planner::Stopping(const run_record& record) const {
+  return record.phase == run_phase::kStopping || preempted_.contains(record.unit);
+}
+
+bool start_planner::MayPreempt(const unit_ref& victim, const candidate& by,
+                               const planning_view& view) const {
+  if (victim.job == by.unit.job || guaranteed_.contains(victim.job)) return false;
+  const batch_step* step = view.book.StepOf(victim);
+  return step != nullptr && !(step->long_running && step->may_miss == 0);
+}
+
+/** Work that is lost when a unit is stopped now, in thousandths of a core times milliseconds. */
+double start_planner::LossOf(const unit_ref& unit, const planning_view& view) const {
+  const auto found = running_.find(unit);
+  const batch_step* step = view.book.StepOf(unit);
+  if (found == running_.end() || step == nullptr) return 0;
+  double loss = 0;
+  for (const auto* record : found->second) {
+    if (record->phase != run_phase::kRunning) continue;
+    // A run that saves its progress does so once more when it is stopped.
+    const millis since = step->checkpoints ? view.now : record->began;
+    loss += static_cast<double>((view.now - since).count() * Weight(step->each));
+    loss += static_cast<double>(Weight(step->each));
+  }
+  return loss;
+}
+
+/** The loss of making room for one more member at a worker; infinite when it cannot be made. */
+double start_planner::CostOfMember(const candidate& unit, const room& target,
+                                   const planning_view& view, const std::set<unit_ref>& chosen,
+                                   std::set<unit_ref>& victims) const {
+  amounts free = target.future;
+  for (const auto& [ref, record] : target.worker->runs) {
+    if (!Stopping(record) && chosen.contains(record.unit)) free += record.each;
+  }
+  if (unit.each.Fits(free)) return 0;
+  std::vector<std::pair<double, const run_record*>> choices;
+  for (const auto& [ref, record] : target.worker->runs) {
+    if (Stopping(record) || chosen.contains(record.unit)) continue;
+    if (!MayPreempt(record.unit, unit, view)) continue;
+    const auto gain = static_cast<double>(std::max<int64_t>(1, Weight(record.each)));
+    choices.emplace_back(LossOf(record.unit, view) / gain, &record);
+  }
+  std::sort(choices.begin(), choices.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  double cost = 0;
+  for (const auto& [loss, record] : choices) {
+    if (unit.each.Fits(free)) break;
+    if (!victims.contains(record->unit)) cost += LossOf(record->unit, view);
+    victims.insert(record->unit);
+    free += record->each;
+  }
+  return unit.each.Fits(free) ? cost : std::numeric_limits<double>::infinity();
+}
+
+std::optional<std::vector<start_planner::room*>> start_planner::Preempt(const candidate& unit,
+                                                                        const planning_view& view,
+                                                                        start_plan& plan) {
+  std::map<std::string, std::vector<room*>> groups;
+  for (auto* entry : RoomsFor(unit)) {
+    const bool one_rack = unit.step->same_rack && unit.members > 1;
+    groups[one_rack ? entry->worker->profile.rack : std::string()].push_back(entry);
+  }
+  std::optional<std::vector<room*>> best;
+  std::set<unit_ref> best_victims;
+  double best_cost = std::numeric_limits<double>::infinity();
+  for (const auto& [rack, rooms] : groups) {
+    std::vector<room*> place;
+    std::set<unit_ref> victims;
+    std::vector<room> saved;
+    for (auto* entry : rooms) saved.push_back(*entry);
+    double cost = 0;
+    for (int member = 0; member < unit.members; ++member) {
+      room* cheapest = nullptr;
+      std::set<unit_ref> cheapest_victims;
+      double least = std::numeric_limits<double>::infinity();
+      for (auto* entry : rooms) {
+        std::set<unit_ref> more;
+        const double price = CostOfMember(unit, *entry, view, victims, more);
+        if (price >= least) continue;
+        least = price;
+        cheapest = entry;
+        cheapest_victims = std::move(more);
+      }
+      if (cheapest == nullptr) break;
+      victims.merge(cheapest_victims);
+      cost += least;
+      cheapest->future -= unit.each;
+      place.push_back(cheapest);
+    }
+    for (size_t i = 0; i < rooms.size(); ++i) *rooms[i] = saved[i];
+    if (static_cast<int>(place.size()) < unit.members || cost >= best_cost) continue;
+    best_cost = cost;
+    best = std::move(place);
+    best_victims = std::move(victims);
+  }
+  if (!best) return std::nullopt;
+  for (auto& entry : rooms_) {
+    for (const auto& [ref, record] : entry.worker->runs) {
+      if (!Stopping(record) && best_victims.contains(record.unit)) entry.future += record.each;
+    }
+  }
+  preempted_.insert(best_victims.begin(), best_victims.end());
+  plan.preempted.insert(plan.preempted.end(), best_victims.begin(), best_victims.end());
+  return best;
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/start_planner.h
@@ -0,0 +1,122 @@
+/** \file
+ * Decides which units start where, and which runs have to make room.
+ */
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "kernel/base/plugin_registry.h"
+#include "kernel/batch/job_book.h"
+#include "kernel/batch/worker_pool.h"
+#include "kernel/model/batch_config.h"
+
+namespace eelgrass {
+
+/** A unit that is to start, with a worker for each of its members. */
+struct unit_start {
+  unit_ref unit;
+  std::vector<std::string> workers;
+};
+
+/** What is to be done now. Starts may have to wait for the stops. */
+struct start_plan {
+  std::vector<unit_start> starts;
+  std::vector<unit_ref> preempted;
+};
+
+/** What the planner looks at. */
+struct planning_view {
+  const job_book& book;
+  const worker_pool& pool;
+  const batch_config& config;
+  const std::set<std::string>& evacuated;
+  millis now{0};
+};
+
+struct start_options {
+  double remote_factor = 3;  // tasks away from their data or spread over racks take this long
+  millis stop_timeout{900};  // a preempted run may take this long to end
+};
+
+/** Which of the ready units goes first: the interface of the ordering policies. */
+class unit_order {
+ public:
+  virtual ~unit_order() = default;
+
+  /** Smaller goes first. */
+  virtual double Rank(const tracked_job& job, const batch_queue& queue, millis now) const = 0;
+};
+
+using unit_order_registry = plugin_registry<unit_order>;
+
+template <typename Implementation>
+using unit_order_registration =
+    plugin_registration<unit_order_registry, unit_order, Implementation>;
+
+/** Estimated work of the longest chain of steps of one occurrence. */
+millis LongestChain(const batch_job& job);
+
+/**
+ * Goes through the ready units in order and gives each the tightest place that it fits into. Jobs
+ * of the first priority within their organisation's guarantee may stop anything that is not
+ * guaranteed itself: whatever loses the least work.
+ */
+class start_planner {
+ public:
+  start_planner(start_options options, const unit_order& order);
+
+  start_plan Plan(const planning_view& view);
+
+ private:
+  /** A unit that could start. */
+  struct candidate {
+    unit_ref unit;
+    const tracked_job* job = nullptr;
+    const batch_step* step = nullptr;
+    const batch_queue* queue = nullptr;
+    const unit_state* state = nullptr;
+    amounts each;  // what one member takes of a worker's room
+    int members = 1;
+    double rank = 0;
+  };
+
+  /** What is left of a worker while a plan is made. */
+  struct room {
+    const pool_worker* worker = nullptr;
+    amounts free;                                            // now, without what is held for others
+    amounts future;                                          // once the stopping runs have ended
+    std::map<std::tuple<std::string, int, int>, int> tasks;  // by job, occurrence and step
+  };
+
+  std::vector<candidate> Ready(const planning_view& view) const;
+  void ReadRooms(const planning_view& view);
+  void ReadGuarantees(const planning_view& view);
+  bool Usable(const pool_worker& worker, const planning_view& view) const;
+  std::vector<room*> RoomsFor(const candidate& unit);
+  std::optional<std::vector<room*>> Place(const candidate& unit, millis now);
+  std::optional<std::vector<room*>> PlaceIn(const candidate& unit, std::span<room* const> rooms);
+  std::optional<std::vector<room*>> PlaceInOneRack(const candidate& unit,
+                                                   std::span<room* const> rooms);
+  std::optional<std::vector<room*>> Preempt(const candidate& unit, const planning_view& view,
+                                            start_plan& plan);
+  double CostOfMember(const candidate& unit, const room& target, const planning_view& view,
+                      const std::set<unit_ref>& chosen, std::set<unit_ref>& victims) const;
+  double LossOf(const unit_ref& unit, const planning_view& view) const;
+  bool MayPreempt(const unit_ref& victim, const candidate& by, const planning_view& view) const;
+  bool Stopping(const run_record& record) const;
+  void Take(const candidate& unit, std::span<room* const> rooms, start_plan& plan);
+
+  const start_options options_;
+  const unit_order& order_;
+  std::vector<room> rooms_;
+  std::map<unit_ref, std::vector<const run_record*>> running_;  // by unit
+  std::set<unit_ref> preempted_;                                // in this plan
+  std::set<std::string> guaranteed_;  // jobs that are within their organisation's guarantee
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/term_keeper.cc
@@ -0,0 +1,225 @@
+#include "kernel/batch/term_keeper.h"
+
+#include <algorithm>
+
+#include "kernel/base/log_event.h"
+
+namespace eelgrass {
+namespace {
+
+/** A planner that was just lost may only have had its connections reset: time for new ones. */
+constexpr millis kPatience{300};
+
+/** A holder rewrites the row more often than this; one that does not is not alive. */
+constexpr millis kObservation{1700};
+
+/** A holder gives orders for this long after a confirmed write, which bounds the earlier holder. */
+constexpr millis kTrust{4000};
+
+/** A holder without a confirmed write for this long asks the others to take over. */
+constexpr millis kStoreLost{2300};
+
+/** An entry has contact with the store if it had an answer within this time. */
+constexpr millis kContactAge{3000};
+
+}  // namespace
+
+term_keeper::term_keeper(std::string node, std::string nonce, const batch_record_codec& codec)
+    : node_(std::move(node)), nonce_(std::move(nonce)), codec_(codec) {}
+
+row_key term_keeper::Row() const { return {std::string(kTermTable), "", "planner"}; }
+
+bool term_keeper::PlannerAlive() const {
+  return holder_notified_ && linked_.contains(holder_) && !holder_lost_store_;
+}
+
+bool term_keeper::Trusted(millis now) const { return holding_ && now - confirmed_ < kTrust; }
+
+bool term_keeper::store_lost(millis now) const { return holding_ && now - confirmed_ > kStoreLost; }
+
+std::optional<store_request> term_keeper::Next(millis now) {
+  if (holding_ || in_store_ || now < next_) return std::nullopt;
+  if (step_ == step::kWatching) {
+    if (PlannerAlive()) return std::nullopt;
+    const bool asked = holder_lost_store_ && now - store_contact_ < kContactAge;
+    if (!asked && now - silent_since_ < kPatience) return std::nullopt;
+    step_ = step::kReading;
+    observed_.reset();
+  }
+  in_store_ = true;
+  sent_ = now;
+  store_request request;
+  request.timeout = kStoreTimeout;
+  if (step_ != step::kTaking) {
+    request.call = row_range{std::string(kTermTable), "", ""};
+    return request;
+  }
+  row_transaction change;
+  change.conditions.push_back({Row(), revision_});
+  change.writes.push_back({Row(), codec_.Encode(term_record{node_, nonce_, 0, 0})});
+  request.call = std::move(change);
+  return request;
+}
+
+void term_keeper::On(const store_reply& reply, millis now) {
+  in_store_ = false;
+  if (holding_) return;
+  if (const auto* rows = std::get_if<rows_result>(&reply.answer)) {
+    OnRead(*rows, now);
+  } else {
+    OnTaken(std::get<transaction_result>(reply.answer), now);
+  }
+}
+
+void term_keeper::OnRead(const rows_result& answer, millis now) {
+  if (answer.outcome != row_outcome::kDone) {
+    next_ = now + kStoreRetryPause;
+    return;
+  }
+  OnStoreContact(sent_);
+  if (PlannerAlive()) {
+    step_ = step::kWatching;
+    return;
+  }
+  Observe(answer.rows.empty() ? nullptr : &answer.rows.front(), now);
+}
+
+/** Decides from the row whether to take over, or to look again later. */
+void term_keeper::Observe(const row* found, millis now) {
+  term_record record;
+  revision_ = found == nullptr ? 0 : found->revision;
+  if (found != nullptr) {
+    const auto read = codec_.DecodeTerm(found->value);
+    if (read) record = read.value();
+  }
+  const bool abandoned = record.holder.empty() || record.holder == node_ || holder_lost_store_;
+  if (abandoned) {
+    step_ = step::kTaking;
+    return;
+  }
+  if (observed_ && *observed_ == revision_ && now - observed_at_ >= kObservation) {
+    step_ = step::kTaking;
+    return;
+  }
+  if (!observed_ || *observed_ != revision_) {
+    observed_ = revision_;
+    observed_at_ = sent_;
+  }
+  step_ = step::kObserving;
+  next_ = observed_at_ + kObservation;
+}
+
+void term_keeper::OnTaken(const transaction_result& answer, millis now) {
+  if (answer.outcome == row_outcome::kDone) return Hold(answer.revision, now);
+  if (answer.outcome != row_outcome::kConflict) {
+    next_ = now + kStoreRetryPause;
+    return;
+  }
+  OnStoreContact(sent_);
+  const auto row = std::find_if(answer.current.begin(), answer.current.end(),
+                                [this](const auto& entry) { return entry.at == Row(); });
+  if (row == answer.current.end()) {
+    step_ = step::kReading;
+    return;
+  }
+  const auto record = codec_.DecodeTerm(row->value);
+  // An earlier try of this takeover whose answer was lost has been done.
+  if (record && record.value().nonce == nonce_ && record.value().fence == 0) {
+    return Hold(row->revision, now);
+  }
+  step_ = step::kWatching;
+  silent_since_ = now;
+}
+
+void term_keeper::Hold(int64_t revision, millis now) {
+  holding_ = true;
+  step_ = step::kWatching;
+  fence_ = revision;
+  revision_ = revision;
+  writes_ = 0;
+  holder_ = node_;
+  holder_notified_ = true;
+  holder_lost_store_ = false;
+  confirmed_ = sent_;
+  log_event("term-taken").With("term", fence_).With("took_ms", (now - sent_).count());
+}
+
+void term_keeper::OnLinked(std::string_view entry, millis) { linked_.insert(std::string(entry)); }
+
+void term_keeper::OnUnlinked(std::string_view entry, millis now) {
+  linked_.erase(std::string(entry));
+  if (entry != holder_ || holding_) return;
+  silent_since_ = now;
+}
+
+void term_keeper::OnNotice(std::string_view entry, const planner_notice& notice, millis now) {
+  if (holding_) {
+    if (notice.term > fence_) {
+      StepDown("another entry plans", now);
+    } else {
+      return;
+    }
+  }
+  if (notice.term < fence_) return;
+  fence_ = notice.term;
+  holder_lost_store_ = notice.store_lost;
+  if (notice.planner == entry) {
+    holder_ = entry;
+    holder_notified_ = true;
+    if (!holder_lost_store_ && step_ != step::kTaking) step_ = step::kWatching;
+    return;
+  }
+  if (holder_ == entry && notice.planner.empty()) {
+    holder_.clear();
+    holder_notified_ = false;
+    silent_since_ = now - kPatience;
+  }
+}
+
+void term_keeper::Guard(row_transaction& change, bool hand_over) {
+  ++writes_;
+  change.conditions.push_back({Row(), revision_});
+  const term_record record{hand_over ? std::string() : node_, nonce_, fence_, writes_};
+  change.writes.push_back({Row(), codec_.Encode(record)});
+}
+
+void term_keeper::Reguard(row_transaction& change) const {
+  for (auto& condition : change.conditions) {
+    if (condition.at == Row()) condition.revision = revision_;
+  }
+}
+
+term_write term_keeper::OnWritten(const transaction_result& result, millis sent) {
+  if (result.outcome == row_outcome::kDone) {
+    revision_ = result.revision;
+    confirmed_ = std::max(confirmed_, sent);
+    OnStoreContact(sent);
+    return term_write::kDone;
+  }
+  if (result.outcome != row_outcome::kConflict) return term_write::kTryAgain;
+  for (const auto& found : result.current) {
+    if (!(found.at == Row())) continue;
+    const auto record = codec_.DecodeTerm(found.value);
+    const bool own = record && record.value().nonce == nonce_ &&
+                     (record.value().fence == fence_ || record.value().fence == 0);
+    if (!own) return term_write::kLost;
+    revision_ = found.revision;
+    if (record.value().write < writes_) return term_write::kTryAgain;
+    confirmed_ = std::max(confirmed_, sent);
+    return term_write::kDone;
+  }
+  return term_write::kLost;
+}
+
+void term_keeper::StepDown(std::string_view reason, millis now) {
+  if (!holding_) return;
+  log_event("term-lost", log_level::kWarning).With("term", fence_).With("reason", reason);
+  holding_ = false;
+  holder_.clear();
+  holder_notified_ = false;
+  holder_lost_store_ = false;
+  silent_since_ = now;
+  step_ = step::kWatching;
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/worker_pool.cc
@@ -0,0 +1,36 @@
+#include "kernel/batch/worker_pool.h"
+
+#include <algorithm>
+
+namespace eelgrass {
+amounts pool_worker::FutureRoom() const {
+  amounts room = profile.capacity;
+  for (const auto& [ref, record] : runs) {
+    if (record.phase != run_phase::kStopping) room -= record.each;
+  }
+  return room;
+}
+
+amounts pool_worker::PresentRoom() const {
+  amounts room = profile.capacity;
+  for (const auto& [ref, record] : runs) {
+    if (record.phase != run_phase::kHeld) room -= record.each;
+  }
+  return room;
+}
+
+bool pool_worker::HasLabel(std::string_view label) const {
+  return std::find(profile.labels.begin(), profile.labels.end(), label) != profile.labels.end();
+}
+
+pool_worker* worker_pool::Find(std::string_view id) {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+void worker_pool::Erase(std::string_view id) {
+  const auto found = workers_.find(id);
+  if (found != workers_.end()) workers_.erase(found);
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/worker_steward.cc
@@ -0,0 +1,366 @@
+#include "kernel/batch/worker_steward.h"
+
+#include <algorithm>
+
+#include "kernel/base/log_event.h"
+
+namespace eelgrass {
+namespace {
+
+/** A hold waits this long for an end; it also renews the lease, which lasts several times that. */
+constexpr millis kHoldWait{500};
+
+/** While ends wait for the planner a hold would return at once; it is repeated at this pace. */
+constexpr millis kListPause{100};
+
+/** Nothing runs but something is about to: the lists are read again after this. */
+constexpr millis kBusyPause{50};
+
+/** Nothing runs and nothing is asked for. */
+constexpr millis kIdlePause{1000};
+
+/** Between two holds that the worker did not answer. */
+constexpr millis kRetryPause{200};
+
+/** A worker that has not answered for this long is reported as not listing. */
+constexpr millis kAnsweringFor{1500};
+
+/** A worker without answers and heartbeats is forgotten after this; no lease lasts as long. */
+constexpr millis kForgetAfter{20000};
+
+/** Slowest that a worker's clock may run, by the platform's bound of 2%. */
+constexpr int64_t kSlowClockPercent = 98;
+constexpr int64_t kPercent = 100;
+
+/** Reports whose grants may still come. */
+constexpr size_t kRememberedReports = 64;
+
+}  // namespace
+
+worker_steward::worker_steward(const worker_beat& first, millis now) { BeginLife(first, now); }
+
+void worker_steward::BeginLife(const worker_beat& beat, millis now) {
+  profile_ = beat.worker;
+  beat_sequence_ = beat.sequence;
+  clock_ms_ = beat.clock_ms;
+  clock_read_ = now;
+  confirmed_term_ = 0;
+  running_.clear();
+  ended_.clear();
+  starts_.clear();
+  fresh_starts_.clear();
+  stops_.clear();
+  refused_.clear();
+  seen_upto_ = 0;
+  lease_until_ = millis(0);
+  next_hold_ = now;
+  last_answer_ = now;
+  last_beat_ = now;
+  changed_ = true;
+  log_event("worker-life")
+      .With("worker", profile_.self.id)
+      .With("born", profile_.self.born_ms)
+      .With("address", profile_.address)
+      .With("service", profile_.service);
+}
+
+bool worker_steward::On(const worker_beat& beat, millis now) {
+  if (beat.worker.self.born_ms < profile_.self.born_ms) return false;
+  if (beat.worker.self.born_ms > profile_.self.born_ms) {
+    BeginLife(beat, now);
+    return true;
+  }
+  if (beat.sequence <= beat_sequence_) return false;
+  beat_sequence_ = beat.sequence;
+  last_beat_ = now;
+  const bool same =
+      beat.worker.draining == profile_.draining && beat.worker.capacity == profile_.capacity &&
+      beat.worker.labels == profile_.labels && beat.worker.service == profile_.service;
+  if (!same) {
+    changed_ = true;
+    log_event("worker-changed")
+        .With("worker", profile_.self.id)
+        .With("draining", beat.worker.draining ? 1 : 0)
+        .With("remaining_ms", beat.worker.remaining_ms);
+  }
+  profile_ = beat.worker;
+  return true;
+}
+
+bool worker_steward::gone(millis now) const { return now - last_answer_ > kForgetAfter; }
+
+void worker_steward::SetTerm(int64_t term, millis now) {
+  if (term <= term_) return;
+  term_ = term;
+  order_sequence_ = 0;
+  next_hold_ = now;
+  // The new planner decides from the lists. What is still under way to the worker either shows
+  // there or has a fence that the worker will not take any more.
+  starts_.clear();
+  fresh_starts_.clear();
+  stops_.clear();
+  refused_.clear();
+}
+
+void worker_steward::On(const worker_order& order, millis now) {
+  if (order.term != term_ || order.sequence <= order_sequence_) return;
+  if (!(order.worker == profile_.self)) return;
+  order_sequence_ = order.sequence;
+  for (const auto& known : reports_) {
+    if (known.sequence != order.grant_sequence || order.grant_ms <= 0) continue;
+    const millis until = known.at + millis(order.grant_ms);
+    if (until > lease_until_) {
+      if (lease_until_ <= now) next_hold_ = now;
+      lease_until_ = until;
+    }
+  }
+  if (order.seen_upto > seen_upto_) {
+    seen_upto_ = order.seen_upto;
+    std::erase_if(ended_, [this](const listed_end& end) { return end.number <= seen_upto_; });
+    next_hold_ = std::min(next_hold_, now);
+  }
+  for (const auto& run : order.forget) refused_.erase(run);
+  for (const auto& run : order.starts) {
+    const run_ref ref{run.task, run.run};
+    if (run.confirmed || starts_.contains(ref) || refused_.contains(ref) || Lists(ref)) continue;
+    if (stops_.contains(ref)) continue;
+    starts_.emplace(ref, ordered_start{run});
+  }
+  for (const auto& ref : order.stops) {
+    if (!refused_.contains(ref)) stops_.try_emplace(ref);
+  }
+}
+
+bool worker_steward::Lists(const run_ref& run) const {
+  const auto names = [&](const auto& entry) {
+    return entry.task == run.task && entry.run == run.run;
+  };
+  return std::any_of(running_.begin(), running_.end(), names) ||
+         std::any_of(ended_.begin(), ended_.end(), names);
+}
+
+void worker_steward::On(const hold_answer& answer, millis now) {
+  holding_ = false;
+  if (!(answer.worker == profile_.self)) return;
+  const bool other_life = answer.outcome == call_outcome::kOtherLife ||
+                          (answer.born_ms != 0 && answer.born_ms != profile_.self.born_ms);
+  if (answer.outcome != call_outcome::kDone || other_life) {
+    next_hold_ = now + kRetryPause;
+    if (other_life && confirmed_term_ != 0) {
+      confirmed_term_ = 0;
+      changed_ = true;
+      log_event("worker-answers-as-another-life")
+          .With("worker", profile_.self.id)
+          .With("born", answer.born_ms);
+    }
+    return;
+  }
+  last_answer_ = now;
+  if (answer.clock_ms > 0) {
+    clock_ms_ = answer.clock_ms;
+    clock_read_ = now;
+  }
+  if (answer.fence != term_) {
+    next_hold_ = now;
+    return;
+  }
+  TakeLists(answer, now);
+}
+
+void worker_steward::TakeLists(const hold_answer& answer, millis now) {
+  const auto key = [](const auto& list) {
+    std::vector<run_ref> refs;
+    for (const auto& entry : list) refs.push_back({entry.task, entry.run});
+    std::sort(refs.begin(), refs.end());
+    return refs;
+  };
+  std::vector<listed_end> unseen;
+  for (const auto& end : answer.ended) {
+    if (end.number > seen_upto_) unseen.push_back(end);
+  }
+  const bool same = confirmed_term_ == answer.fence && key(running_) == key(answer.running) &&
+                    ended_.size() == unseen.size();
+  changed_ = changed_ || !same;
+  confirmed_term_ = answer.fence;
+  running_ = answer.running;
+  ended_ = std::move(unseen);
+  std::erase_if(starts_, [this](const auto& entry) {
+    return entry.second.phase != start_phase::kRefused && Lists(entry.first);
+  });
+  // Lists that were asked for before a start was answered may not show it yet.
+  for (const auto& [ref, holds] : fresh_starts_) {
+    if (holds >= hold_number_ && !Lists(ref)) running_.push_back({ref.task, ref.run, "", -1, 0});
+  }
+  std::erase_if(fresh_starts_, [this](const auto& entry) { return entry.second < hold_number_; });
+  SettleStops();
+  next_hold_ = NextHold(now);
+}
+
+millis worker_steward::NextHold(millis now) const {
+  if (!ended_.empty()) return now + kListPause;
+  if (!running_.empty()) return now;
+  return now + (starts_.empty() && stops_.empty() ? kIdlePause : kBusyPause);
+}
+
+/** A stopped run that the lists no longer show has never begun, and never will. */
+void worker_steward::SettleStops() {
+  for (auto stop = stops_.begin(); stop != stops_.end();) {
+    const run_ref ref = stop->first;
+    const bool settled =
+        stop->second.phase == stop_phase::kAnswered && hold_number_ > stop->second.holds_before;
+    const bool listed_as_running = std::any_of(
+        running_.begin(), running_.end(),
+        [&](const listed_run& entry) { return entry.task == ref.task && entry.run == ref.run; });
+    if (!settled || listed_as_running) {
+      ++stop;
+      continue;
+    }
+    stop = stops_.erase(stop);
+    if (!Lists(ref)) Refuse(ref, start_refusal::kBarred);
+  }
+}
+
+void worker_steward::Refuse(const run_ref& run, start_refusal reason) {
+  starts_.erase(run);
+  stops_.erase(run);
+  refused_[run] = reason;
+  changed_ = true;
+  log_event("start-refused")
+      .With("worker", profile_.self.id)
+      .With("task", run.task)
+      .With("run", run.run)
+      .With("reason", StartRefusalName(reason))
+      .With("term", term_);
+}
+
+void worker_steward::On(const start_answer& answer, millis now) {
+  if (!(answer.worker == profile_.self)) return;
+  const auto found = starts_.find(answer.run);
+  if (found == starts_.end()) return;
+  ordered_start& start = found->second;
+  switch (answer.outcome) {
+    case call_outcome::kDone:
+      if (!Lists(answer.run)) {
+        running_.push_back({answer.run.task, answer.run.run, start.run.saved, -1, 0});
+      }
+      fresh_starts_[answer.run] = holds_begun_;
+      starts_.erase(found);
+      next_hold_ = std::min(next_hold_, now);
+      changed_ = true;
+      log_event("run-started")
+          .With("worker", profile_.self.id)
+          .With("task", answer.run.task)
+          .With("run", answer.run.run)
+          .With("term", answer.fence);
+      return;
+    case call_outcome::kRefused:
+      if (start.doubtful && answer.refusal != start_refusal::kOld) {
+        // An unanswered try may still be carried out: a stop bars it.
+        start.phase = start_phase::kRefused;
+        stops_.try_emplace(answer.run);
+      } else {
+        Refuse(answer.run, answer.refusal);
+      }
+      return;
+    case call_outcome::kNoAnswer:
+      start.doubtful = true;
+      start.phase = start_phase::kUnanswered;
+      log_event("start-unanswered")
+          .With("worker", profile_.self.id)
+          .With("task", answer.run.task)
+          .With("run", answer.run.run);
+      return;
+    case call_outcome::kNeverSent:
+    case call_outcome::kOtherLife:
+      start.phase = start_phase::kUnanswered;
+      return;
+  }
+}
+
+void worker_steward::On(const stop_answer& answer, millis now) {
+  if (!(answer.worker == profile_.self)) return;
+  const auto found = stops_.find(answer.run);
+  if (found == stops_.end()) return;
+  if (answer.outcome != call_outcome::kDone) {
+    found->second.phase = stop_phase::kWanted;
+    return;
+  }
+  found->second.phase = stop_phase::kAnswered;
+  found->second.holds_before = holds_begun_;
+  next_hold_ = std::min(next_hold_, now);
+}
+
+/** The lease's end on the worker's clock, not later than it is meant even if that clock is slow. */
+int64_t worker_steward::DeadlineFor(millis now) const {
+  if (lease_until_ <= now || clock_ms_ <= 0) return 0;
+  const int64_t passed = (now - clock_read_).count() * kSlowClockPercent / kPercent;
+  return clock_ms_ + passed + (lease_until_ - now).count();
+}
+
+void worker_steward::Tick(millis now, std::vector<worker_call>& calls) {
+  if (term_ == 0) return;
+  CallHold(now, calls);
+  if (confirmed_term_ != term_) return;
+  CallStops(calls);
+  CallStarts(now, calls);
+}
+
+void worker_steward::CallHold(millis now, std::vector<worker_call>& calls) {
+  if (holding_ || now < next_hold_) return;
+  holding_ = true;
+  hold_sent_ = now;
+  hold_number_ = ++holds_begun_;
+  const bool wait = confirmed_term_ == term_ && ended_.empty() && !running_.empty();
+  hold_call call{profile_.address, profile_.self, term_, seen_upto_, DeadlineFor(now), millis(0)};
+  if (wait) call.wait = kHoldWait;
+  calls.emplace_back(std::move(call));
+}
+
+void worker_steward::CallStops(std::vector<worker_call>& calls) {
+  for (auto& [ref, stop] : stops_) {
+    if (stop.phase != stop_phase::kWanted) continue;
+    stop.phase = stop_phase::kCalling;
+    calls.emplace_back(stop_call{profile_.address, profile_.self, term_, ref});
+    log_event("run-stop")
+        .With("worker", profile_.self.id)
+        .With("task", ref.task)
+        .With("run", ref.run)
+        .With("term", term_);
+  }
+}
+
+void worker_steward::CallStarts(millis now, std::vector<worker_call>& calls) {
+  const int64_t deadline = DeadlineFor(now);
+  std::vector<run_ref> barred;
+  for (auto& [ref, start] : starts_) {
+    const bool due = start.phase == start_phase::kWanted || start.phase == start_phase::kUnanswered;
+    if (!due || stops_.contains(ref)) continue;
+    if (profile_.draining && !start.doubtful) {
+      barred.push_back(ref);
+      continue;
+    }
+    if (deadline == 0) continue;
+    start.phase = start_phase::kCalling;
+    calls.emplace_back(start_call{profile_.address, profile_.self, term_, deadline, start.run});
+  }
+  for (const auto& ref : barred) Refuse(ref, start_refusal::kBarred);
+}
+
+worker_report worker_steward::Report(int64_t sequence, millis now) {
+  changed_ = false;
+  reports_.push_back({sequence, now});
+  if (reports_.size() > kRememberedReports) reports_.pop_front();
+  worker_report report;
+  report.sequence = sequence;
+  report.sent_ms = now.count();
+  report.present = true;
+  report.term = confirmed_term_;
+  report.listed = confirmed_term_ != 0 && now - last_answer_ < kAnsweringFor;
+  report.worker = profile_;
+  report.running = running_;
+  report.ended = ended_;
+  for (const auto& [ref, reason] : refused_) report.refused.push_back({ref.task, ref.run, reason});
+  return report;
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/worker_steward.h
@@ -0,0 +1,108 @@
+/** \file
+ * What an agent decides about one worker beside it.
+ */
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "kernel/batch/worker_calls.h"
+
+namespace eelgrass {
+
+using worker_call = std::variant<hold_call, start_call, stop_call, pace_call>;
+
+/**
+ * Carries out the planner's orders at one worker and reports what the worker lists. A worker's
+ * lists only count once it has confirmed the planner's fence, so that no earlier planner's order
+ * can still be carried out behind them. The lease of what runs is renewed within the planner's
+ * grants only, on a clock that also counts while the VM is suspended.
+ */
+class worker_steward {
+ public:
+  explicit worker_steward(const worker_beat& first, millis now);
+
+  /** Takes a later report of the worker. False when it is older than what is known. */
+  bool On(const worker_beat& beat, millis now);
+  void On(const hold_answer& answer, millis now);
+  void On(const start_answer& answer, millis now);
+  void On(const stop_answer& answer, millis now);
+
+  /** A new planner: its fence has to be confirmed before anything else. */
+  void SetTerm(int64_t term, millis now);
+  void On(const worker_order& order, millis now);
+
+  /** The calls to make now. */
+  void Tick(millis now, std::vector<worker_call>& calls);
+
+  /** Whether the planner should hear of a change at once. */
+  bool changed() const { return changed_; }
+
+  /** The report to send; numbers it and remembers when it was sent. */
+  worker_report Report(int64_t sequence, millis now);
+
+  const worker_identity& self() const { return profile_.self; }
+  const std::string& address() const { return profile_.address; }
+
+  /** Whether the worker has been out of reach for so long that it can be forgotten. */
+  bool gone(millis now) const;
+
+ private:
+  enum class start_phase { kWanted, kCalling, kUnanswered, kRefused };
+  struct ordered_start {
+    wanted_run run;
+    start_phase phase = start_phase::kWanted;
+    bool doubtful = false;  // an unanswered call may still be carried out
+  };
+  enum class stop_phase { kWanted, kCalling, kAnswered };
+  struct ordered_stop {
+    stop_phase phase = stop_phase::kWanted;
+    int64_t holds_before = 0;  // lists that began before the answer do not show its effect
+  };
+  struct sent_report {
+    int64_t sequence = 0;
+    millis at{0};
+  };
+
+  void BeginLife(const worker_beat& beat, millis now);
+  void TakeLists(const hold_answer& answer, millis now);
+  void SettleStops();
+  millis NextHold(millis now) const;
+  void Refuse(const run_ref& run, start_refusal reason);
+  bool Lists(const run_ref& run) const;
+  int64_t DeadlineFor(millis now) const;
+  void CallHold(millis now, std::vector<worker_call>& calls);
+  void CallStarts(millis now, std::vector<worker_call>& calls);
+  void CallStops(std::vector<worker_call>& calls);
+
+  worker_profile profile_;
+  int64_t beat_sequence_ = 0;
+  int64_t clock_ms_ = 0;  // worker's clock when last read
+  millis clock_read_{0};
+  int64_t term_ = 0;
+  int64_t order_sequence_ = 0;
+  int64_t confirmed_term_ = 0;  // fence under which the lists were read
+  std::vector<listed_run> running_;
+  std::vector<listed_end> ended_;
+  std::map<run_ref, ordered_start> starts_;
+  std::map<run_ref, int64_t> fresh_starts_;  // answered starts, with the holds begun until then
+  std::map<run_ref, ordered_stop> stops_;
+  std::map<run_ref, start_refusal> refused_;
+  int64_t seen_upto_ = 0;
+  millis lease_until_{0};
+  std::deque<sent_report> reports_;
+  bool holding_ = false;
+  int64_t holds_begun_ = 0;
+  int64_t hold_number_ = 0;  // of the hold under way
+  millis hold_sent_{0};
+  millis next_hold_{0};
+  millis last_answer_{0};
+  millis last_beat_{0};
+  bool changed_ = true;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/io/deployment.h
@@ -0,0 +1,65 @@
+/** \file
+ * What the platform tells a process about its place: the interface of the deployment plug-ins.
+ */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kernel/base/millis.h"
+#include "kernel/base/plugin_registry.h"
+
+namespace eelgrass {
+
+/** Bounds that the platform sets; each is a setting, with its source in the platform's pages. */
+struct deployment_bounds {
+  millis longest_hold{6000};  // lease of a worker
+  millis stop_timeout{900};   // a stop takes at most this long
+  millis gang_timeout{3000};  // a gang member waits this long for the others
+  millis revocation{5000};    // a withdrawn key is refused after this at the latest
+  millis grace{6000};         // between the request to stop and the end of a process
+  millis early{250};          // an occurrence may start this much before its time
+  millis reclaim{3000};       // guaranteed jobs have begun after this
+  millis restore{500};        // time that a start from a checkpoint takes
+  millis checkpoint{1000};    // work between two checkpoints
+  double remote_factor = 3;   // tasks away from their data or spread over racks take this long
+  bool fences_machine_orders = true;
+};
+
+/** The place of one process. */
+struct deployment {
+  std::string node;  // unique name of the VM
+  std::string ip;
+  std::string domain;           // failure domain
+  std::string front_address;    // entries: for callers
+  std::string ready_address;    // entries: for the balancer
+  std::string control_address;  // agents: for their workers
+  int first_port = 0;           // of the range for traffic between nodes
+  int last_port = 0;
+  std::vector<std::string> seeds;  // IP:PORT of some entries; may be stale
+  std::string worker_address;      // agents: of their worker
+  std::string store_address;
+  std::string advice_address;
+  std::string machines_address;
+  deployment_bounds bounds;
+};
+
+/** Reads the deployment; may be called again after a change. */
+class deployment_source {
+ public:
+  virtual ~deployment_source() = default;
+  virtual result<deployment> Load(std::string_view path) const = 0;
+
+  /** The variable that holds the path of the settings file. */
+  virtual std::string_view path_variable() const = 0;
+};
+
+using deployment_registry = plugin_registry<deployment_source>;
+
+template <typename Implementation>
+using deployment_registration =
+    plugin_registration<deployment_registry, deployment_source, Implementation>;
+
+}  // namespace eelgrass
--- a/src/kernel/model/messages.h
+++ b/src/kernel/model/messages.h
@@ -12,6 +12,7 @@
 #include "kernel/base/millis.h"
 #include "kernel/model/bytes.h"
 #include "kernel/model/resources.h"
+#include "kernel/model/worker_messages.h"
 
 namespace eelgrass {
 
@@ -296,6 +297,7 @@
                  config_update, config_fetch, attempt, attempt_answer, resolve, attempt_done, claim,
                  claim_answer, reserve, reserve_answer, release, commit, gang_arm, gang_armed,
                  gang_start, gang_started, gang_renew, gang_renewed, gang_stop, gang_member_done,
-                 gang_report, gang_report_ack, gang_query, worker_usage>;
+                 gang_report, gang_report_ack, gang_query, worker_usage, worker_report,
+                 worker_order, planner_notice, job_inquiry, job_reply>;
 
 }  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/model/worker_messages.h
@@ -0,0 +1,152 @@
+/** \file
+ * What the planning entry and the agents beside batch workers tell each other.
+ */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kernel/model/amounts.h"
+#include "kernel/model/batch_job.h"
+
+namespace eelgrass {
+
+/** One life of a worker. A worker that restarts may keep its id, never its birth. */
+struct worker_identity {
+  std::string id;
+  int64_t born_ms = 0;  // wall time of its start
+  bool operator==(const worker_identity&) const = default;
+};
+
+/** What a worker says of itself. */
+struct worker_profile {
+  worker_identity self;
+  std::string service;
+  std::string domain;
+  std::string address;
+  amounts capacity;
+  std::string rack;                 // empty: not said
+  std::vector<std::string> labels;  // its kind and its rack
+  bool draining = false;
+  int64_t remaining_ms = -1;  // a draining worker leaves no earlier than this; -1: not known
+  int64_t cold_ms = 0;        // slow for this much longer after its start
+};
+
+/** A run of a task that a worker lists as running. */
+struct listed_run {
+  std::string task;
+  int64_t run = 0;
+  std::string saved;     // checkpoint; empty: none
+  int64_t percent = -1;  // share at which it works; -1: not said
+  int64_t load = 0;      // tail latency in ms of a serving task, else cores in use x 1000
+};
+
+/** How a run ended. */
+enum class run_end { kDone, kFailed, kStopped, kLapsed, kBroken, kAlone };
+
+/** Name of the end in logs. */
+std::string_view RunEndName(run_end how);
+
+/** A run of a task that a worker lists as ended. */
+struct listed_end {
+  int64_t number = 0;  // rises within one life of the worker
+  std::string task;
+  int64_t run = 0;
+  run_end how = run_end::kFailed;
+  std::string saved;
+};
+
+/** Why a worker did not take a start. */
+enum class start_refusal { kFence, kOld, kLate, kRoom, kTicket, kInvalid, kUnhealthy, kBarred };
+
+/** Name of the refusal in logs. */
+std::string_view StartRefusalName(start_refusal reason);
+
+/** A start that certainly has not happened and never will. */
+struct refused_start {
+  std::string task;
+  int64_t run = 0;
+  start_refusal reason = start_refusal::kRoom;
+};
+
+/** Agent to entries: everything about its worker. Sent when it changes, and as a heartbeat. */
+struct worker_report {
+  int64_t term = 0;      // fence that the worker has confirmed; 0: not yet under any
+  int64_t sequence = 0;  // of this agent process
+  int64_t sent_ms = 0;   // agent's clock
+  bool present = false;  // there is a worker
+  bool listed = false;   // the lists were read from this life of the worker under `term`
+  worker_profile worker;
+  std::vector<listed_run> running;
+  std::vector<listed_end> ended;
+  std::vector<refused_start> refused;
+};
+
+/** A run that the planner wants on the worker. */
+struct wanted_run {
+  std::string task;
+  int64_t run = 0;
+  std::string spec;
+  std::string saved;
+  std::string ticket{};
+  int64_t target_ms = 0;  // long-running tasks: latency target
+  bool fills = false;
+  bool confirmed = false;  // the planner has seen it listed; sent for pacing only
+};
+
+/** Names one run. */
+struct run_ref {
+  std::string task;
+  int64_t run = 0;
+  auto operator<=>(const run_ref&) const = default;
+};
+
+/**
+ * Planner to agent: all that the planner wants of this life of the worker and has not seen done.
+ * Repeated until the agent's reports show it, so that lost messages do no harm.
+ */
+struct worker_order {
+  int64_t term = 0;
+  int64_t sequence = 0;  // a lower one that arrives late is ignored
+  worker_identity worker;
+  std::vector<wanted_run> starts;
+  std::vector<run_ref> stops;
+  std::vector<run_ref> forget;  // refusals that the planner has noted
+  int64_t seen_upto = 0;        // ends up to this number are stored
+  int64_t grant_sequence = 0;   // the report that the grant answers
+  int64_t grant_ms = 0;         // the lease may run this long from when that report was sent
+};
+
+/** Planner to everybody: who plans, under which fence, and which entries there are. */
+struct planner_notice {
+  int64_t term = 0;
+  std::string planner;  // id of the entry; empty when it hands the term over
+  bool store_lost = false;
+  std::vector<std::string> entries;  // addresses for agents
+};
+
+/** What callers may ask the planner through any entry. */
+enum class job_question { kState, kCancel, kWaiting };
+
+/** Entry to planner. */
+struct job_inquiry {
+  int64_t id = 0;  // of the asking entry
+  job_question question = job_question::kState;
+  std::string job;
+  std::string queue;
+};
+
+/** What the planner knows about an inquiry. */
+enum class inquiry_outcome { kKnown, kNoSuchJob, kNotPlanner, kUnavailable };
+
+/** Planner to entry. */
+struct job_reply {
+  int64_t id = 0;
+  inquiry_outcome outcome = inquiry_outcome::kUnavailable;
+  batch_state state = batch_state::kPending;
+  int64_t waiting = 0;
+};
+
+}  // namespace eelgrass
