Workers that are gone leave the store, and a new one at an address replaces the old one

Change: a worker that is gone and on which nothing can run is forgotten with its row; a report from another worker at the same address settles the old one at once; a report earns a lease of 4 s at most; the trust in the term is one constant of 3.5 s.

Ruled out: storing every start, which costs a call for each group of starts; the rows of workers already say where something may run.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -25,7 +25,13 @@
 /** Kept back of the time that the platform gives a process to end. */
 constexpr millis kStopReserve{1000};
 
-/** Share of a lease's upper bound that is granted at a time, in percent. */
+/**
+ * Lease that a report earns: the agent's next two reports may be lost, and a takeover fits in. A
+ * longer one delays the restart of what ran on a worker that was cut off.
+ */
+constexpr millis kGrant{4000};
+
+/** Share of the platform's bound on leases that is granted at most, in percent. */
 constexpr int64_t kGrantPercent = 75;
 constexpr int64_t kPercent = 100;
 
@@ -128,7 +134,7 @@
   planning.peer_address = hub.self.address;
   planning.early = place_.bounds.early;
   planning.longest_hold = place_.bounds.longest_hold;
-  planning.tracking.grant = place_.bounds.longest_hold * kGrantPercent / kPercent;
+  planning.tracking.grant = std::min(kGrant, place_.bounds.longest_hold * kGrantPercent / kPercent);
   planning.tracking.stop_timeout = place_.bounds.stop_timeout;
   planning.tracking.gang_timeout = place_.bounds.gang_timeout;
   planning.starts.remote_factor = place_.bounds.remote_factor;
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -10,9 +10,6 @@
 /** Plans are made anew at least this often: timed occurrences, pauses and patience run out. */
 constexpr millis kPlanInterval{250};
 
-/** The longest that an earlier planner may have granted leases after this one's takeover. */
-constexpr millis kEarlierTrust{4000};
-
 /** A lease may last this much longer on a worker's slow clock, plus some slack. */
 constexpr int64_t kSlowClockPermille = 25;
 constexpr int64_t kPermille = 1000;
@@ -158,10 +155,41 @@
   const batch_config& config = operators_.config == nullptr ? kNoConfig : *operators_.config;
   tracker_->On(agent, report, config, term_.Trusted(now), now);
   const pool_worker* worker = pool_.Find(report.worker.self.id);
-  if (worker != nullptr && worker->listing) journal_.expected().erase(report.worker.self.id);
+  if (worker != nullptr && worker->listing) {
+    journal_.Heard(report.worker.self.id);
+    ForgetReplaced(report.worker);
+  }
   if (worker != nullptr && !worker->recorded && !worker->recording) journal_.Hurry();
 }
 
+/** No other worker can be alive at the address of one that has just reported. */
+void planner_core::ForgetReplaced(const worker_profile& newest) {
+  std::vector<std::string> replaced;
+  for (const auto& [id, record] : journal_.expected()) {
+    if (id != newest.self.id && record.address == newest.address) replaced.push_back(id);
+  }
+  for (const auto& [id, worker] : pool_.all()) {
+    const bool same_place = worker.profile.address == newest.address;
+    if (same_place && worker.profile.self.born_ms < newest.self.born_ms) replaced.push_back(id);
+  }
+  for (const auto& id : replaced) {
+    tracker_->Drop(id, "another worker has its address");
+    journal_.Forget(id);
+  }
+}
+
+/** Forgets workers that are gone, once nothing can run there any more. */
+void planner_core::ForgetGone(millis now) {
+  std::vector<std::string> gone;
+  for (const auto& [id, worker] : pool_.all()) {
+    if (!worker.listing && worker.runs.empty() && now > worker.lease_end) gone.push_back(id);
+  }
+  for (const auto& id : gone) {
+    tracker_->Drop(id, "gone");
+    journal_.Forget(id);
+  }
+}
+
 void planner_core::Answer(const std::string& asker, const job_inquiry& inquiry, millis now) {
   job_reply reply{inquiry.id};
   if (!term_.holding()) {
@@ -247,13 +275,16 @@
   }
   const millis lease = options_.tracking.grant +
                        options_.tracking.grant * kSlowClockPermille / kPermille + kLapseSlack;
-  const bool lapsed = now - term_began_ > kEarlierTrust + lease;
+  const bool lapsed = now - term_began_ > kTermTrust + lease;
   if (!journal_.expected().empty() && !lapsed) return false;
   planning_ = true;
   log_event("planning-begins")
       .With("term", term_.fence())
       .With("after_ms", (now - term_began_).count())
       .With("unheard_workers", static_cast<int64_t>(journal_.expected().size()));
+  while (!journal_.expected().empty()) {
+    journal_.Forget(std::string(journal_.expected().begin()->first));
+  }
   return true;
 }
 
@@ -261,6 +292,7 @@
   if (!Recovered(now) || operators_.config == nullptr) return;
   book_->Release(now, wall_now);
   tracker_->Tick(*operators_.config, now);
+  ForgetGone(now);
   const bool informed = now - operators_confirmed_ < kOperatorsAge;
   if (!term_.Trusted(now) || !informed || journal_.handed_over()) return;
   const int64_t changes = tracker_->changes() + static_cast<int64_t>(book_->all().size());
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -85,6 +85,8 @@
   void EndTerm(millis now);
   void TakeReport(const std::string& agent, worker_report& report, millis now);
   void Answer(const std::string& asker, const job_inquiry& inquiry, millis now);
+  void ForgetReplaced(const worker_profile& newest);
+  void ForgetGone(millis now);
   void Reply(const std::string& asker, const job_reply& reply);
   void TakeWritten(millis now);
   bool Recovered(millis now);
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -35,6 +35,7 @@
   next_read_ = next_write_ = millis(0);
   followed_ = millis(INT64_MIN / 4);
   expected_.clear();
+  gone_.clear();
   writing_.reset();
   group_ = {};
   written_.reset();
@@ -100,6 +101,11 @@
     group_.workers.push_back(id);
     --room;
   }
+  while (!gone_.empty() && room > 0) {
+    change.removals.push_back(
+        {std::string(kWorkersTable), "", gone_.extract(gone_.begin()).value()});
+    --room;
+  }
   if (loaded_) {
     for (const auto& id : book.TakeDirty(room)) {
       const tracked_job* job = book.Find(id);
@@ -167,8 +173,10 @@
     } else if (stage_ == stage::kProgress) {
       const auto progress = codec_.DecodeProgress(found.value);
       if (progress) book.Restore(progress.value());
-    } else if (pool.Find(found.at.key) == nullptr || !pool.Find(found.at.key)->listing) {
-      expected_.insert(found.at.key);
+    } else if (const pool_worker* known = pool.Find(found.at.key);
+               known == nullptr || !known->listing) {
+      const auto record = codec_.DecodeWorker(found.value);
+      expected_[found.at.key] = record ? record.value() : worker_record{found.at.key, "", ""};
     }
   }
   if (stage_ == stage::kJobs && continue_at_.empty()) {
@@ -227,6 +235,13 @@
   }
 }
 
+void planner_journal::Heard(std::string_view id) { expected_.erase(std::string(id)); }
+
+void planner_journal::Forget(std::string_view id) {
+  expected_.erase(std::string(id));
+  gone_.insert(std::string(id));
+}
+
 std::optional<journal_written> planner_journal::TakeWritten() {
   auto written = std::move(written_);
   written_.reset();
--- a/src/kernel/batch/planner_journal.h
+++ b/src/kernel/batch/planner_journal.h
@@ -39,7 +39,13 @@
   bool loaded() const { return loaded_; }
 
   /** Workers that the store names and the pool has not heard of yet. */
-  std::set<std::string>& expected() { return expected_; }
+  const std::map<std::string, worker_record>& expected() const { return expected_; }
+
+  /** A worker that the store names needs not be waited for any more. */
+  void Heard(std::string_view id);
+
+  /** A worker is gone for good: nothing can run there, and the store may forget it. */
+  void Forget(std::string_view id);
 
   /** The newest job list is complete up to here. */
   millis followed() const { return followed_; }
@@ -83,7 +89,8 @@
   millis read_sent_{0};
   millis next_read_{0};
   millis followed_{INT64_MIN / 4};
-  std::set<std::string> expected_;
+  std::map<std::string, worker_record> expected_;
+  std::set<std::string> gone_;  // workers whose rows are to be removed
   std::optional<row_transaction> writing_;
   journal_written group_;
   std::optional<journal_written> written_;
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -110,6 +110,14 @@
   }
 }
 
+void run_tracker::Drop(std::string_view id, std::string_view reason) {
+  pool_worker* worker = pool_.Find(id);
+  if (worker == nullptr) return;
+  CloseAll(*worker, reason);
+  log_event("worker-forgotten").With("worker", id).With("reason", reason);
+  pool_.Erase(id);
+}
+
 void run_tracker::TakeEnds(pool_worker& worker, const worker_report& report,
                            const batch_config& config, millis now) {
   for (const auto& end : report.ended) {
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -37,6 +37,9 @@
           bool trusted, millis now);
   void OnAgentLost(std::string_view agent);
 
+  /** A worker is gone for good: ends its runs and forgets it. */
+  void Drop(std::string_view worker, std::string_view reason);
+
   /** Carries out a plan: places runs, stops what has to make room. */
   void Apply(const start_plan& plan, millis now);
 
--- a/src/kernel/batch/term_keeper.cc
+++ b/src/kernel/batch/term_keeper.cc
@@ -13,9 +13,6 @@
 /** A holder rewrites the row more often than this; one that does not is not alive. */
 constexpr millis kObservation{1700};
 
-/** A holder gives orders for this long after a confirmed write, which bounds the earlier holder. */
-constexpr millis kTrust{4000};
-
 /** A holder without a confirmed write for this long asks the others to take over. */
 constexpr millis kStoreLost{2300};
 
@@ -33,7 +30,7 @@
   return holder_notified_ && linked_.contains(holder_) && !holder_lost_store_;
 }
 
-bool term_keeper::Trusted(millis now) const { return holding_ && now - confirmed_ < kTrust; }
+bool term_keeper::Trusted(millis now) const { return holding_ && now - confirmed_ < kTermTrust; }
 
 bool term_keeper::store_lost(millis now) const { return holding_ && now - confirmed_ > kStoreLost; }
 
--- a/src/kernel/batch/term_keeper.h
+++ b/src/kernel/batch/term_keeper.h
@@ -13,6 +13,12 @@
 
 namespace eelgrass {
 
+/**
+ * A holder gives orders for this long after a confirmed write, so that no order of an earlier
+ * holder is given later than this after a takeover. It rewrites the term every second.
+ */
+inline constexpr millis kTermTrust{3500};
+
 /** What a write under the term came to. */
 enum class term_write { kDone, kTryAgain, kLost };
 
