--- a/src/kernel/batch/agent_core.cc
+++ b/src/kernel/batch/agent_core.cc
@@ -56,8 +56,8 @@
 
 /** Another worker at the same address is certainly gone. */
 void agent_core::DropReplaced(const worker_steward& newest) {
-  const worker_identity self = newest.self();
-  const std::string address = newest.address();
+  const worker_identity& self = newest.self();
+  const std::string& address = newest.address();
   std::erase_if(stewards_, [&](const auto& entry) {
     const worker_steward& other = entry.second;
     if (other.self().id == self.id || other.address() != address) return false;
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -10,10 +10,14 @@
 /** Plans are made anew at least this often: timed occurrences, pauses and patience run out. */
 constexpr millis kPlanInterval{250};
 
-/** A lease may last this much longer on a worker's slow clock, plus some slack. */
-constexpr int64_t kSlowClockPermille = 25;
-constexpr int64_t kPermille = 1000;
-constexpr millis kLapseSlack{300};
+/** A worker that is not reported any more is gone; agents report every second. */
+constexpr millis kUnreported{5000};
+
+/** The notice is repeated at this pace to whoever may have missed it. */
+constexpr millis kRepeat{1000};
+
+/** An agent that has not reported for this long may not know who plans. */
+constexpr millis kHeardOf{2500};
 
 /** Starts need to know what operators want at least this well. */
 constexpr millis kOperatorsAge{3500};
@@ -102,7 +106,10 @@
 /** Agents may not know the planner's address yet: every entry tells them. */
 void planner_core::PassOn(const planner_notice& notice) {
   if (notice.term < heard_.term) return;
+  const bool same = notice.term == heard_.term && notice.planner == heard_.planner &&
+                    notice.entries == heard_.entries;
   heard_ = notice;
+  if (same) return;
   for (const auto& id : agents_) out_->emplace_back(send_to_peer{id, notice});
 }
 
@@ -129,6 +136,7 @@
   tracker_ = std::make_unique<run_tracker>(options_.tracking, *book_, pool_);
   tracker_->Begin(term_.fence(), now);
   early_reports_.clear();
+  reported_.clear();
 }
 
 void planner_core::EndTerm(millis) {
@@ -147,6 +155,7 @@
 void planner_core::TakeReport(const std::string& agent, worker_report& report, millis now) {
   if (!term_.holding()) return;
   if (report.term > term_.fence()) return term_.StepDown("an agent has a higher term", now);
+  reported_[agent] = now;
   if (!journal_.loaded()) {
     early_reports_[{agent, report.worker.self.id}] = std::move(report);
     return;
@@ -182,7 +191,8 @@
 void planner_core::ForgetGone(millis now) {
   std::vector<std::string> gone;
   for (const auto& [id, worker] : pool_.all()) {
-    if (!worker.listing && worker.runs.empty() && now > worker.lease_end) gone.push_back(id);
+    const bool silent = !worker.linked || now - worker.reported > kUnreported;
+    if (silent && worker.runs.empty() && now > worker.lease_end) gone.push_back(id);
   }
   for (const auto& id : gone) {
     tracker_->Drop(id, "gone");
@@ -273,9 +283,7 @@
     early_reports_.clear();
     for (auto& [source, report] : reports) TakeReport(source.first, report, now);
   }
-  const millis lease = options_.tracking.grant +
-                       options_.tracking.grant * kSlowClockPermille / kPermille + kLapseSlack;
-  const bool lapsed = now - term_began_ > kTermTrust + lease;
+  const bool lapsed = now - term_began_ > kTermTrust + LeaseBound(options_.tracking.grant);
   if (!journal_.expected().empty() && !lapsed) return false;
   planning_ = true;
   log_event("planning-begins")
@@ -319,11 +327,24 @@
   const planner_notice notice = Notice(now);
   const bool same = notice.term == told_.term && notice.planner == told_.planner &&
                     notice.store_lost == told_.store_lost && notice.entries == told_.entries;
-  if (same) return;
+  if (same) return RepeatNotice(notice, now);
   told_ = notice;
+  next_repeat_ = now + kRepeat;
   out_->emplace_back(tell_gateway{notice});
   for (const auto& [id, address] : entries_) out_->emplace_back(send_to_peer{id, notice});
   for (const auto& id : agents_) out_->emplace_back(send_to_peer{id, notice});
 }
 
+/** A notice may be lost with the connection that carried it. */
+void planner_core::RepeatNotice(const planner_notice& notice, millis now) {
+  if (now < next_repeat_) return;
+  next_repeat_ = now + kRepeat;
+  for (const auto& [id, address] : entries_) out_->emplace_back(send_to_peer{id, notice});
+  for (const auto& id : agents_) {
+    const auto heard = reported_.find(id);
+    const bool silent = heard == reported_.end() || now - heard->second > kHeardOf;
+    if (silent) out_->emplace_back(send_to_peer{id, notice});
+  }
+}
+
 }  // namespace eelgrass
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -92,6 +92,7 @@
   bool Recovered(millis now);
   void Plan(millis now, millis wall_now);
   void Notify(millis now);
+  void RepeatNotice(const planner_notice& notice, millis now);
   void PassOn(const planner_notice& notice);
   planner_notice Notice(millis now) const;
   int64_t CountWaiting(std::string_view queue) const;
@@ -115,7 +116,9 @@
   std::map<std::pair<std::string, std::string>, worker_report> early_reports_;
   std::map<std::string, std::vector<std::pair<std::string, int64_t>>> cancels_;  // by job
   planner_notice told_;
-  planner_notice heard_;  // latest of another planner
+  millis next_repeat_{0};
+  std::map<std::string, millis, std::less<>> reported_;  // when each agent last did, in this term
+  planner_notice heard_;                                 // latest of another planner
   int64_t planned_changes_ = -1;
   millis next_plan_{0};
 };
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -96,6 +96,7 @@
   for (auto& [id, worker] : pool.all()) {
     if (worker.recorded || worker.recording || room == 0) continue;
     worker.recording = true;
+    gone_.erase(id);  // it is back
     const worker_record record{id, worker.agent, worker.profile.address};
     change.writes.push_back({{std::string(kWorkersTable), "", id}, codec_.Encode(record)});
     group_.workers.push_back(id);
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "kernel/base/log_event.h"
+#include "kernel/batch/term_keeper.h"
 
 namespace eelgrass {
 namespace {
@@ -10,11 +11,6 @@
 /** Run numbers of one term; a term is a revision of the store, so the product stays below 2^53. */
 constexpr int64_t kRunsPerTerm = 100000;
 
-/** A worker's clock may be slow by 2%, by the platform's bound; this covers it with some slack. */
-constexpr int64_t kSlowClockPermille = 25;
-constexpr int64_t kPermille = 1000;
-constexpr millis kLapseSlack{300};
-
 /** A worker that has left ends what it runs by then. */
 constexpr millis kLeaveTime{700};
 
@@ -30,6 +26,14 @@
 
 }  // namespace
 
+millis LeaseBound(millis grant) {
+  // A worker's clock may be slow by 2%, by the platform's bound; this covers it with some slack.
+  constexpr int64_t kSlowClockPermille = 25;
+  constexpr int64_t kPermille = 1000;
+  constexpr millis kSlack{300};
+  return grant + grant * kSlowClockPermille / kPermille + kSlack;
+}
+
 run_tracker::run_tracker(tracker_options options, job_book& book, worker_pool& pool)
     : options_(options), book_(book), pool_(pool) {}
 
@@ -71,8 +75,7 @@
   worker.order_due = true;
   if (!worker.listing) return;
   if (trusted) {
-    const millis lease = options_.grant + options_.grant * kSlowClockPermille / kPermille;
-    worker.lease_end = std::max(worker.lease_end, now + lease + kLapseSlack);
+    worker.lease_end = std::max(worker.lease_end, now + LeaseBound(options_.grant));
   }
   if (!was_usable) ++changes_;
   TakeEnds(worker, report, config, now);
@@ -91,6 +94,8 @@
   worker.recording = recording;
   worker.profile = report.worker;
   worker.agent = agent;
+  // An earlier planner may have granted a lease that this one knows nothing of.
+  worker.lease_end = now + kTermTrust + LeaseBound(options_.grant);
   ++changes_;
   log_event("worker-known")
       .With("worker", report.worker.self.id)
@@ -154,7 +159,8 @@
   // A run that was given up because its lease had lapsed does not count any more.
   const bool counts =
       known || (state->open_runs == 0 && end.run > state->last_failed_run) || end.run == state->run;
-  if (counts && !step.long_running && end.how == run_end::kDone) {
+  // Work that is done is done, whichever run did it: nothing of it is to run again.
+  if (!step.long_running && end.how == run_end::kDone) {
     Note(worker, true, now);
     book_.OnDone(unit, now);
   }
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -20,6 +20,9 @@
   millis gang_timeout{3000};  // a gang member waits this long for the others
 };
 
+/** The longest that a run may go on after its worker was last granted a lease. */
+millis LeaseBound(millis grant);
+
 /**
  * Takes agents' reports, applies them to the book and the pool, and writes the orders that bring
  * the workers to what is wanted. A run counts as over only when its worker lists its end, has
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -19,7 +19,7 @@
 /** Nothing runs and nothing is asked for. */
 constexpr millis kIdlePause{1000};
 
-/** Between two holds that the worker did not answer. */
+/** Between two calls that the worker did not answer or that did not reach it. */
 constexpr millis kRetryPause{200};
 
 /** A worker that has not answered for this long is reported as not listing. */
@@ -273,6 +273,7 @@
     case call_outcome::kNeverSent:
     case call_outcome::kOtherLife:
       start.phase = start_phase::kUnanswered;
+      start.not_before = now + kRetryPause;
       return;
   }
 }
@@ -283,6 +284,7 @@
   if (found == stops_.end()) return;
   if (answer.outcome != call_outcome::kDone) {
     found->second.phase = stop_phase::kWanted;
+    found->second.not_before = now + kRetryPause;
     return;
   }
   found->second.phase = stop_phase::kAnswered;
@@ -301,7 +303,7 @@
   if (term_ == 0) return;
   CallHold(now, calls);
   if (confirmed_term_ != term_) return;
-  CallStops(calls);
+  CallStops(now, calls);
   CallStarts(now, calls);
 }
 
@@ -316,9 +318,9 @@
   calls.emplace_back(std::move(call));
 }
 
-void worker_steward::CallStops(std::vector<worker_call>& calls) {
+void worker_steward::CallStops(millis now, std::vector<worker_call>& calls) {
   for (auto& [ref, stop] : stops_) {
-    if (stop.phase != stop_phase::kWanted) continue;
+    if (stop.phase != stop_phase::kWanted || now < stop.not_before) continue;
     stop.phase = stop_phase::kCalling;
     calls.emplace_back(stop_call{profile_.address, profile_.self, term_, ref});
     log_event("run-stop")
@@ -334,7 +336,7 @@
   std::vector<run_ref> barred;
   for (auto& [ref, start] : starts_) {
     const bool due = start.phase == start_phase::kWanted || start.phase == start_phase::kUnanswered;
-    if (!due || stops_.contains(ref)) continue;
+    if (!due || now < start.not_before || stops_.contains(ref)) continue;
     if (profile_.draining && !start.doubtful) {
       barred.push_back(ref);
       continue;
--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -56,11 +56,13 @@
   struct ordered_start {
     wanted_run run;
     start_phase phase = start_phase::kWanted;
+    millis not_before{0};
     bool doubtful = false;  // an unanswered call may still be carried out
   };
   enum class stop_phase { kWanted, kCalling, kAnswered };
   struct ordered_stop {
     stop_phase phase = stop_phase::kWanted;
+    millis not_before{0};
     int64_t holds_before = 0;  // lists that began before the answer do not show its effect
   };
   struct sent_report {
@@ -77,7 +79,7 @@
   int64_t DeadlineFor(millis now) const;
   void CallHold(millis now, std::vector<worker_call>& calls);
   void CallStarts(millis now, std::vector<worker_call>& calls);
-  void CallStops(std::vector<worker_call>& calls);
+  void CallStops(millis now, std::vector<worker_call>& calls);
 
   worker_profile profile_;
   int64_t beat_sequence_ = 0;
--- /dev/null
+++ b/standins/standin_runner.h
@@ -0,0 +1,140 @@
+/** \file
+ * The platform's workers in memory: leases, fences, gangs and ends.
+ */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kernel/batch/worker_calls.h"
+
+namespace eelgrass {
+
+/** How a stand-in task behaves. A job's text holds one for each step, as JSON. */
+struct task_behavior {
+  int64_t work_ms = 1000;
+  int gang = 0;   // members that have to be there; 0: none
+  int fails = 0;  // so many runs fail at half of their work
+};
+
+/** The text of a job whose steps behave like this. */
+std::string BehaviorText(const std::vector<task_behavior>& steps);
+
+/** What is seen at workers: for checks. */
+struct runner_event {
+  enum class kind { kStarted, kEnded, kSeen, kDied };
+  kind what = kind::kStarted;
+  std::string worker;
+  int64_t born_ms = 0;
+  std::string task;
+  int64_t run = 0;
+  int64_t number = 0;  // kEnded, kSeen
+  run_end how = run_end::kDone;
+  std::string spec;
+  std::string saved;
+  millis at{0};
+};
+
+using runner_observer = std::function<void(const runner_event&)>;
+
+/** What workers share: gangs, with who is there and since when all are, and how often tasks ran. */
+class standin_gangs {
+ public:
+  struct gang {
+    std::set<std::string> present;
+    millis complete_since{0};  // 0: not yet
+    millis first_at{0};
+    bool broken = false;
+    bool done = false;
+  };
+  gang& Get(std::string_view task, int64_t run);
+
+  /** Counts the runs of a task at all workers, this one included. */
+  int CountRun(std::string_view task) { return ++counts_[std::string(task)]; }
+
+ private:
+  std::map<std::string, int> counts_;
+  std::map<std::pair<std::string, int64_t>, gang> gangs_;
+};
+
+struct runner_options {
+  amounts capacity{32000, 131072, 8};
+  millis longest_hold{6000};
+  millis stop_time{300};
+  millis gang_timeout{3000};
+  millis checkpoint{500};
+};
+
+/** One life of a worker. */
+class standin_runner {
+ public:
+  standin_runner(worker_identity self, runner_options options, standin_gangs& gangs,
+                 runner_observer observe, millis now);
+
+  call_outcome Start(const start_call& call, millis now, start_refusal& refusal);
+  call_outcome Stop(const stop_call& call, millis now);
+
+  /** Takes what a hold brings; the lists are read with Lists. */
+  void Hold(const hold_call& call, millis now);
+  void Lists(millis now, hold_answer& answer) const;
+
+  /** Whether there is an end that a hold with this number has not seen. */
+  bool HasEndAfter(int64_t seen_upto) const;
+
+  /** Lets time pass: work gets done, gangs break, leases lapse. */
+  void Advance(millis now);
+
+  /** The VM loses power or the process is killed. */
+  void Die(millis now);
+
+  /** Every run from now on fails at once. */
+  void SetSick(bool sick) { sick_ = sick; }
+
+  const worker_identity& self() const { return self_; }
+  const runner_options& options() const { return options_; }
+  int64_t ClockAt(millis now) const;
+  int64_t fence() const { return fence_; }
+  size_t running() const { return runs_.size(); }
+
+ private:
+  struct run_state {
+    std::string task;
+    int64_t run = 0;
+    std::string spec;
+    task_behavior behavior;
+    millis began{0};      // work; gangs: when complete
+    int64_t done_ms = 0;  // work done before this run
+    bool working = false;
+    millis stop_at{0};  // 0: not being stopped
+    bool bad = false;   // ends as failed
+  };
+
+  bool TakeFence(int64_t fence);
+  void TakeDeadline(int64_t deadline_ms);
+  void End(const run_ref& ref, run_end how, millis now);
+  void AdvanceRun(const run_ref& ref, run_state& run, millis now,
+                  std::vector<std::pair<run_ref, run_end>>& ends);
+  int64_t WorkDone(const run_state& run, millis now) const;
+  void Observe(runner_event::kind what, const run_state& run, millis now, int64_t number,
+               run_end how);
+
+  const worker_identity self_;
+  const runner_options options_;
+  standin_gangs& gangs_;
+  const runner_observer observe_;
+  const millis started_;
+  int64_t fence_ = 0;
+  int64_t deadline_ms_ = 0;
+  int64_t seen_upto_ = 0;
+  int64_t last_number_ = 0;
+  bool sick_ = false;
+  std::map<run_ref, run_state> runs_;
+  std::map<std::string, int64_t> barred_;  // by task: highest run that was stopped or has ended
+  std::vector<listed_end> ended_;
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/tests/stories/batch_hunt_story.cc
@@ -0,0 +1,112 @@
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+
+#include "tests/world/batch_world.h"
+
+namespace eelgrass {
+namespace {
+
+/** One random day: jobs all along, and faults that overlap. */
+void PlayDay(uint64_t seed) {
+  CAPTURE(seed);
+  batch_world_options options;
+  options.seed = seed;
+  options.entries = 2 + static_cast<int>(seed % 3);
+  options.workers = 4 + static_cast<int>(seed % 5);
+  batch_world world(options);
+  std::mt19937_64 random(seed);
+  const auto pick = [&](int below) {
+    return static_cast<int>(random() % static_cast<uint64_t>(below));
+  };
+  world.RunFor(millis(4000));
+  std::vector<std::string> jobs;
+  for (int step = 0; step < 60; ++step) {
+    if (pick(2) == 0) {
+      const std::string id = std::to_string(1000 + step);
+      const bool gang = pick(2) == 0;
+      batch_job job = MakeBatchJob(id, pick(3) == 0 ? "urgent" : "usual", 1 + pick(4),
+                                   millis(500 + 500 * pick(6)), 1 + pick(4), gang);
+      if (pick(8) == 0)
+        job.spec =
+            BehaviorText({{job.steps[0].estimate.count(), gang ? job.steps[0].count : 0, 1}});
+      jobs.push_back(job.id);
+      world.Submit(job);
+      world.Watch(job.id);
+    }
+    switch (pick(14)) {
+      case 0:
+        world.KillEntry(pick(world.entries()), millis(500 + pick(3000)));
+        break;
+      case 1:
+        if (world.Planner() >= 0) world.KillEntry(world.Planner(), millis(500 + pick(3000)));
+        break;
+      case 2:
+        world.FreezeEntry(pick(world.entries()), millis(500 + pick(5000)));
+        break;
+      case 3:
+        world.KillAgent(pick(world.workers()), millis(500 + pick(3000)));
+        break;
+      case 4: {
+        const int worker = pick(world.workers());
+        world.CutAgent(worker, true);
+        world.events().After(millis(2000 + pick(7000)),
+                             [&, worker] { world.CutAgent(worker, false); });
+        break;
+      }
+      case 5:
+        world.CrashWorker(pick(world.workers()), millis(500 + pick(3000)));
+        break;
+      case 6:
+      case 7: {
+        const auto fault = static_cast<store_fault>(1 + pick(4));
+        world.SetStore(fault);
+        world.events().After(millis(500 + pick(4000)), [&] { world.SetStore(store_fault::kNone); });
+        break;
+      }
+      case 8: {
+        const int entry = pick(world.entries());
+        world.CutEntry(entry, true);
+        world.events().After(millis(1000 + pick(6000)),
+                             [&, entry] { world.CutEntry(entry, false); });
+        break;
+      }
+      case 9:
+        world.SetLateOrders(0.3);
+        world.events().After(millis(500 + pick(4000)), [&] { world.SetLateOrders(0); });
+        break;
+      case 10:
+        if (!jobs.empty())
+          world.Cancel(jobs[static_cast<size_t>(pick(static_cast<int>(jobs.size())))]);
+        break;
+      case 11:
+        world.ForgetHistory();
+        break;
+      default:
+        break;
+    }
+    world.RunFor(millis(200 + pick(800)));
+  }
+  world.SetStore(store_fault::kNone);
+  world.SetLateOrders(0);
+  world.RunFor(millis(70000));
+  world.check().Finish();
+  for (const auto& line : world.check().broken()) MESSAGE(line);
+  CHECK(world.check().broken().empty());
+}
+
+/** Days to play; EELGRASS_HUNT_FIRST and EELGRASS_HUNT_DAYS choose others. */
+uint64_t Setting(const char* name, uint64_t otherwise) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+TEST_CASE("random days keep the promises about batch jobs") {
+  constexpr uint64_t kDays = 40;
+  const uint64_t first = Setting("EELGRASS_HUNT_FIRST", 1);
+  const uint64_t days = Setting("EELGRASS_HUNT_DAYS", kDays);
+  for (uint64_t seed = first; seed < first + days; ++seed) PlayDay(seed);
+}
+
+}  // namespace
+}  // namespace eelgrass
--- /dev/null
+++ b/tests/world/batch_check.cc
@@ -0,0 +1,107 @@
+#include "tests/world/batch_check.h"
+
+#include <algorithm>
+
+namespace eelgrass {
+namespace {
+
+/** A cancelled job's tasks may still be started for this long: the deployments' bound. */
+constexpr millis kCancelTime{3000};
+
+std::string JobOf(std::string_view task) { return std::string(task.substr(0, task.find('.'))); }
+
+}  // namespace
+
+void batch_check::Break(std::string_view rule, std::string_view what, millis at) {
+  broken_.push_back(std::string(rule) + " at " + std::to_string(at.count()) +
+                    " ms: " + std::string(what));
+}
+
+void batch_check::OnSubmitted(const batch_job& job) { jobs_[job.id].job = job; }
+
+void batch_check::OnAnswer(std::string_view id, call_kind kind, const caller_reply& reply,
+                           millis now) {
+  seen_job& job = jobs_[std::string(id)];
+  if (kind == call_kind::kSubmit) {
+    if (reply.answer == call_answer::kAccepted) job.accepted = true;
+    if (reply.answer == call_answer::kOutcomeUnknown) job.unclear = true;
+  } else if (reply.answer == call_answer::kCancelled) {
+    if (!job.cancelled) job.cancelled = now;
+  } else if (reply.answer == call_answer::kState) {
+    if (IsFinal(job.shown) && reply.state != job.shown) Break("REGRESS", id, now);
+    job.shown = reply.state;
+    if (reply.state == batch_state::kCompleted && !job.completed) job.completed = now;
+    if (reply.state == batch_state::kCancelled && !job.cancelled) job.cancelled = now;
+  }
+}
+
+void batch_check::OnRunner(const runner_event& event) {
+  if (event.what == runner_event::kind::kDied) {
+    for (auto& [task, runs] : live_) {
+      std::erase_if(runs, [&](const live_run& run) {
+        return run.worker == event.worker && run.born_ms == event.born_ms;
+      });
+    }
+    return;
+  }
+  std::vector<live_run>& runs = live_[event.task];
+  if (event.what == runner_event::kind::kEnded) {
+    ++ends_[event.how];
+    if (event.how == run_end::kFailed) ++failures_[event.task];
+    if (event.how == run_end::kDone) done_ends_[{event.worker, event.number}] = event.task;
+    std::erase_if(runs, [&](const live_run& run) { return run.run == event.run; });
+    return;
+  }
+  if (event.what == runner_event::kind::kSeen) {
+    if (event.how == run_end::kDone) done_noted_.insert(event.task);
+    return;
+  }
+  ++starts_;
+  began_.try_emplace(event.task, event.at);
+  if (!runs.empty()) Break("TWICE", event.task + " runs twice at once", event.at);
+  if (done_noted_.contains(event.task))
+    Break("TWICE", event.task + " runs after it was done", event.at);
+  runs.push_back({event.worker, event.born_ms, event.run});
+  const auto job = jobs_.find(JobOf(event.task));
+  if (job == jobs_.end()) return Break("UNASKED", event.task + " was never asked for", event.at);
+  seen_job& asked = job->second;
+  asked.started = true;
+  if (event.spec != asked.job.spec) Break("UNASKED", event.task + " has another text", event.at);
+  if (asked.completed)
+    Break("TWICE", event.task + " starts after its job was shown as done", event.at);
+  const bool late = asked.cancelled && event.at - *asked.cancelled > kCancelTime;
+  if (late) Break("UNASKED", event.task + " starts after its job was cancelled", event.at);
+}
+
+void batch_check::Finish() {
+  for (const auto& [id, job] : jobs_) {
+    const millis end{0};
+    if (!job.accepted && !job.unclear && job.started) Break("REFUSED", id + " ran", end);
+    if (!job.accepted || job.cancelled) continue;
+    if (job.shown == batch_state::kCompleted || job.shown == batch_state::kFailed) continue;
+    Break("LOST", id + " is " + std::string(BatchStateName(job.shown)), end);
+  }
+}
+
+int batch_check::ends(run_end how) const {
+  const auto found = ends_.find(how);
+  return found == ends_.end() ? 0 : found->second;
+}
+
+bool batch_check::accepted(std::string_view job) const {
+  const auto found = jobs_.find(job);
+  return found != jobs_.end() && found->second.accepted;
+}
+
+std::optional<millis> batch_check::began(std::string_view task) const {
+  const auto found = began_.find(task);
+  if (found == began_.end()) return std::nullopt;
+  return found->second;
+}
+
+std::optional<millis> batch_check::completed(std::string_view job) const {
+  const auto found = jobs_.find(job);
+  return found == jobs_.end() ? std::nullopt : found->second.completed;
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/tests/world/batch_world.cc
@@ -0,0 +1,729 @@
+#include "tests/world/batch_world.h"
+
+#include <algorithm>
+
+namespace eelgrass {
+namespace {
+
+constexpr millis kTick{50};
+constexpr millis kNetwork{1};
+constexpr millis kStoreTime{8};
+constexpr millis kWorkerTime{2};
+constexpr millis kSilence{1000};  // until a connection that says nothing is given up
+constexpr millis kRedial{300};
+constexpr millis kBeat{1500};
+constexpr millis kCallerWait{3000};
+constexpr millis kOrderTimeout{500};
+constexpr millis kHoldSlack{700};
+constexpr int kMostTries = 40;
+constexpr int64_t kWallOrigin = 1700000000000;
+
+/** The operators' rows of the world: the configuration itself stays with the world. */
+class world_source : public operator_source {
+ public:
+  explicit world_source(const batch_config& config) : config_(config) {}
+  std::string_view table() const override { return "operators"; }
+  row_key config_row() const override { return {"operators", "", "config"}; }
+
+  result<void> Apply(const row& change, millis, operator_state& state) const override {
+    if (change.at.key == "config") {
+      state.config = std::make_shared<const batch_config>(config_);
+      state.config_revision = change.revision;
+    } else if (change.deleted) {
+      state.evacuated.erase(change.at.key);
+    } else {
+      state.evacuated.insert(change.at.key);
+    }
+    return Ok();
+  }
+
+ private:
+  const batch_config& config_;
+};
+
+batch_config UsualConfig() {
+  batch_config config;
+  config.version = 1;
+  const auto queue = [](std::string name, int priority, double stretch) {
+    batch_queue made;
+    made.name = name;
+    made.host = "site";
+    made.path_prefix = "/" + name + "/";
+    made.service = "drying";
+    made.priority = priority;
+    made.attempts = 3;
+    made.stretch = stretch;
+    made.target_latency = millis(1000);
+    return made;
+  };
+  config.queues = {queue("urgent", 0, 1.5), queue("usual", 1, 3), queue("batch", 2, 3)};
+  config.services.push_back({"drying", true, false});
+  config.organisations.push_back({"shops", {"key-shops"}, 16});
+  config.organisations.push_back({"brokers", {"key-brokers"}, 8});
+  return config;
+}
+
+}  // namespace
+
+batch_job MakeBatchJob(std::string_view id, std::string_view queue, int tasks, millis work,
+                       int64_t accelerators, bool gang) {
+  batch_job job;
+  job.id = std::string(16 - id.size(), '0') + std::string(id);
+  job.queue = queue;
+  job.organisation = "shops";
+  batch_step step;
+  step.count = tasks;
+  step.each = {1000, 1000, accelerators};
+  step.estimate = work;
+  step.gang = gang;
+  step.checkpoints = true;
+  job.steps.push_back(step);
+  job.spec = BehaviorText({{work.count(), gang ? tasks : 0, 0}});
+  return job;
+}
+
+batch_world::batch_world(batch_world_options options)
+    : options_(std::move(options)), random_(options_.seed), config_(UsualConfig()) {
+  source_ = std::make_unique<world_source>(config_);
+  codec_ = std::move(record_codec_registry::Instance().Create("json").value());
+  order_ = std::move(unit_order_registry::Instance().Create(options_.order).value());
+  Configure([](batch_config&) {});
+  for (int i = 0; i < options_.entries; ++i) {
+    auto entry = std::make_unique<entry_process>();
+    entry->id = EntryId(i);
+    entry->index = i;
+    entries_.push_back(std::move(entry));
+  }
+  for (int i = 0; i < options_.workers; ++i) {
+    auto vm = std::make_unique<machine>();
+    vm->id = AgentId(i);
+    vm->index = i;
+    machines_.emplace(i, std::move(vm));
+  }
+  for (auto& entry : entries_) StartEntry(*entry);
+  for (auto& [index, vm] : machines_) {
+    StartAgent(*vm);
+    StartWorker(*vm);
+  }
+  events_.After(kRedial, [this] { Redial(); });
+}
+
+bool batch_world::Chance(double share) {
+  return std::uniform_real_distribution<double>(0, 1)(random_) < share;
+}
+
+millis batch_world::Between(millis least, millis most) {
+  return millis(std::uniform_int_distribution<int64_t>(least.count(), most.count())(random_));
+}
+
+batch_world::process* batch_world::FindProcess(std::string_view id) {
+  if (process* entry = FindEntry(id)) return entry;
+  return FindMachine(id);
+}
+
+batch_world::entry_process* batch_world::FindEntry(std::string_view id) {
+  for (auto& entry : entries_) {
+    if (entry->id == id) return entry.get();
+  }
+  return nullptr;
+}
+
+batch_world::machine* batch_world::FindMachine(std::string_view id) {
+  for (auto& [index, vm] : machines_) {
+    if (vm->id == id) return vm.get();
+  }
+  return nullptr;
+}
+
+int batch_world::Planner() const {
+  for (const auto& entry : entries_) {
+    if (entry->alive && entry->planner->planning()) return entry->index;
+  }
+  return -1;
+}
+
+void batch_world::StartEntry(entry_process& entry) {
+  entry.alive = true;
+  entry.life = ++last_life_;
+  gateway_options gateway;
+  gateway.node = entry.id;
+  gateway.peer_address = Address(entry.id);
+  entry.gateway = std::make_unique<gateway_core>(gateway, *source_, *codec_);
+  planner_options planner;
+  planner.node = entry.id;
+  planner.nonce = entry.id + "-" + std::to_string(entry.life);
+  planner.peer_address = Address(entry.id);
+  planner.longest_hold = options_.worker.longest_hold;
+  planner.tracking.grant = millis(4000);
+  planner.tracking.stop_timeout = options_.worker.stop_time;
+  entry.planner = std::make_unique<planner_core>(planner, *codec_, *order_);
+  for (const auto& other : entries_) {
+    if (other->id != entry.id) entry.dialled.insert(Address(other->id));
+  }
+  Tick(entry.id, entry.life);
+}
+
+void batch_world::StartAgent(machine& vm) {
+  vm.alive = true;
+  vm.life = ++last_life_;
+  vm.agent = std::make_unique<agent_core>(std::vector<std::string>{Address(EntryId(0))});
+  Tick(vm.id, vm.life);
+}
+
+void batch_world::StartWorker(machine& vm) {
+  vm.born_ms = kWallOrigin + now().count();
+  vm.sequence = 0;
+  vm.draining = false;
+  const std::string id = "worker-" + std::to_string(vm.index) + "-" + std::to_string(vm.born_ms);
+  vm.runner = std::make_unique<standin_runner>(
+      worker_identity{id, vm.born_ms}, options_.worker, gangs_,
+      [this](const runner_event& event) { check_.OnRunner(event); }, now());
+  Beat(vm);
+}
+
+void batch_world::Beat(machine& vm) {
+  if (vm.runner == nullptr) return;
+  vm.runner->Advance(now());
+  if (vm.alive && now() >= vm.frozen_until) {
+    worker_beat beat;
+    beat.worker.self = vm.runner->self();
+    beat.worker.service = "drying";
+    beat.worker.domain = "domain-" + std::to_string(vm.index % 3);
+    beat.worker.rack = "rack-" + std::to_string(vm.index / 3);
+    beat.worker.address = vm.id + ":8000";
+    beat.worker.capacity = options_.worker.capacity;
+    beat.worker.labels = {"a", beat.worker.rack};
+    beat.worker.draining = vm.draining;
+    beat.sequence = ++vm.sequence;
+    beat.clock_ms = vm.runner->ClockAt(now());
+    ToAgent(vm, beat);
+  }
+  const int64_t born = vm.born_ms;
+  events_.After(kBeat, [this, index = vm.index, born] {
+    machine& same = *machines_.at(index);
+    if (same.runner != nullptr && same.born_ms == born) Beat(same);
+  });
+}
+
+void batch_world::Tick(const std::string& id, int64_t life) {
+  process* own = FindProcess(id);
+  if (own == nullptr || own->life != life || !own->alive) return;
+  if (now() >= own->frozen_until) {
+    if (entry_process* entry = FindEntry(id)) {
+      std::vector<gateway_action> gateway;
+      entry->gateway->Decide({}, now(), gateway);
+      CarryOut(*entry, gateway);
+      std::vector<planner_action> planner;
+      entry->planner->Decide({}, now(), millis(kWallOrigin + now().count()), planner);
+      CarryOut(*entry, planner);
+    } else if (machine* vm = FindMachine(id)) {
+      if (vm->runner != nullptr) vm->runner->Advance(now());
+      std::vector<agent_action> actions;
+      vm->agent->Decide({}, now(), actions);
+      CarryOut(*vm, actions);
+    }
+  }
+  events_.After(kTick, [this, id, life] { Tick(id, life); });
+}
+
+bool batch_world::Connected(std::string_view a, std::string_view b) const {
+  return !cut_.contains(std::string(a)) && !cut_.contains(std::string(b));
+}
+
+void batch_world::SetCut(const std::string& id, bool cut) {
+  if (!cut) {
+    cut_.erase(id);
+    return;
+  }
+  cut_.insert(id);
+  Unlink(id, kSilence);
+}
+
+/** Both sides of a process's connections learn that they are gone. */
+void batch_world::Unlink(const std::string& id, millis delay) {
+  std::vector<std::pair<std::string, std::string>> gone;
+  for (const auto& link : links_) {
+    if (link.first == id || link.second == id) gone.push_back(link);
+  }
+  for (const auto& link : gone) links_.erase(link);
+  for (const auto& [a, b] : gone) {
+    events_.After(delay, [this, a = a, b = b] {
+      if (links_.contains({a, b})) return;
+      Deliver(a, peer_down{b, 0});
+      Deliver(b, peer_down{a, 0});
+    });
+  }
+}
+
+void batch_world::Dial(process& from, std::string_view address) {
+  from.dialled.insert(std::string(address));
+  Link(from.id, address.substr(0, address.find(':')));
+}
+
+void batch_world::Link(std::string_view from, std::string_view to) {
+  process* a = FindProcess(from);
+  process* b = FindProcess(to);
+  if (a == nullptr || b == nullptr || a == b || !a->alive || !b->alive) return;
+  if (now() < a->frozen_until || now() < b->frozen_until || !Connected(a->id, b->id)) return;
+  if (!links_.insert({std::min(a->id, b->id), std::max(a->id, b->id)}).second) return;
+  const auto greet = [&](const process& who) {
+    hello greeting;
+    greeting.id = who.id;
+    greeting.incarnation = who.life;
+    greeting.address = Address(who.id);
+    greeting.role = FindEntry(who.id) != nullptr ? peer_role::kEntry : peer_role::kWorkerAgent;
+    return peer_up{greeting};
+  };
+  Deliver(a->id, greet(*b));
+  Deliver(b->id, greet(*a));
+}
+
+/** Connections that are wanted and can be had come up; those of suspended processes go silent. */
+void batch_world::Redial() {
+  for (auto& entry : entries_) {
+    for (const auto& address : entry->dialled)
+      Link(entry->id, address.substr(0, address.find(':')));
+  }
+  for (auto& [index, vm] : machines_) {
+    for (const auto& address : vm->dialled) Link(vm->id, address.substr(0, address.find(':')));
+  }
+  events_.After(kRedial, [this] { Redial(); });
+}
+
+void batch_world::Deliver(std::string_view to, link_event event) {
+  process* target = FindProcess(to);
+  if (target == nullptr || !target->alive) return;
+  const int64_t life = target->life;
+  const millis at = std::max(now() + kNetwork, target->frozen_until);
+  events_.At(at, [this, id = target->id, life, event = std::move(event)]() mutable {
+    process* same = FindProcess(id);
+    if (same == nullptr || !same->alive || same->life != life) return;
+    if (machine* vm = FindMachine(id)) {
+      std::visit(
+          [&](auto& e) {
+            if constexpr (!std::is_same_v<std::decay_t<decltype(e)>, lane_lost>) ToAgent(*vm, e);
+          },
+          event);
+      return;
+    }
+    entry_process& entry = *FindEntry(id);
+    std::visit(
+        [&](auto& e) {
+          if constexpr (!std::is_same_v<std::decay_t<decltype(e)>, lane_lost>) {
+            ToGateway(entry, e);
+            ToPlanner(entry, e);
+          }
+        },
+        event);
+  });
+}
+
+void batch_world::Send(const std::string& from, const send_to_peer& message) {
+  const std::pair<std::string, std::string> link{std::min(from, message.peer),
+                                                 std::max(from, message.peer)};
+  if (!links_.contains(link) || !Connected(from, message.peer)) return;
+  Deliver(message.peer, peer_said{from, message.message});
+}
+
+void batch_world::ToGateway(entry_process& entry, gateway_event event) {
+  std::vector<gateway_event> events;
+  events.push_back(std::move(event));
+  std::vector<gateway_action> actions;
+  entry.gateway->Decide(events, now(), actions);
+  CarryOut(entry, actions);
+}
+
+void batch_world::ToPlanner(entry_process& entry, planner_event event) {
+  std::vector<planner_event> events;
+  events.push_back(std::move(event));
+  std::vector<planner_action> actions;
+  entry.planner->Decide(events, now(), millis(kWallOrigin + now().count()), actions);
+  CarryOut(entry, actions);
+}
+
+void batch_world::ToAgent(machine& vm, agent_event event) {
+  std::vector<agent_event> events;
+  events.push_back(std::move(event));
+  std::vector<agent_action> actions;
+  vm.agent->Decide(events, now(), actions);
+  CarryOut(vm, actions);
+}
+
+void batch_world::CarryOut(entry_process& entry, std::vector<gateway_action>& actions) {
+  const int64_t life = entry.life;
+  for (auto& action : actions) {
+    if (const auto* reply = std::get_if<caller_reply>(&action)) {
+      events_.After(kNetwork, [this, answer = *reply] { OnReply(answer); });
+    } else if (const auto* request = std::get_if<store_request>(&action)) {
+      CallStore(entry, *request, true);
+    } else if (const auto* send = std::get_if<send_to_peer>(&action)) {
+      Send(entry.id, *send);
+    } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
+      Dial(entry, dial->address);
+    } else if (auto* ask = std::get_if<ask_own_planner>(&action)) {
+      events_.After(millis(0), [this, id = entry.id, life, inquiry = ask->inquiry] {
+        entry_process* same = FindEntry(id);
+        if (same->alive && same->life == life) ToPlanner(*same, own_inquiry{inquiry});
+      });
+    } else if (auto* news = std::get_if<operator_news>(&action)) {
+      events_.After(millis(0),
+                    [this, id = entry.id, life, state = news->state, confirmed = news->confirmed] {
+                      entry_process* same = FindEntry(id);
+                      if (same->alive && same->life == life)
+                        ToPlanner(*same, operators_say{state, confirmed});
+                    });
+    }
+  }
+}
+
+void batch_world::CarryOut(entry_process& entry, std::vector<planner_action>& actions) {
+  const int64_t life = entry.life;
+  for (auto& action : actions) {
+    if (const auto* request = std::get_if<store_request>(&action)) {
+      CallStore(entry, *request, false);
+    } else if (const auto* send = std::get_if<send_to_peer>(&action)) {
+      Send(entry.id, *send);
+    } else if (const auto* tell = std::get_if<tell_gateway>(&action)) {
+      events_.After(millis(0), [this, id = entry.id, life, message = tell->message] {
+        entry_process* same = FindEntry(id);
+        if (same->alive && same->life == life) ToGateway(*same, own_planner_said{message});
+      });
+    }
+  }
+}
+
+void batch_world::CarryOut(machine& vm, std::vector<agent_action>& actions) {
+  for (auto& action : actions) {
+    if (const auto* send = std::get_if<send_to_peer>(&action)) {
+      Send(vm.id, *send);
+    } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
+      Dial(vm, dial->address);
+    } else if (const auto* hold = std::get_if<hold_call>(&action)) {
+      CallWorker(vm, *hold);
+    } else if (const auto* start = std::get_if<start_call>(&action)) {
+      CallWorker(vm, *start);
+    } else if (const auto* stop = std::get_if<stop_call>(&action)) {
+      CallWorker(vm, *stop);
+    }
+  }
+}
+
+void batch_world::CallStore(entry_process& entry, const store_request& request, bool gateway) {
+  ++store_calls_;
+  store_fault fault = store_fault_;
+  const auto own = entry_faults_.find(entry.id);
+  if (own != entry_faults_.end() && own->second != store_fault::kNone) fault = own->second;
+  if (cut_.contains(entry.id)) fault = store_fault::kSilent;
+  const bool writes = std::holds_alternative<row_transaction>(request.call);
+  store_reply reply{request.token, {}};
+  const auto give = [&](row_outcome outcome, millis delay) {
+    if (writes) {
+      transaction_result answer;
+      answer.outcome = outcome;
+      reply.answer = answer;
+    } else {
+      rows_result answer;
+      answer.outcome = outcome;
+      reply.answer = answer;
+    }
+    AnswerStore(entry.id, entry.life, gateway, reply, delay);
+  };
+  if (fault == store_fault::kRefuses) return give(row_outcome::kNotDone, kStoreTime);
+  if (fault == store_fault::kSilent) return give(row_outcome::kUnknown, request.timeout);
+  if (writes) {
+    const auto& change = std::get<row_transaction>(request.call);
+    const bool lost = fault == store_fault::kLosesAnswers && Chance(0.4);
+    const bool late = fault == store_fault::kLateWrites && Chance(0.4);
+    if (late) {
+      events_.After(Between(millis(1000), millis(6000)), [this, change] { rows_.Apply(change); });
+      return give(row_outcome::kUnknown, request.timeout);
+    }
+    events_.After(kStoreTime / 2, [this, id = entry.id, life = entry.life, gateway, change, lost,
+                                   token = request.token, timeout = request.timeout] {
+      transaction_result answer = rows_.Apply(change);
+      if (lost) {
+        answer = {};
+        answer.outcome = row_outcome::kUnknown;
+      }
+      AnswerStore(id, life, gateway, {token, answer}, lost ? timeout : kStoreTime / 2);
+    });
+    return;
+  }
+  if (const auto* range = std::get_if<row_range>(&request.call)) {
+    AnswerStore(entry.id, entry.life, gateway, {request.token, rows_.Read(*range)}, kStoreTime);
+    return;
+  }
+  FollowFeed(entry.id, entry.life, gateway, request, now() + std::get<row_feed>(request.call).wait);
+}
+
+void batch_world::FollowFeed(const std::string& id, int64_t life, bool gateway,
+                             const store_request& request, millis until) {
+  entry_process* entry = FindEntry(id);
+  if (!entry->alive || entry->life != life) return;
+  const auto& feed = std::get<row_feed>(request.call);
+  const bool unreachable = cut_.contains(id) || store_fault_ == store_fault::kSilent ||
+                           store_fault_ == store_fault::kRefuses;
+  if (unreachable) {
+    rows_result answer;
+    answer.outcome = row_outcome::kUnknown;
+    return AnswerStore(id, life, gateway, {request.token, answer}, request.timeout);
+  }
+  rows_result answer = rows_.Changes(feed.table, feed.after);
+  if (answer.outcome != row_outcome::kDone || !answer.rows.empty() || now() >= until) {
+    return AnswerStore(id, life, gateway, {request.token, answer}, kStoreTime / 2);
+  }
+  events_.After(millis(10), [this, id, life, gateway, request, until] {
+    FollowFeed(id, life, gateway, request, until);
+  });
+}
+
+void batch_world::AnswerStore(const std::string& id, int64_t life, bool gateway, store_reply reply,
+                              millis delay) {
+  entry_process* entry = FindEntry(id);
+  const millis at = std::max(now() + delay, entry->frozen_until);
+  events_.At(at, [this, id, life, gateway, reply = std::move(reply)]() mutable {
+    entry_process* same = FindEntry(id);
+    if (!same->alive || same->life != life) return;
+    if (gateway) {
+      ToGateway(*same, std::move(reply));
+    } else {
+      ToPlanner(*same, std::move(reply));
+    }
+  });
+}
+
+void batch_world::CallWorker(machine& vm, const hold_call& call) {
+  hold_answer answer;
+  answer.worker = call.worker;
+  answer.fence = call.fence;
+  const bool there = vm.runner != nullptr && vm.runner->self().id == call.worker.id;
+  if (!there) {
+    answer.outcome = call_outcome::kNeverSent;
+    return WaitForEnd(vm, call, answer, millis(0));
+  }
+  vm.runner->Hold(call, now());
+  answer.outcome = call.fence < vm.runner->fence() ? call_outcome::kRefused : call_outcome::kDone;
+  WaitForEnd(vm, call, answer, now() + call.wait);
+}
+
+void batch_world::WaitForEnd(machine& vm, const hold_call& call, hold_answer answer, millis until) {
+  const bool there = vm.runner != nullptr && vm.runner->self().id == call.worker.id;
+  if (there) vm.runner->Advance(now());
+  const bool wait = there && answer.outcome == call_outcome::kDone && now() < until &&
+                    !vm.runner->HasEndAfter(call.seen_upto);
+  const int64_t life = vm.life;
+  if (wait) {
+    events_.After(millis(10), [this, index = vm.index, life, call, answer, until] {
+      machine& same = *machines_.at(index);
+      if (same.alive && same.life == life) WaitForEnd(same, call, answer, until);
+    });
+    return;
+  }
+  if (there && answer.outcome == call_outcome::kDone) vm.runner->Lists(now(), answer);
+  const millis at = std::max(now() + kWorkerTime, vm.frozen_until);
+  events_.At(at, [this, index = vm.index, life, answer] {
+    machine& same = *machines_.at(index);
+    if (same.alive && same.life == life) ToAgent(same, answer);
+  });
+}
+
+void batch_world::CallWorker(machine& vm, const start_call& call) {
+  start_answer answer{call.worker, {call.run.task, call.run.run}, call.fence};
+  const int64_t life = vm.life;
+  const auto carry = [this, index = vm.index, call](start_answer& out) {
+    machine& same = *machines_.at(index);
+    if (same.runner == nullptr || same.runner->self().id != call.worker.id) {
+      out.outcome = call_outcome::kNeverSent;
+      return;
+    }
+    out.outcome = same.runner->Start(call, now(), out.refusal);
+  };
+  millis delay = kWorkerTime;
+  if (Chance(late_orders_)) {
+    events_.After(Between(millis(2000), millis(12000)),
+                  [carry, answer]() mutable { carry(answer); });
+    answer.outcome = call_outcome::kNoAnswer;
+    delay = kOrderTimeout;
+  } else {
+    carry(answer);
+  }
+  events_.At(std::max(now() + delay, vm.frozen_until), [this, index = vm.index, life, answer] {
+    machine& same = *machines_.at(index);
+    if (same.alive && same.life == life) ToAgent(same, answer);
+  });
+}
+
+void batch_world::CallWorker(machine& vm, const stop_call& call) {
+  stop_answer answer{call.worker, call.run, call.fence, call_outcome::kNeverSent};
+  const int64_t life = vm.life;
+  const auto carry = [this, index = vm.index, call](stop_answer& out) {
+    machine& same = *machines_.at(index);
+    const bool there = same.runner != nullptr && same.runner->self().id == call.worker.id;
+    out.outcome = there ? same.runner->Stop(call, now()) : call_outcome::kNeverSent;
+  };
+  millis delay = kWorkerTime;
+  if (Chance(late_orders_)) {
+    events_.After(Between(millis(2000), millis(12000)),
+                  [carry, answer]() mutable { carry(answer); });
+    answer.outcome = call_outcome::kNoAnswer;
+    delay = kOrderTimeout;
+  } else {
+    carry(answer);
+  }
+  events_.At(std::max(now() + delay, vm.frozen_until), [this, index = vm.index, life, answer] {
+    machine& same = *machines_.at(index);
+    if (same.alive && same.life == life) ToAgent(same, answer);
+  });
+}
+
+void batch_world::StopProcess(process& stopped) {
+  stopped.alive = false;
+  stopped.dialled.clear();
+  Unlink(stopped.id, kNetwork);
+}
+
+void batch_world::KillEntry(int index, millis down) {
+  entry_process& entry = *entries_.at(static_cast<size_t>(index));
+  if (!entry.alive) return;
+  StopProcess(entry);
+  events_.After(down, [this, index] {
+    entry_process& same = *entries_.at(static_cast<size_t>(index));
+    if (!same.alive) StartEntry(same);
+  });
+}
+
+void batch_world::FreezeEntry(int index, millis time) {
+  entry_process& entry = *entries_.at(static_cast<size_t>(index));
+  entry.frozen_until = std::max(entry.frozen_until, now() + time);
+  if (time > kSilence) Unlink(entry.id, kSilence);
+}
+
+void batch_world::KillAgent(int worker, millis down) {
+  machine& vm = *machines_.at(worker);
+  if (!vm.alive) return;
+  StopProcess(vm);
+  events_.After(down, [this, worker] {
+    machine& same = *machines_.at(worker);
+    if (!same.alive) StartAgent(same);
+  });
+}
+
+void batch_world::CrashWorker(int worker, millis down) {
+  machine& vm = *machines_.at(worker);
+  if (vm.runner == nullptr) return;
+  vm.runner->Die(now());
+  vm.runner.reset();
+  events_.After(down, [this, worker] {
+    machine& same = *machines_.at(worker);
+    if (same.runner == nullptr) StartWorker(same);
+  });
+}
+
+void batch_world::DrainWorker(int worker) {
+  machine& vm = *machines_.at(worker);
+  vm.draining = true;
+  Beat(vm);
+}
+
+void batch_world::PowerOffAll(millis down) {
+  for (int i = 0; i < options_.entries; ++i) KillEntry(i, down);
+  for (int i = 0; i < options_.workers; ++i) {
+    CrashWorker(i, down);
+    KillAgent(i, down);
+  }
+}
+
+void batch_world::Configure(std::function<void(batch_config&)> edit) {
+  edit(config_);
+  ++config_.version;
+  row_transaction change;
+  change.writes.push_back({source_->config_row(), std::to_string(config_.version)});
+  rows_.Apply(change);
+}
+
+void batch_world::Evacuate(std::string_view domain, bool out) {
+  row_transaction change;
+  const row_key at{"operators", "", std::string(domain)};
+  if (out) {
+    change.writes.push_back({at, "{}"});
+  } else {
+    change.removals.push_back(at);
+  }
+  rows_.Apply(change);
+}
+
+void batch_world::Submit(const batch_job& job) {
+  check_.OnSubmitted(job);
+  const uint64_t id = ++last_caller_;
+  callers_[id] = {job, call_kind::kSubmit, 0, false};
+  Try(id);
+}
+
+void batch_world::Cancel(std::string_view job) {
+  const uint64_t id = ++last_caller_;
+  batch_job named;
+  for (const auto& [other, caller] : callers_) {
+    if (caller.job.id == job) named = caller.job;
+  }
+  callers_[id] = {named, call_kind::kCancel, 0, false};
+  Try(id);
+}
+
+void batch_world::Watch(std::string_view job) { Ask(std::string(job)); }
+
+void batch_world::Ask(const std::string& job) {
+  const uint64_t id = ++last_caller_;
+  batch_job named;
+  for (const auto& [other, caller] : callers_) {
+    if (caller.job.id == job) named = caller.job;
+  }
+  callers_[id] = {named, call_kind::kState, 0, false};
+  Try(id);
+}
+
+/** Sends a call to the next entry; looks after its deadline whether to try again. */
+void batch_world::Try(uint64_t id) {
+  caller_try& caller = callers_.at(id);
+  if (caller.settled || caller.tries >= kMostTries) return;
+  const int tries = ++caller.tries;
+  entry_process& entry = *entries_.at((id + static_cast<uint64_t>(tries)) % entries_.size());
+  if (entry.alive && now() >= entry.frozen_until) {
+    caller_call call;
+    call.id = id;
+    call.kind = caller.kind;
+    call.host = "site";
+    call.path = "/" + caller.job.queue + "/" + caller.job.id;
+    call.key = "key-" + caller.job.organisation;
+    call.wait = kCallerWait;
+    if (caller.kind == call_kind::kSubmit) call.job = caller.job;
+    ToGateway(entry, call);
+  }
+  events_.After(kCallerWait, [this, id, tries] {
+    if (callers_.at(id).tries == tries) Try(id);
+  });
+}
+
+void batch_world::OnReply(const caller_reply& reply) {
+  caller_try& caller = callers_.at(reply.id);
+  if (caller.settled) return;
+  check_.OnAnswer(caller.job.id, caller.kind, reply, now());
+  const bool again = reply.answer == call_answer::kUnavailable ||
+                     reply.answer == call_answer::kBusy ||
+                     reply.answer == call_answer::kOutcomeUnknown;
+  const bool running = reply.answer == call_answer::kState && !IsFinal(reply.state);
+  const bool unknown_yet =
+      caller.kind == call_kind::kState && reply.answer == call_answer::kNoSuchJob;
+  if (again) {
+    const uint64_t id = reply.id;
+    events_.After(millis(500), [this, id, tries = caller.tries] {
+      if (callers_.at(id).tries == tries) Try(id);
+    });
+    return;
+  }
+  caller.settled = true;
+  if (running || unknown_yet) {
+    events_.After(millis(500), [this, job = caller.job.id] { Ask(job); });
+  }
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/tests/world/batch_world.h
@@ -0,0 +1,184 @@
+/** \file
+ * A whole deployment for batch jobs on a virtual clock: entries, agents, workers, store and
+ * callers.
+ */
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kernel/batch/agent_core.h"
+#include "kernel/batch/gateway_core.h"
+#include "kernel/batch/planner_core.h"
+#include "kernel/io/peer_hub.h"
+#include "standins/standin_rows.h"
+#include "tests/world/batch_check.h"
+#include "tests/world/timeline.h"
+
+namespace eelgrass {
+
+/** What the store does to calls. */
+enum class store_fault { kNone, kRefuses, kSilent, kLosesAnswers, kLateWrites };
+
+struct batch_world_options {
+  int entries = 3;
+  int workers = 6;
+  runner_options worker;
+  std::string order = "deadline";
+  uint64_t seed = 1;
+};
+
+/**
+ * Runs the deciding code of all processes against fakes at its interfaces. Faults are switched on
+ * and off by the test; every fault that the platform can have at these interfaces has a switch
+ * here.
+ */
+class batch_world {
+ public:
+  explicit batch_world(batch_world_options options = {});
+
+  timeline& events() { return events_; }
+  millis now() const { return events_.now(); }
+  void RunFor(millis time) { events_.RunUntil(events_.now() + time); }
+  batch_check& check() { return check_; }
+
+  /** A caller hands a job in, trying again at other entries until it knows. */
+  void Submit(const batch_job& job);
+  void Cancel(std::string_view job);
+
+  /** A caller asks for a job's state every half second until it is final. */
+  void Watch(std::string_view job);
+
+  /** Writes a configuration; returns its revision. */
+  void Configure(std::function<void(batch_config&)> edit);
+  void Evacuate(std::string_view domain, bool out);
+
+  void KillEntry(int entry, millis down);
+  void FreezeEntry(int entry, millis time);
+  void CutEntry(int entry, bool cut) { SetCut(EntryId(entry), cut); }
+  void KillAgent(int worker, millis down);
+  void CutAgent(int worker, bool cut) { SetCut(AgentId(worker), cut); }
+  void CrashWorker(int worker, millis down);
+  void DrainWorker(int worker);
+  void SetSick(int worker, bool sick) { machines_[worker]->runner->SetSick(sick); }
+  void PowerOffAll(millis down);
+
+  void SetStore(store_fault fault) { store_fault_ = fault; }
+  void SetStoreFor(int entry, store_fault fault) { entry_faults_[EntryId(entry)] = fault; }
+  void ForgetHistory() { rows_.ForgetHistory(); }
+
+  /** Orders to workers get no answer and are carried out seconds later, with this probability. */
+  void SetLateOrders(double share) { late_orders_ = share; }
+
+  /** The entry that plans; -1: nobody does. */
+  int Planner() const;
+  const standin_rows& rows() const { return rows_; }
+  int store_calls() const { return store_calls_; }
+  const standin_runner& worker(int index) const { return *machines_.at(index)->runner; }
+  int entries() const { return options_.entries; }
+  int workers() const { return options_.workers; }
+
+ private:
+  struct process {
+    std::string id;
+    bool alive = false;
+    millis frozen_until{0};
+    int64_t life = 0;  // counts starts; what was meant for an earlier one is dropped
+    std::set<std::string> dialled;
+  };
+  struct entry_process : process {
+    int index = 0;
+    std::unique_ptr<gateway_core> gateway;
+    std::unique_ptr<planner_core> planner;
+  };
+  struct machine : process {
+    int index = 0;
+    std::unique_ptr<agent_core> agent;
+    std::unique_ptr<standin_runner> runner;
+    int64_t born_ms = 0;
+    int64_t sequence = 0;
+    bool draining = false;
+  };
+  struct caller_try {
+    batch_job job;
+    call_kind kind = call_kind::kSubmit;
+    int tries = 0;
+    bool settled = false;
+  };
+
+  std::string EntryId(int index) const { return "entry-" + std::to_string(index); }
+  std::string AgentId(int index) const { return "agent-" + std::to_string(index); }
+  std::string Address(std::string_view id) const { return std::string(id) + ":7000"; }
+  process* FindProcess(std::string_view id);
+  entry_process* FindEntry(std::string_view id);
+  machine* FindMachine(std::string_view id);
+  void SetCut(const std::string& id, bool cut);
+  bool Connected(std::string_view a, std::string_view b) const;
+
+  void StartEntry(entry_process& entry);
+  void StartAgent(machine& vm);
+  void StartWorker(machine& vm);
+  void StopProcess(process& stopped);
+  void Tick(const std::string& id, int64_t life);
+  void Beat(machine& vm);
+  void Link(std::string_view from, std::string_view to);
+  void Unlink(const std::string& id, millis delay);
+  void Dial(process& from, std::string_view address);
+  void Redial();
+
+  void Deliver(std::string_view to, link_event event);
+  void Send(const std::string& from, const send_to_peer& message);
+  void ToGateway(entry_process& entry, gateway_event event);
+  void ToPlanner(entry_process& entry, planner_event event);
+  void ToAgent(machine& vm, agent_event event);
+  void CarryOut(entry_process& entry, std::vector<gateway_action>& actions);
+  void CarryOut(entry_process& entry, std::vector<planner_action>& actions);
+  void CarryOut(machine& vm, std::vector<agent_action>& actions);
+  void CallStore(entry_process& entry, const store_request& request, bool gateway);
+  void AnswerStore(const std::string& id, int64_t life, bool gateway, store_reply reply,
+                   millis delay);
+  void FollowFeed(const std::string& id, int64_t life, bool gateway, const store_request& request,
+                  millis until);
+  void CallWorker(machine& vm, const hold_call& call);
+  void WaitForEnd(machine& vm, const hold_call& call, hold_answer answer, millis until);
+  void CallWorker(machine& vm, const start_call& call);
+  void CallWorker(machine& vm, const stop_call& call);
+  void Try(uint64_t caller);
+  void OnReply(const caller_reply& reply);
+  void Ask(const std::string& job);
+  bool Chance(double share);
+  millis Between(millis least, millis most);
+
+  const batch_world_options options_;
+  timeline events_;
+  std::mt19937_64 random_;
+  standin_rows rows_;
+  standin_gangs gangs_;
+  batch_check check_;
+  std::unique_ptr<operator_source> source_;
+  std::unique_ptr<batch_record_codec> codec_;
+  std::unique_ptr<unit_order> order_;
+  std::vector<std::unique_ptr<entry_process>> entries_;
+  std::map<int, std::unique_ptr<machine>> machines_;
+  std::set<std::pair<std::string, std::string>> links_;
+  std::set<std::string> cut_;
+  store_fault store_fault_ = store_fault::kNone;
+  std::map<std::string, store_fault, std::less<>> entry_faults_;
+  double late_orders_ = 0;
+  std::map<uint64_t, caller_try> callers_;
+  uint64_t last_caller_ = 0;
+  batch_config config_;
+  int store_calls_ = 0;
+  int64_t last_life_ = 0;
+};
+
+/** A job of one step, for stories. */
+batch_job MakeBatchJob(std::string_view id, std::string_view queue, int tasks, millis work,
+                       int64_t accelerators, bool gang = false);
+
+}  // namespace eelgrass
