--- a/src/daemons/eelgrass_batch.cc
+++ b/src/daemons/eelgrass_batch.cc
@@ -54,7 +54,7 @@
     std::cerr << kUse;
     return kBadUse;
   }
-  eelgrass::StartLogging(arguments[0]);
+  eelgrass::StartLoggingToOutput(arguments[0]);
   const auto source = eelgrass::deployment_registry::Instance().Create("platform");
   if (!source) {
     std::cerr << eelgrass::ToString(source.error()) << "\n";
@@ -71,6 +71,8 @@
     std::cerr << eelgrass::ToString(place.error()) << "\n";
     return kBadUse;
   }
-  if (role == "entry") return RunNode<eelgrass::batch_entry>(place.value(), signals);
-  return RunNode<eelgrass::batch_agent>(place.value(), signals);
+  const int exit_code = role == "entry" ? RunNode<eelgrass::batch_entry>(place.value(), signals)
+                                        : RunNode<eelgrass::batch_agent>(place.value(), signals);
+  eelgrass::StopLoggingToOutput();
+  return exit_code;
 }
--- a/src/daemons/node/batch_agent.cc
+++ b/src/daemons/node/batch_agent.cc
@@ -33,6 +33,10 @@
   beats.listen = place_.control_address;
   server_ = BOOST_OUTCOME_TRYX(front_registry::Instance().Create("restinio", beats));
   front_ = BOOST_OUTCOME_TRYX(beat_front_registry::Instance().Create("platform", *server_));
+  front_options scraper;
+  scraper.listen = MetricsAddress(place_);
+  metrics_server_ = BOOST_OUTCOME_TRYX(front_registry::Instance().Create("restinio", scraper));
+  metrics_page_ = std::make_unique<status_page>(*metrics_server_, counters_);
   core_ = std::make_unique<agent_core>(SeedAddresses(place_));
   duty_ =
       std::make_unique<duty<agent_event>>(duty_options{"agent", kRing, 64, kTick}, clock_, *this);
@@ -43,6 +47,7 @@
   BOOST_OUTCOME_TRY(Build());
   BOOST_OUTCOME_TRY(hub_->Start(*this));
   duty_->Start();
+  BOOST_OUTCOME_TRY(metrics_page_->Start());
   BOOST_OUTCOME_TRY(front_->Start(*this));
   log_event("agent-started").With("node", place_.node).With("worker", place_.worker_address);
   return Ok();
@@ -71,10 +76,13 @@
   } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
     hub_->Dial(dial->address);
   } else if (const auto* hold = std::get_if<hold_call>(&action)) {
+    counters_.Count("worker_calls_total{call=\"hold\"}");
     control_->Hold(*hold, hold->wait + kHoldSlack, deliver);
   } else if (const auto* start = std::get_if<start_call>(&action)) {
+    counters_.Count("worker_calls_total{call=\"start\"}");
     control_->Start(*start, kOrderTimeout, deliver);
   } else if (const auto* stop = std::get_if<stop_call>(&action)) {
+    counters_.Count("worker_calls_total{call=\"stop\"}");
     control_->Stop(*stop, kOrderTimeout, deliver);
   } else if (const auto* pace = std::get_if<pace_call>(&action)) {
     control_->Pace(*pace, kOrderTimeout, deliver);
@@ -94,6 +102,7 @@
 
 void batch_agent::Stop() {
   if (server_) server_->Stop();
+  if (metrics_server_) metrics_server_->Stop();
   if (client_) client_->Stop();
   if (duty_) duty_->Stop();
   if (hub_) hub_->Stop();
--- a/src/daemons/node/batch_agent.h
+++ b/src/daemons/node/batch_agent.h
@@ -46,6 +46,8 @@
   std::unique_ptr<http_client> client_;
   std::unique_ptr<worker_control> control_;
   std::unique_ptr<http_front> server_;
+  std::unique_ptr<http_front> metrics_server_;
+  std::unique_ptr<status_page> metrics_page_;
   std::unique_ptr<beat_front> front_;
   std::unique_ptr<agent_core> core_;
   std::unique_ptr<duty<agent_event>> duty_;
--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -15,6 +15,7 @@
 constexpr millis kPlannerTick{50};
 constexpr millis kMainTick{200};
 constexpr int kNonceBytes = 8;
+constexpr millis kGaugeInterval{1000};
 
 /** Larger bodies end the connection; the configuration's own bound is below. */
 constexpr int64_t kMaxBodyBytes = 1 << 20;
@@ -56,6 +57,7 @@
 void gateway_duty::Carry(gateway_action& action) {
   if (const auto* reply = std::get_if<caller_reply>(&action)) {
     counters_.Count("calls_total{answer=\"" + std::string(CallAnswerName(reply->answer)) + "\"}");
+    counters_.Record("call_ms", static_cast<double>(reply->took.count()));
     front_.Reply(*reply);
   } else if (const auto* request = std::get_if<store_request>(&action)) {
     counters_.Count("store_calls_total{duty=\"gateway\"}");
@@ -87,6 +89,15 @@
   for (auto& action : actions_) Carry(action);
   actions_.clear();
   handed_over_ = core_.handed_over();
+  if (now < next_gauges_) return;
+  next_gauges_ = now + kGaugeInterval;
+  const planner_stats stats = core_.stats();
+  counters_.Set("planning", stats.planning ? 1 : 0);
+  counters_.Set("open_jobs", stats.open_jobs);
+  counters_.Set("waiting_jobs", stats.waiting_jobs);
+  counters_.Set("workers", stats.workers);
+  counters_.Set("runs", stats.runs);
+  counters_.Set("term", stats.term);
 }
 
 void planner_duty::Carry(planner_action& action) {
@@ -120,6 +131,10 @@
   front_options balancer;
   balancer.listen = place_.ready_address;
   ready_server_ = BOOST_OUTCOME_TRYX(front_registry::Instance().Create("restinio", balancer));
+  front_options scraper;
+  scraper.listen = MetricsAddress(place_);
+  metrics_server_ = BOOST_OUTCOME_TRYX(front_registry::Instance().Create("restinio", scraper));
+  metrics_page_ = std::make_unique<status_page>(*metrics_server_, counters_);
   front_ = BOOST_OUTCOME_TRYX(job_front_registry::Instance().Create("platform", *front_server_));
   source_ = BOOST_OUTCOME_TRYX(operator_source_registry::Instance().Create("platform"));
   records_ = BOOST_OUTCOME_TRYX(record_codec_registry::Instance().Create("json"));
@@ -159,6 +174,7 @@
   gateway_duty_->Start();
   planner_duty_->Start();
   BOOST_OUTCOME_TRY(status_->Start());
+  BOOST_OUTCOME_TRY(metrics_page_->Start());
   BOOST_OUTCOME_TRY(front_->Start(*this));
   for (const auto& seed : SeedAddresses(place_)) hub_->Dial(seed);
   log_event("entry-started")
@@ -221,6 +237,7 @@
 void batch_entry::Stop() {
   if (front_server_) front_server_->Stop();
   if (ready_server_) ready_server_->Stop();
+  if (metrics_server_) metrics_server_->Stop();
   if (client_) client_->Stop();
   if (gateway_duty_) gateway_duty_->Stop();
   if (planner_duty_) planner_duty_->Stop();
--- a/src/daemons/node/batch_entry.h
+++ b/src/daemons/node/batch_entry.h
@@ -62,6 +62,7 @@
   store_port<planner_event>* store_ = nullptr;
   event_sink<gateway_event>* gateway_ = nullptr;
   std::vector<planner_action> actions_;
+  millis next_gauges_{0};
   std::atomic<bool> handed_over_{true};
 };
 
@@ -93,8 +94,10 @@
   std::unique_ptr<row_store> store_;
   std::unique_ptr<http_front> front_server_;
   std::unique_ptr<http_front> ready_server_;
+  std::unique_ptr<http_front> metrics_server_;
   std::unique_ptr<job_front> front_;
   std::unique_ptr<status_page> status_;
+  std::unique_ptr<status_page> metrics_page_;
   std::unique_ptr<operator_source> source_;
   std::unique_ptr<batch_record_codec> records_;
   std::unique_ptr<unit_order> order_;
--- a/src/daemons/node/batch_peers.cc
+++ b/src/daemons/node/batch_peers.cc
@@ -29,6 +29,10 @@
   return options;
 }
 
+std::string MetricsAddress(const deployment& place) {
+  return PeerAddress(place.ip + ":0", place.last_port);
+}
+
 std::vector<std::string> SeedAddresses(const deployment& place) {
   const std::string own = PeerAddress(place.ip + ":0", place.first_port);
   std::vector<std::string> addresses;
--- a/src/daemons/node/batch_peers.h
+++ b/src/daemons/node/batch_peers.h
@@ -15,6 +15,9 @@
 /** Identity and listening address of a process; agents dial only. */
 hub_options MakeBatchHub(const deployment& place, peer_role role, const clock& time);
 
+/** Where a process serves its metrics: the last port of the nodes' range. */
+std::string MetricsAddress(const deployment& place);
+
 /** Where the entries named in the deployment accept peers, without this process itself. */
 std::vector<std::string> SeedAddresses(const deployment& place);
 
--- a/src/kernel/base/log_event.h
+++ b/src/kernel/base/log_event.h
@@ -30,4 +30,13 @@
 /** Starts glog for a program: lines go to standard error. */
 void StartLogging(const char* program);
 
+/**
+ * Starts glog for a program: lines go to standard output through a thread of their own, so that a
+ * reader that does not read holds up nobody.
+ */
+void StartLoggingToOutput(const char* program);
+
+/** Writes what is left. Call it when all other threads have ended. */
+void StopLoggingToOutput();
+
 }  // namespace eelgrass
--- a/src/kernel/batch/caller_call.h
+++ b/src/kernel/batch/caller_call.h
@@ -51,6 +51,7 @@
   batch_state state = batch_state::kPending;
   int64_t waiting = 0;
   millis retry_after{0};  // refusals only
+  millis took{0};         // since the call arrived
   std::string detail{};
 };
 
--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -317,6 +317,7 @@
         .With("config_age_ms", (now - operators_.confirmed()).count())
         .With("detail", reply.detail);
   }
+  reply.took = now - call.arrived;
   out_->emplace_back(std::move(reply));
   call.call.id = 0;
 }
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -247,6 +247,20 @@
   return waiting;
 }
 
+planner_stats planner_core::stats() const {
+  planner_stats stats;
+  stats.planning = planning_;
+  if (!term_.holding()) return stats;
+  stats.term = term_.fence();
+  stats.open_jobs = static_cast<int64_t>(book_->open().size());
+  for (const auto& id : book_->open()) stats.waiting_jobs += book_->Find(id)->begun ? 0 : 1;
+  stats.workers = static_cast<int64_t>(pool_.all().size());
+  for (const auto& [id, worker] : pool_.all()) {
+    stats.runs += static_cast<int64_t>(worker.runs.size());
+  }
+  return stats;
+}
+
 void planner_core::TakeWritten(millis) {
   const auto written = journal_.TakeWritten();
   if (!written) return;
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -53,6 +53,16 @@
   millis longest_hold{6000};  // no lease is longer than this
 };
 
+/** The planner's load, for metrics. All zero while another entry plans. */
+struct planner_stats {
+  bool planning = false;
+  int64_t term = 0;
+  int64_t open_jobs = 0;
+  int64_t waiting_jobs = 0;  // open, and nothing of them has begun
+  int64_t workers = 0;
+  int64_t runs = 0;  // placed, begun or stopping
+};
+
 /**
  * Joins the planner's parts. While another entry plans it only watches the term. After a takeover
  * it reads what is stored, raises the fence at every agent, and starts nothing until each worker on
@@ -69,6 +79,7 @@
   bool handed_over() const { return !term_.holding() || journal_.handed_over(); }
 
   bool planning() const { return planning_; }
+  planner_stats stats() const;
   const job_book& book() const { return *book_; }
   const worker_pool& pool() const { return pool_; }
 
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -14,7 +14,7 @@
 constexpr millis kGroupTime{400};
 
 /** The term is rewritten at least this often, so that followers see that its holder is alive. */
-constexpr millis kRenewal{1000};
+constexpr millis kRenewal{800};
 
 /** Entries of one transaction, by the store's bound of 100 less the term's own. */
 constexpr size_t kMaxEntries = 90;
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -54,7 +54,9 @@
     if (known != nullptr && known->profile.self == self && report.term == term_) {
       known->listing = false;
       known->lease_end = std::min(known->lease_end, now + kLeaveTime);
-      log_event("worker-gone").With("worker", self.id).With("runs", known->runs.size());
+      log_event("worker-gone")
+          .With("worker", self.id)
+          .With("runs", static_cast<int64_t>(known->runs.size()));
     }
     return;
   }
--- a/src/kernel/batch/term_keeper.cc
+++ b/src/kernel/batch/term_keeper.cc
@@ -8,10 +8,10 @@
 namespace {
 
 /** A planner that was just lost may only have had its connections reset: time for new ones. */
-constexpr millis kPatience{300};
+constexpr millis kPatience{100};
 
 /** A holder rewrites the row more often than this; one that does not is not alive. */
-constexpr millis kObservation{1700};
+constexpr millis kObservation{1250};
 
 /** A holder without a confirmed write for this long asks the others to take over. */
 constexpr millis kStoreLost{2300};
--- a/src/plugins/peer/asio/asio_hub.cc
+++ b/src/plugins/peer/asio/asio_hub.cc
@@ -13,6 +13,10 @@
 
 constexpr millis kTick{200};
 constexpr millis kHandshakeTimeout{1000};
+
+/** A connection that is not there by now is tried anew: the system's own next try takes seconds. */
+constexpr millis kConnectTimeout{600};
+
 constexpr int kNonceBytes = 16;
 constexpr size_t kMostLanesPerTarget = 4;
 constexpr millis kFirstBackoff{100};
@@ -142,19 +146,28 @@
 void asio_hub::Connect(const std::string& address) {
   ++targets_[address].connecting;
   auto socket = std::make_shared<asio::ip::tcp::socket>(context_);
-  socket->async_connect(ParseEndpoint(address), [this, address, socket](asio::error_code error) {
-    const auto goal = targets_.find(address);
-    if (goal == targets_.end() || stopping_) return;
-    --goal->second.connecting;
-    if (error) {
-      const int doublings = std::min(goal->second.failures++, kMaxDoublings);
-      goal->second.next_dial =
-          clock_.Now() + std::min(kMaxBackoff, kFirstBackoff * (int64_t{1} << doublings));
-      return;
-    }
-    goal->second.failures = 0;
-    Open(std::move(*socket), true)->address = address;
+  auto limit = std::make_shared<asio::steady_timer>(
+      context_, std::chrono::milliseconds(kConnectTimeout.count()));
+  limit->async_wait([socket](asio::error_code cancelled) {
+    asio::error_code ignored;
+    if (!cancelled) socket->close(ignored);
   });
+  socket->async_connect(
+      ParseEndpoint(address), [this, address, socket, limit](asio::error_code error) {
+        limit->cancel();
+        if (!error && !socket->is_open()) error = asio::error::timed_out;
+        const auto goal = targets_.find(address);
+        if (goal == targets_.end() || stopping_) return;
+        --goal->second.connecting;
+        if (error) {
+          const int doublings = std::min(goal->second.failures++, kMaxDoublings);
+          goal->second.next_dial =
+              clock_.Now() + std::min(kMaxBackoff, kFirstBackoff * (int64_t{1} << doublings));
+          return;
+        }
+        goal->second.failures = 0;
+        Open(std::move(*socket), true)->address = address;
+      });
 }
 
 std::shared_ptr<peer_lane> asio_hub::Open(asio::ip::tcp::socket socket, bool dialled) {
