Advice, pacing, and a takeover at once when nobody listens at the planner's address

Cause: queues whose policy demands advice could not start anything; tasks that fill disturbed tasks that serve; a killed planner was replaced only after its row had not changed for 1.25 s.

Change: advice_desk asks for tickets, one call at a time, and the start planner keeps to workers with a good one; pace_policy at the agent cuts fillers back as soon as a serving task nears its target; the transport tells when a dialled address refuses, and the term of a process that has ended is taken over at once. Tasks that last are preempted only as far as their step may miss them.

Ruled out: upkeep waves and moves. Machines beside an agent answer 'busy' to both, and all workers of the known deployments stand beside one (docs/PLATFORM.md, questions).

--- a/src/daemons/node/agent_links.h
+++ b/src/daemons/node/agent_links.h
@@ -21,7 +21,8 @@
  private:
   template <typename Link>
   void Deliver(Link& link) {
-    if constexpr (!std::is_same_v<Link, lane_lost>) target_.Deliver(std::move(link));
+    constexpr bool kSkipped = std::is_same_v<Link, lane_lost> || std::is_same_v<Link, peer_refused>;
+    if constexpr (!kSkipped) target_.Deliver(std::move(link));
   }
 
   event_sink<Event>& target_;
--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -79,9 +79,12 @@
 planner_duty::planner_duty(planner_core& core, peer_hub& hub, const clock& time, metrics& counters)
     : core_(core), hub_(hub), clock_(time), counters_(counters) {}
 
-void planner_duty::Join(store_port<planner_event>& store, event_sink<gateway_event>& gateway) {
+void planner_duty::Join(store_port<planner_event>& store, event_sink<gateway_event>& gateway,
+                        advice_service& advice, event_sink<planner_event>& self) {
   store_ = &store;
   gateway_ = &gateway;
+  advice_ = &advice;
+  self_ = &self;
 }
 
 void planner_duty::Handle(std::span<planner_event> events, millis now) {
@@ -109,6 +112,9 @@
   } else if (auto* tell = std::get_if<tell_gateway>(&action)) {
     // A full ring means that the gateway asks again.
     gateway_->Offer(own_planner_said{std::move(tell->message)});
+  } else if (const auto* advice = std::get_if<advice_request>(&action)) {
+    counters_.Count("advice_calls_total");
+    advice_->Ask(*advice, [this](advice_reply reply) { self_->Deliver(std::move(reply)); });
   }
 }
 
@@ -124,6 +130,8 @@
   client_ = BOOST_OUTCOME_TRYX(client_registry::Instance().Create("curl", client_options{}));
   store_ = BOOST_OUTCOME_TRYX(row_store_registry::Instance().Create(
       "platform", row_store_options{place_.store_address}, *client_));
+  advice_ = BOOST_OUTCOME_TRYX(advice_registry::Instance().Create(
+      "platform", advice_options{place_.advice_address}, *client_));
   front_options callers;
   callers.listen = place_.front_address;
   callers.max_body = kMaxBodyBytes;
@@ -164,7 +172,7 @@
   gateway_store_ = std::make_unique<store_port<gateway_event>>(*store_, *gateway_duty_);
   planner_store_ = std::make_unique<store_port<planner_event>>(*store_, *planner_duty_);
   gateway_handler_->Join(*gateway_store_, *planner_duty_);
-  planner_handler_->Join(*planner_store_, *gateway_duty_);
+  planner_handler_->Join(*planner_store_, *gateway_duty_, *advice_, *planner_duty_);
   return Ok();
 }
 
@@ -195,6 +203,8 @@
   } else if (const auto* down = std::get_if<peer_down>(&event)) {
     gateway_duty_->Deliver(*down);
     planner_duty_->Deliver(*down);
+  } else if (const auto* refused = std::get_if<peer_refused>(&event)) {
+    planner_duty_->Deliver(*refused);
   } else if (auto* said = std::get_if<peer_said>(&event)) {
     const bool both = std::holds_alternative<planner_notice>(said->message);
     const bool callers = std::holds_alternative<job_reply>(said->message);
--- a/src/daemons/node/batch_entry.h
+++ b/src/daemons/node/batch_entry.h
@@ -13,6 +13,7 @@
 #include "kernel/base/duty.h"
 #include "kernel/batch/gateway_core.h"
 #include "kernel/batch/planner_core.h"
+#include "kernel/io/advice_service.h"
 #include "kernel/io/deployment.h"
 #include "kernel/io/job_front.h"
 #include "kernel/io/peer_hub.h"
@@ -48,7 +49,8 @@
  public:
   planner_duty(planner_core& core, peer_hub& hub, const clock& time, metrics& counters);
 
-  void Join(store_port<planner_event>& store, event_sink<gateway_event>& gateway);
+  void Join(store_port<planner_event>& store, event_sink<gateway_event>& gateway,
+            advice_service& advice, event_sink<planner_event>& self);
   void Handle(std::span<planner_event> events, millis now) override;
   bool handed_over() const { return handed_over_; }
 
@@ -61,6 +63,8 @@
   metrics& counters_;
   store_port<planner_event>* store_ = nullptr;
   event_sink<gateway_event>* gateway_ = nullptr;
+  advice_service* advice_ = nullptr;
+  event_sink<planner_event>* self_ = nullptr;
   std::vector<planner_action> actions_;
   millis next_gauges_{0};
   std::atomic<bool> handed_over_{true};
@@ -92,6 +96,7 @@
   std::unique_ptr<peer_hub> hub_;
   std::unique_ptr<http_client> client_;
   std::unique_ptr<row_store> store_;
+  std::unique_ptr<advice_service> advice_;
   std::unique_ptr<http_front> front_server_;
   std::unique_ptr<http_front> ready_server_;
   std::unique_ptr<http_front> metrics_server_;
--- a/src/daemons/node/entry_links.cc
+++ b/src/daemons/node/entry_links.cc
@@ -23,9 +23,11 @@
   }
   std::visit(
       [this](auto& e) {
-        auto copy = e;
-        router_.Deliver(std::move(copy));
-        control_.Deliver(std::move(e));
+        if constexpr (!std::is_same_v<std::decay_t<decltype(e)>, peer_refused>) {
+          auto copy = e;
+          router_.Deliver(std::move(copy));
+          control_.Deliver(std::move(e));
+        }
       },
       event);
 }
--- a/src/kernel/batch/agent_core.cc
+++ b/src/kernel/batch/agent_core.cc
@@ -95,7 +95,9 @@
   if (worker_steward* steward = Find(answer.worker.id)) steward->On(answer, now);
 }
 
-void agent_core::On(const pace_answer&, millis) {}
+void agent_core::On(const pace_answer& answer, millis) {
+  if (worker_steward* steward = Find(answer.worker.id)) steward->On(answer);
+}
 
 void agent_core::On(const peer_up& event, millis) {
   if (event.peer.id == planner_) next_report_ = millis(0);
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -74,6 +74,7 @@
 void planner_core::On(peer_up& event, millis now) {
   if (event.peer.role == peer_role::kEntry) {
     entries_[event.peer.id] = event.peer.address;
+    lost_entries_.erase(event.peer.id);
     term_.OnLinked(event.peer.id, now);
   } else {
     agents_.insert(event.peer.id);
@@ -85,8 +86,17 @@
   }
 }
 
+void planner_core::On(peer_refused& event, millis now) {
+  for (const auto& [id, address] : lost_entries_) {
+    if (address == event.address) term_.OnGone(id, now);
+  }
+}
+
 void planner_core::On(peer_down& event, millis now) {
-  entries_.erase(event.peer);
+  if (const auto entry = entries_.find(event.peer); entry != entries_.end()) {
+    lost_entries_[entry->first] = entry->second;
+    entries_.erase(entry);
+  }
   agents_.erase(event.peer);
   term_.OnUnlinked(event.peer, now);
   tracker_->OnAgentLost(event.peer);
@@ -113,6 +123,11 @@
   for (const auto& id : agents_) out_->emplace_back(send_to_peer{id, notice});
 }
 
+void planner_core::On(advice_reply& event, millis now) {
+  advice_.On(event, now);
+  planned_changes_ = -1;
+}
+
 void planner_core::On(own_inquiry& event, millis now) { Answer("", event.inquiry, now); }
 
 void planner_core::On(operators_say& event, millis) {
@@ -137,6 +152,7 @@
   tracker_->Begin(term_.fence(), now);
   early_reports_.clear();
   reported_.clear();
+  advice_.Reset();
 }
 
 void planner_core::EndTerm(millis) {
@@ -321,8 +337,9 @@
   if (changes == planned_changes_ && now < next_plan_) return;
   planned_changes_ = changes;
   next_plan_ = now + kPlanInterval;
-  const planning_view view{*book_, pool_, *operators_.config, operators_.evacuated, now};
+  const planning_view view{*book_, pool_, *operators_.config, operators_.evacuated, &advice_, now};
   tracker_->Apply(starts_.Plan(view), now);
+  if (auto request = advice_.Next(view)) out_->emplace_back(std::move(*request));
 }
 
 planner_notice planner_core::Notice(millis now) const {
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "kernel/batch/advice_desk.h"
 #include "kernel/batch/planner_journal.h"
 #include "kernel/batch/run_tracker.h"
 #include "kernel/batch/start_planner.h"
@@ -33,15 +34,15 @@
 /** The process is to end: hand the term over. */
 struct planner_drain {};
 
-using planner_event = std::variant<store_reply, peer_up, peer_down, peer_said, own_inquiry,
-                                   operators_say, planner_drain>;
+using planner_event = std::variant<store_reply, peer_up, peer_down, peer_refused, peer_said,
+                                   own_inquiry, operators_say, planner_drain, advice_reply>;
 
 /** To this entry's own gateway. */
 struct tell_gateway {
   std::variant<job_reply, planner_notice> message;
 };
 
-using planner_action = std::variant<store_request, send_to_peer, tell_gateway>;
+using planner_action = std::variant<store_request, send_to_peer, tell_gateway, advice_request>;
 
 struct planner_options {
   std::string node;          // id of this entry
@@ -87,7 +88,9 @@
   void On(store_reply& event, millis now);
   void On(peer_up& event, millis now);
   void On(peer_down& event, millis now);
+  void On(peer_refused& event, millis now);
   void On(peer_said& event, millis now);
+  void On(advice_reply& event, millis now);
   void On(own_inquiry& event, millis now);
   void On(operators_say& event, millis now);
   void On(planner_drain& event, millis now);
@@ -122,8 +125,10 @@
   bool was_holding_ = false;
   bool planning_ = false;  // recovered: starts may be made
   millis term_began_{0};
-  std::map<std::string, std::string> entries_;  // linked entries: address by id
-  std::set<std::string> agents_;                // linked agents
+  std::map<std::string, std::string> entries_;       // linked entries: address by id
+  std::map<std::string, std::string> lost_entries_;  // address by id
+  advice_desk advice_;
+  std::set<std::string> agents_;  // linked agents
   std::map<std::pair<std::string, std::string>, worker_report> early_reports_;
   std::map<std::string, std::vector<std::pair<std::string, int64_t>>> cancels_;  // by job
   planner_notice told_;
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -343,6 +343,7 @@
       if (step->fills) record.each.cpu_milli = 0;
       record.since = now;
       record.saved = unit->saved;
+      if (i < start.tickets.size()) record.ticket = start.tickets[i];
       log_event("run-placed")
           .With("task", record.task)
           .With("run", record.run)
@@ -429,6 +430,15 @@
   ReleaseHeld(now);
 }
 
+/** What the agent needs to pace a run; false when the run takes no part in that. */
+bool run_tracker::AddPacing(const run_record& record, wanted_run& wanted) const {
+  const batch_step* step = book_.StepOf(record.unit);
+  if (step == nullptr) return false;
+  wanted.target_ms = step->long_running ? step->latency_target.count() : 0;
+  wanted.fills = step->fills;
+  return wanted.fills || wanted.target_ms > 0;
+}
+
 void run_tracker::TakeOrders(bool trusted, std::vector<send_to_peer>& orders) {
   for (auto& [id, worker] : pool_.all()) {
     if (!worker.order_due || !worker.linked) continue;
@@ -439,10 +449,19 @@
     order.worker = worker.profile.self;
     for (const auto& [ref, record] : worker.runs) {
       if (record.phase == run_phase::kStopping) order.stops.push_back(ref);
+      if (record.phase == run_phase::kRunning) {
+        // An agent that has started again paces by what it is told here.
+        wanted_run running{ref.task, ref.run, "", ""};
+        running.confirmed = true;
+        if (AddPacing(record, running)) order.starts.push_back(std::move(running));
+      }
       if (record.phase != run_phase::kOrdered || !trusted) continue;
       const tracked_job* job = book_.Find(record.unit.job);
       if (job == nullptr) continue;
-      order.starts.push_back({ref.task, ref.run, job->job.spec, record.saved});
+      wanted_run wanted{ref.task, ref.run, job->job.spec, record.saved};
+      wanted.ticket = record.ticket;
+      AddPacing(record, wanted);
+      order.starts.push_back(std::move(wanted));
     }
     order.forget = std::move(worker.forget);
     worker.forget.clear();
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -73,6 +73,7 @@
   void ReleaseHeld(millis now);
   void StopOverdue(millis now);
   int64_t NextRun();
+  bool AddPacing(const run_record& record, wanted_run& wanted) const;
   void Note(pool_worker& worker, bool good, millis now);
 
   const tracker_options options_;
--- a/src/kernel/batch/start_planner.cc
+++ b/src/kernel/batch/start_planner.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "kernel/batch/advice_desk.h"
+
 namespace eelgrass {
 namespace {
 
@@ -42,18 +44,18 @@
   for (const auto& unit : Ready(view)) {
     const std::pair<std::string, int> shape{unit.unit.job, unit.unit.step};
     if (full.contains(shape)) continue;
-    auto place = Place(unit, view.now);
+    auto place = Place(unit, view);
     if (!place && guaranteed_.contains(unit.unit.job)) place = Preempt(unit, view, plan);
     if (!place) {
       full.insert(shape);
       continue;
     }
-    Take(unit, *place, plan);
+    Take(unit, *place, view, plan);
   }
   return plan;
 }
 
-bool start_planner::Usable(const pool_worker& worker, const planning_view& view) const {
+bool start_planner::Usable(const pool_worker& worker, const planning_view& view) {
   return worker.linked && worker.listing && worker.recorded && !worker.profile.draining &&
          view.now >= worker.avoid_until && view.now - worker.reported < kFreshReport &&
          worker.lease_end - view.now > kLeastLease &&
@@ -144,7 +146,8 @@
   return ready;
 }
 
-std::vector<start_planner::room*> start_planner::RoomsFor(const candidate& unit) {
+std::vector<start_planner::room*> start_planner::RoomsFor(const candidate& unit,
+                                                          const planning_view& view) {
   std::vector<room*> fitting;
   for (auto& entry : rooms_) {
     const worker_profile& profile = entry.worker->profile;
@@ -152,6 +155,10 @@
     if (profile.service != unit.queue->service) continue;
     if (!label.empty() && !entry.worker->HasLabel(label)) continue;
     if (!unit.each.Fits(profile.capacity)) continue;
+    const bool advised = !unit.queue->advice.wanted ||
+                         (view.advice != nullptr &&
+                          view.advice->Ticket(unit.unit, profile.self, view.now) != nullptr);
+    if (!advised) continue;
     fitting.push_back(&entry);
   }
   // A worker on which the unit has failed comes last; then the tightest place first.
@@ -166,9 +173,9 @@
 }
 
 std::optional<std::vector<start_planner::room*>> start_planner::Place(const candidate& unit,
-                                                                      millis now) {
-  std::vector<room*> rooms = RoomsFor(unit);
-  const bool patient = now - unit.state->ready_since < unit.step->estimate * kRackPatience;
+                                                                      const planning_view& view) {
+  std::vector<room*> rooms = RoomsFor(unit, view);
+  const bool patient = view.now - unit.state->ready_since < unit.step->estimate * kRackPatience;
   if (!unit.step->data_rack.empty()) {
     std::vector<room*> near;
     for (auto* entry : rooms) {
@@ -222,13 +229,19 @@
   return place;
 }
 
-void start_planner::Take(const candidate& unit, std::span<room* const> rooms, start_plan& plan) {
-  unit_start start{unit.unit, {}};
+void start_planner::Take(const candidate& unit, std::span<room* const> rooms,
+                         const planning_view& view, start_plan& plan) {
+  unit_start start{unit.unit, {}, {}};
   for (auto* entry : rooms) {
     entry->free -= unit.each;
     entry->future -= unit.each;
     ++entry->tasks[{unit.unit.job, unit.unit.occurrence, unit.unit.step}];
     start.workers.push_back(entry->worker->profile.self.id);
+    const std::string* ticket =
+        view.advice == nullptr
+            ? nullptr
+            : view.advice->Ticket(unit.unit, entry->worker->profile.self, view.now);
+    start.tickets.push_back(ticket == nullptr ? std::string() : *ticket);
   }
   plan.starts.push_back(std::move(start));
 }
@@ -241,7 +254,22 @@
                                const planning_view& view) const {
   if (victim.job == by.unit.job || guaranteed_.contains(victim.job)) return false;
   const batch_step* step = view.book.StepOf(victim);
-  return step != nullptr && !(step->long_running && step->may_miss == 0);
+  if (step == nullptr || !step->long_running) return step != nullptr;
+  // Of tasks that last only so many may be away at once.
+  int away = 0;
+  for (int unit = 0; unit < (step->gang ? 1 : step->count); ++unit) {
+    const unit_ref fellow{victim.job, victim.occurrence, victim.step, unit};
+    if (!AtWork(fellow)) ++away;
+  }
+  return away < step->may_miss;
+}
+
+bool start_planner::AtWork(const unit_ref& unit) const {
+  const auto found = running_.find(unit);
+  return found != running_.end() &&
+         std::any_of(found->second.begin(), found->second.end(), [this](const auto* record) {
+           return record->phase == run_phase::kRunning && !Stopping(*record);
+         });
 }
 
 /** Work that is lost when a unit is stopped now, in thousandths of a core times milliseconds. */
@@ -292,7 +320,7 @@
                                                                         const planning_view& view,
                                                                         start_plan& plan) {
   std::map<std::string, std::vector<room*>> groups;
-  for (auto* entry : RoomsFor(unit)) {
+  for (auto* entry : RoomsFor(unit, view)) {
     const bool one_rack = unit.step->same_rack && unit.members > 1;
     groups[one_rack ? entry->worker->profile.rack : std::string()].push_back(entry);
   }
--- a/src/kernel/batch/start_planner.h
+++ b/src/kernel/batch/start_planner.h
@@ -21,6 +21,7 @@
 struct unit_start {
   unit_ref unit;
   std::vector<std::string> workers;
+  std::vector<std::string> tickets;  // of each worker; empty where none are needed
 };
 
 /** What is to be done now. Starts may have to wait for the stops. */
@@ -29,12 +30,15 @@
   std::vector<unit_ref> preempted;
 };
 
+class advice_desk;
+
 /** What the planner looks at. */
 struct planning_view {
   const job_book& book;
   const worker_pool& pool;
   const batch_config& config;
   const std::set<std::string>& evacuated;
+  const advice_desk* advice = nullptr;  // for queues whose policy demands it
   millis now{0};
 };
 
@@ -72,6 +76,9 @@
 
   start_plan Plan(const planning_view& view);
 
+  /** Whether anything new may start at a worker. */
+  static bool Usable(const pool_worker& worker, const planning_view& view);
+
  private:
   /** A unit that could start. */
   struct candidate {
@@ -96,9 +103,8 @@
   std::vector<candidate> Ready(const planning_view& view) const;
   void ReadRooms(const planning_view& view);
   void ReadGuarantees(const planning_view& view);
-  bool Usable(const pool_worker& worker, const planning_view& view) const;
-  std::vector<room*> RoomsFor(const candidate& unit);
-  std::optional<std::vector<room*>> Place(const candidate& unit, millis now);
+  std::vector<room*> RoomsFor(const candidate& unit, const planning_view& view);
+  std::optional<std::vector<room*>> Place(const candidate& unit, const planning_view& view);
   std::optional<std::vector<room*>> PlaceIn(const candidate& unit, std::span<room* const> rooms);
   std::optional<std::vector<room*>> PlaceInOneRack(const candidate& unit,
                                                    std::span<room* const> rooms);
@@ -109,7 +115,9 @@
   double LossOf(const unit_ref& unit, const planning_view& view) const;
   bool MayPreempt(const unit_ref& victim, const candidate& by, const planning_view& view) const;
   bool Stopping(const run_record& record) const;
-  void Take(const candidate& unit, std::span<room* const> rooms, start_plan& plan);
+  bool AtWork(const unit_ref& unit) const;
+  void Take(const candidate& unit, std::span<room* const> rooms, const planning_view& view,
+            start_plan& plan);
 
   const start_options options_;
   const unit_order& order_;
--- a/src/kernel/batch/term_keeper.cc
+++ b/src/kernel/batch/term_keeper.cc
@@ -89,7 +89,9 @@
     const auto read = codec_.DecodeTerm(found->value);
     if (read) record = read.value();
   }
-  const bool abandoned = record.holder.empty() || record.holder == node_ || holder_lost_store_;
+  const bool gone = holder_gone_ && record.holder == holder_;
+  const bool abandoned =
+      record.holder.empty() || record.holder == node_ || holder_lost_store_ || gone;
   if (abandoned) {
     step_ = step::kTaking;
     return;
@@ -141,7 +143,10 @@
   log_event("term-taken").With("term", fence_).With("took_ms", (now - sent_).count());
 }
 
-void term_keeper::OnLinked(std::string_view entry, millis) { linked_.insert(std::string(entry)); }
+void term_keeper::OnLinked(std::string_view entry, millis) {
+  linked_.insert(std::string(entry));
+  if (entry == holder_) holder_gone_ = false;
+}
 
 void term_keeper::OnUnlinked(std::string_view entry, millis now) {
   linked_.erase(std::string(entry));
@@ -149,6 +154,14 @@
   silent_since_ = now;
 }
 
+void term_keeper::OnGone(std::string_view entry, millis now) {
+  if (holding_ || entry != holder_ || linked_.contains(holder_) || holder_gone_) return;
+  holder_gone_ = true;
+  next_ = now;
+  silent_since_ = std::min(silent_since_, now - kPatience);
+  log_event("planner-ended").With("planner", entry);
+}
+
 void term_keeper::OnNotice(std::string_view entry, const planner_notice& notice, millis now) {
   if (holding_) {
     if (notice.term > fence_) {
@@ -162,6 +175,7 @@
   holder_lost_store_ = notice.store_lost;
   if (notice.planner == entry) {
     holder_ = entry;
+    holder_gone_ = false;
     holder_notified_ = true;
     if (!holder_lost_store_ && step_ != step::kTaking) step_ = step::kWatching;
     return;
--- a/src/kernel/batch/term_keeper.h
+++ b/src/kernel/batch/term_keeper.h
@@ -38,6 +38,9 @@
 
   void OnLinked(std::string_view entry, millis now);
   void OnUnlinked(std::string_view entry, millis now);
+
+  /** An entry's process has certainly ended. */
+  void OnGone(std::string_view entry, millis now);
   void OnNotice(std::string_view entry, const planner_notice& notice, millis now);
 
   /** This entry's own calls reach the store. */
@@ -90,6 +93,7 @@
   std::string holder_;
   bool holder_notified_ = false;  // the holder itself has said that it plans
   bool holder_lost_store_ = false;
+  bool holder_gone_ = false;  // its process has ended
   std::set<std::string> linked_;
   millis silent_since_{0};  // nobody is known to plan since then
   millis next_{0};
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -34,6 +34,7 @@
   millis began{0};     // when it was first seen running; 0: not yet
   millis saved_at{0};  // when its checkpoint last changed
   std::string saved;
+  std::string ticket;  // from the advice that the queue's policy demands
   int64_t percent = -1;
 };
 
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -51,6 +51,9 @@
   fresh_starts_.clear();
   stops_.clear();
   refused_.clear();
+  pacing_.clear();
+  pace_ = pace_policy{};
+  pace_changes_.clear();
   seen_upto_ = 0;
   lease_until_ = millis(0);
   next_hold_ = now;
@@ -122,6 +125,7 @@
   for (const auto& run : order.forget) refused_.erase(run);
   for (const auto& run : order.starts) {
     const run_ref ref{run.task, run.run};
+    if (run.fills || run.target_ms > 0) pacing_[ref] = {ref, run.target_ms, 0, run.fills};
     if (run.confirmed || starts_.contains(ref) || refused_.contains(ref) || Lists(ref)) continue;
     if (stops_.contains(ref)) continue;
     starts_.emplace(ref, ordered_start{run});
@@ -193,9 +197,32 @@
   }
   std::erase_if(fresh_starts_, [this](const auto& entry) { return entry.second < hold_number_; });
   SettleStops();
+  Pace(now);
   next_hold_ = NextHold(now);
 }
 
+/** Lets what fills work as much as the serving tasks beside it allow. */
+void worker_steward::Pace(millis now) {
+  std::erase_if(pacing_, [this](const auto& entry) {
+    return !Lists(entry.first) && !starts_.contains(entry.first);
+  });
+  std::vector<paced_run> runs;
+  for (const auto& listed : running_) {
+    const auto found = pacing_.find({listed.task, listed.run});
+    if (found == pacing_.end()) continue;
+    runs.push_back(found->second);
+    runs.back().latency_ms = listed.load;
+  }
+  for (const auto& change : pace_.Decide(runs, now)) {
+    log_event("run-paced")
+        .With("worker", profile_.self.id)
+        .With("task", change.run.task)
+        .With("run", change.run.run)
+        .With("percent", change.percent);
+    pace_changes_.push_back(change);
+  }
+}
+
 millis worker_steward::NextHold(millis now) const {
   if (!ended_.empty()) return now + kListPause;
   if (!running_.empty()) return now;
@@ -292,6 +319,11 @@
   next_hold_ = std::min(next_hold_, now);
 }
 
+void worker_steward::On(const pace_answer& answer) {
+  const bool over = answer.outcome == call_outcome::kDone || !Lists(answer.run);
+  if (!over) pace_changes_.push_back({answer.run, answer.percent});
+}
+
 /** The lease's end on the worker's clock, not later than it is meant even if that clock is slow. */
 int64_t worker_steward::DeadlineFor(millis now) const {
   if (lease_until_ <= now || clock_ms_ <= 0) return 0;
@@ -305,6 +337,11 @@
   if (confirmed_term_ != term_) return;
   CallStops(now, calls);
   CallStarts(now, calls);
+  for (const auto& change : pace_changes_) {
+    calls.emplace_back(
+        pace_call{profile_.address, profile_.self, term_, change.run, change.percent});
+  }
+  pace_changes_.clear();
 }
 
 void worker_steward::CallHold(millis now, std::vector<worker_call>& calls) {
--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "kernel/batch/pace_policy.h"
 #include "kernel/batch/worker_calls.h"
 
 namespace eelgrass {
@@ -31,6 +32,7 @@
   void On(const hold_answer& answer, millis now);
   void On(const start_answer& answer, millis now);
   void On(const stop_answer& answer, millis now);
+  void On(const pace_answer& answer);
 
   /** A new planner: its fence has to be confirmed before anything else. */
   void SetTerm(int64_t term, millis now);
@@ -73,6 +75,7 @@
   void BeginLife(const worker_beat& beat, millis now);
   void TakeLists(const hold_answer& answer, millis now);
   void SettleStops();
+  void Pace(millis now);
   millis NextHold(millis now) const;
   void Refuse(const run_ref& run, start_refusal reason);
   bool Lists(const run_ref& run) const;
@@ -94,6 +97,9 @@
   std::map<run_ref, int64_t> fresh_starts_;  // answered starts, with the holds begun until then
   std::map<run_ref, ordered_stop> stops_;
   std::map<run_ref, start_refusal> refused_;
+  std::map<run_ref, paced_run> pacing_;  // runs that take part in pacing
+  pace_policy pace_;
+  std::vector<pace_change> pace_changes_;  // to be carried out
   int64_t seen_upto_ = 0;
   millis lease_until_{0};
   std::deque<sent_report> reports_;
--- a/src/kernel/io/peer_hub.h
+++ b/src/kernel/io/peer_hub.h
@@ -15,7 +15,7 @@
 
 namespace eelgrass {
 
-using link_event = std::variant<peer_up, lane_lost, peer_down, peer_said>;
+using link_event = std::variant<peer_up, lane_lost, peer_down, peer_refused, peer_said>;
 
 /** Receives what happens on the connections, on the transport's thread. */
 class link_listener {
--- a/src/kernel/model/link_events.h
+++ b/src/kernel/model/link_events.h
@@ -26,6 +26,11 @@
   int64_t incarnation = 0;
 };
 
+/** Nobody listens at an address that was dialled: the process there has ended. */
+struct peer_refused {
+  std::string address;  // IP:PORT
+};
+
 /** A peer said something. */
 struct peer_said {
   std::string peer;
--- a/src/plugins/peer/asio/asio_hub.cc
+++ b/src/plugins/peer/asio/asio_hub.cc
@@ -160,6 +160,7 @@
         if (goal == targets_.end() || stopping_) return;
         --goal->second.connecting;
         if (error) {
+          if (error == asio::error::connection_refused) listener_->OnLink(peer_refused{address});
           const int doublings = std::min(goal->second.failures++, kMaxDoublings);
           goal->second.next_dial =
               clock_.Now() + std::min(kMaxBackoff, kFirstBackoff * (int64_t{1} << doublings));
--- a/src/plugins/unit_order/deadline/deadline_order.cc
+++ b/src/plugins/unit_order/deadline/deadline_order.cc
@@ -21,7 +21,7 @@
         millis(static_cast<int64_t>(queue.stretch * chain)) + queue.target_latency;
     const bool scheduled = job.job.occurrences > 0;
     const bool worthless = !scheduled && now > job.accepted + objective * kLateFactor;
-    const double band = queue.priority + (worthless ? kLateFactor * 2 : 0);
+    const auto band = static_cast<double>(queue.priority + (worthless ? kLateFactor * 2 : 0));
     return band * kBand + static_cast<double>((job.accepted + objective - now).count());
   }
 };
--- /dev/null
+++ b/tests/stories/platform_story.cc
@@ -0,0 +1,256 @@
+#include <doctest/doctest.h>
+
+#include <fstream>
+
+#include "kernel/batch/operator_source.h"
+#include "kernel/io/deployment.h"
+#include "kernel/io/job_front.h"
+#include "kernel/io/row_store.h"
+
+namespace eelgrass {
+namespace {
+
+/** Keeps what is answered; nothing listens. */
+class fake_server : public http_front {
+ public:
+  result<void> Start(http_handler& handler) override {
+    handler_ = &handler;
+    return Ok();
+  }
+  int port() const override { return 0; }
+  void Respond(uint64_t, http_response response) override {
+    answers.push_back(std::move(response));
+  }
+  size_t open_requests() const override { return 0; }
+  void Stop() override {}
+
+  void Ask(std::string method, std::string target, std::string body) {
+    http_request request;
+    request.id = 1;
+    request.method = std::move(method);
+    request.target = std::move(target);
+    request.body.data = std::move(body);
+    request.headers = {{"Host", "nony.example:80"},
+                       {"Authorization", "Bearer k1"},
+                       {"X-Eelgrasshaven-Deadline-Ms", "2500"}};
+    handler_->Handle(std::move(request));
+  }
+
+  std::vector<http_response> answers;
+
+ private:
+  http_handler* handler_ = nullptr;
+};
+
+struct fake_callers : caller_listener {
+  bool OnCall(caller_call call) override {
+    calls.push_back(std::move(call));
+    return true;
+  }
+  std::vector<caller_call> calls;
+};
+
+struct fake_workers : beat_listener {
+  bool OnBeat(worker_beat beat) override {
+    beats.push_back(std::move(beat));
+    return true;
+  }
+  bool OnLeft(worker_left left) override {
+    gone.push_back(std::move(left));
+    return true;
+  }
+  std::vector<worker_beat> beats;
+  std::vector<worker_left> gone;
+};
+
+/** Remembers the call and answers it as told. */
+class fake_client : public http_client {
+ public:
+  void Start(http_call call, callback done) override {
+    calls.push_back(std::move(call));
+    done(answer);
+  }
+  void Stop() override {}
+  std::vector<http_call> calls;
+  result<http_response> answer = http_response{200, {}, {"{}"}, false};
+};
+
+TEST_CASE("callers' requests on the platform") {
+  fake_server server;
+  fake_callers callers;
+  auto front = std::move(job_front_registry::Instance().Create("platform", server).value());
+  REQUIRE(front->Start(callers));
+
+  SUBCASE("a job is decoded once, unknown fields are ignored") {
+    server.Ask("POST", "/q/5c0e7a21d94b36f8",
+               R"({"Spec":"x","New":1,"Steps":[{"Count":2,"Cpu":500,"MemMb":256,"Gpu":1,
+               "EstimateMs":900,"Gang":true},{"Count":1,"After":[0],"Requires":"a"}]})");
+    REQUIRE(callers.calls.size() == 1);
+    const caller_call& call = callers.calls[0];
+    CHECK(call.host == "nony.example");
+    CHECK(call.key == "k1");
+    CHECK(call.wait == millis(2500));
+    REQUIRE(call.job.has_value());
+    CHECK(call.job->steps[0].gang);
+    CHECK(call.job->steps[0].each == amounts{500, 256, 1});
+    CHECK(call.job->steps[1].after == std::vector<int>{0});
+  }
+  SUBCASE("a body that cannot be read comes with the reason") {
+    for (const auto* body : {"", "[]", "{", R"({"Steps":[]})", R"({"Steps":[{"Count":"2"}]})",
+                             R"({"Steps":[{"Count":1,"After":[3]}]})"}) {
+      server.Ask("POST", "/q/5c0e7a21d94b36f8", body);
+      CHECK_FALSE(callers.calls.back().job.has_value());
+      CHECK_FALSE(callers.calls.back().problem.empty());
+    }
+  }
+  SUBCASE("answers keep apart what has run and what has not") {
+    const auto status = [&](call_answer answer) {
+      front->Reply({1, answer});
+      return server.answers.back().status;
+    };
+    CHECK(status(call_answer::kAccepted) == 200);
+    CHECK(status(call_answer::kNoSuchJob) == 410);
+    CHECK(status(call_answer::kNoSuchQueue) == 404);
+    CHECK(status(call_answer::kNoSuchKey) == 401);
+    CHECK(status(call_answer::kTooLarge) == 413);
+    CHECK(status(call_answer::kBusy) == 429);
+    CHECK(status(call_answer::kUnavailable) == 503);
+    CHECK(status(call_answer::kOutcomeUnknown) == 504);
+  }
+}
+
+TEST_CASE("heartbeats on the platform") {
+  fake_server server;
+  fake_workers workers;
+  auto front = std::move(beat_front_registry::Instance().Create("platform", server).value());
+  REQUIRE(front->Start(workers));
+  const std::string good =
+      R"({"Service":"s","Addr":"10.0.0.1:80","Zone":"z","State":"ready","Seq":4,"born":17,
+      "Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":8},"Labels":["a","r1-3"],"ClockMs":482113})";
+
+  SUBCASE("a worker is known by what it says") {
+    server.Ask("PUT", "/instances/i-1", good);
+    REQUIRE(workers.beats.size() == 1);
+    CHECK(server.answers[0].status == 200);
+    CHECK(workers.beats[0].worker.self == worker_identity{"i-1", 17});
+    CHECK(workers.beats[0].worker.rack == "r1-3");
+    CHECK(workers.beats[0].worker.capacity == amounts{16000, 32768, 8});
+    CHECK_FALSE(workers.beats[0].worker.draining);
+  }
+  SUBCASE("one that cannot be read names no worker, and the others hold") {
+    std::string odd = good;
+    odd.replace(odd.find("ready"), 5, "dozing");
+    for (const std::string& body :
+         {std::string("\xff\xfe"), std::string("{}"), odd, std::string(R"({"Seq":"four"})")}) {
+      server.Ask("PUT", "/instances/i-2", body);
+      CHECK(server.answers.back().status == 400);
+    }
+    CHECK(workers.beats.empty());
+    server.Ask("PUT", "/instances/i-1", good);
+    CHECK(workers.beats.size() == 1);
+  }
+  SUBCASE("a worker that leaves says so") {
+    server.Ask("DELETE", "/instances/i-1", "");
+    CHECK(workers.gone.size() == 1);
+  }
+}
+
+TEST_CASE("the platform's store") {
+  fake_client client;
+  auto store = std::move(row_store_registry::Instance()
+                             .Create("platform", row_store_options{"10.0.0.9:1"}, client)
+                             .value());
+  transaction_result seen;
+  const auto take = [&](transaction_result result) { seen = std::move(result); };
+  row_transaction change;
+  change.conditions.push_back({{"jobs", "", "a"}, 0});
+  change.writes.push_back({{"jobs", "", "a"}, "text"});
+
+  SUBCASE("a transaction says what it expects and writes") {
+    client.answer = http_response{200, {}, {R"({"Ver":412,"NowMs":1})"}, false};
+    store->Transact(change, millis(100), take);
+    CHECK(seen.outcome == row_outcome::kDone);
+    CHECK(seen.revision == 412);
+    CHECK(client.calls[0].body.data.find("dGV4dA==") != std::string::npos);
+  }
+  SUBCASE("a conflict comes with the rows as they are") {
+    client.answer = http_response{
+        412,
+        {},
+        {R"({"Ver":9,"rows":[{"Table":"jobs","part":"","Key":"a","Value":"dGV4dA==","Ver":7}]})"},
+        false};
+    store->Transact(change, millis(100), take);
+    CHECK(seen.outcome == row_outcome::kConflict);
+    REQUIRE(seen.current.size() == 1);
+    CHECK(seen.current[0].value == "text");
+    CHECK(seen.current[0].revision == 7);
+  }
+  SUBCASE("refusals have done nothing; silence and broken answers may have") {
+    client.answer = http_response{503, {}, {""}, false};
+    store->Transact(change, millis(100), take);
+    CHECK(seen.outcome == row_outcome::kNotDone);
+    client.answer = http_response{200, {}, {"half an ans"}, false};
+    store->Transact(change, millis(100), take);
+    CHECK(seen.outcome == row_outcome::kUnknown);
+    client.answer = Fail(error_kind::kUnknown, "http-call", "", "timeout");
+    store->Transact(change, millis(100), take);
+    CHECK(seen.outcome == row_outcome::kUnknown);
+    client.answer = Fail(error_kind::kUnavailable, "http-call", "", "refused");
+    store->Transact(change, millis(100), take);
+    CHECK(seen.outcome == row_outcome::kNotDone);
+  }
+}
+
+TEST_CASE("what operators write on the platform") {
+  auto source = std::move(operator_source_registry::Instance().Create("platform").value());
+  operator_state state;
+  const auto apply = [&](std::string key, std::string value, int64_t revision,
+                         bool deleted = false) {
+    return source->Apply({{"op", "", std::move(key)}, std::move(value), revision, deleted},
+                         millis(5), state);
+  };
+  REQUIRE(apply("config", R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/a/",
+    "Service":"s","Priority":0,"Attempts":4,"Stretch":1.5,"TargetLatencyMs":250}],
+    "Services":[{"Name":"s","RejectsOverload":true}],"Limits":{"MaxBodyBytes":1000},
+    "Tenants":[{"Name":"t","ApiKeys":["k"],"GuaranteedGpus":{"Gpu":16}}]})",
+                10));
+  CHECK(state.config->FindQueue("h", "/a/b") != nullptr);
+  CHECK(state.config->FindKey("k")->guaranteed_accelerators == 16);
+
+  SUBCASE("an older version, an older row and an unreadable one change nothing") {
+    CHECK_FALSE(apply("config", R"({"Version":6})", 11));
+    CHECK(apply("config", R"({"Version":8})", 9));
+    CHECK_FALSE(apply("config", "{", 12));
+    CHECK_FALSE(apply("config", R"({"Version":9,"Routes":[{"Name":5}]})", 13));
+    CHECK(state.config->version == 7);
+  }
+  SUBCASE("domains go out and come back") {
+    CHECK(apply("evacuate/z1", "{}", 14));
+    CHECK(state.evacuated.contains("z1"));
+    CHECK(apply("evacuate/z1", "", 15, true));
+    CHECK(state.evacuated.empty());
+  }
+}
+
+TEST_CASE("the platform's settings file") {
+  auto source = std::move(deployment_registry::Instance().Create("platform").value());
+  const std::string path = "/tmp/eelgrass_settings_story.json";
+  const auto load = [&](std::string_view text) {
+    std::ofstream(path) << text;
+    return source->Load(path);
+  };
+  const auto place = load(R"({"Node":"n1","Ip":"10.1.0.1","Zone":"z","PortRange":[7000,7015],
+    "Listen":{"Front":"10.1.0.1:80"},"Seeds":["10.1.0.2:81"],"platform":{"Addr":"10.9.0.1:1"},
+    "Bounds":{"HoldMaxMs":10000,"GraceS":6,"CheckpointIntervalS":0.5},"New":{}})");
+  REQUIRE(place);
+  CHECK(place.value().bounds.longest_hold == millis(10000));
+  CHECK(place.value().bounds.grace == millis(6000));
+  CHECK(place.value().bounds.checkpoint == millis(500));
+  CHECK(place.value().seeds == std::vector<std::string>{"10.1.0.2:81"});
+  CHECK_FALSE(load("{}"));
+  CHECK_FALSE(load(R"({"Node":"n1","Ip":"10.1.0.1","Zone":"z"})"));
+  CHECK_FALSE(source->Load("/tmp/there/is/no/such/file"));
+}
+
+}  // namespace
+}  // namespace eelgrass
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -263,7 +263,9 @@
 void batch_world::Link(std::string_view from, std::string_view to) {
   process* a = FindProcess(from);
   process* b = FindProcess(to);
-  if (a == nullptr || b == nullptr || a == b || !a->alive || !b->alive) return;
+  if (a == nullptr || b == nullptr || a == b || !a->alive) return;
+  if (!b->alive && Connected(a->id, b->id)) return Deliver(a->id, peer_refused{Address(b->id)});
+  if (!b->alive) return;
   if (now() < a->frozen_until || now() < b->frozen_until || !Connected(a->id, b->id)) return;
   if (!links_.insert({std::min(a->id, b->id), std::max(a->id, b->id)}).second) return;
   const auto greet = [&](const process& who) {
@@ -298,26 +300,29 @@
   events_.At(at, [this, id = target->id, life, event = std::move(event)]() mutable {
     process* same = FindProcess(id);
     if (same == nullptr || !same->alive || same->life != life) return;
-    if (machine* vm = FindMachine(id)) {
-      std::visit(
-          [&](auto& e) {
-            if constexpr (!std::is_same_v<std::decay_t<decltype(e)>, lane_lost>) ToAgent(*vm, e);
-          },
-          event);
-      return;
+    if (std::holds_alternative<lane_lost>(event)) return;
+    entry_process* entry = FindEntry(id);
+    if (auto* refused = std::get_if<peer_refused>(&event)) {
+      if (entry != nullptr) ToPlanner(*entry, *refused);
+    } else if (auto* up = std::get_if<peer_up>(&event)) {
+      ToAll(id, *up);
+    } else if (auto* down = std::get_if<peer_down>(&event)) {
+      ToAll(id, *down);
+    } else {
+      ToAll(id, std::get<peer_said>(event));
     }
-    entry_process& entry = *FindEntry(id);
-    std::visit(
-        [&](auto& e) {
-          if constexpr (!std::is_same_v<std::decay_t<decltype(e)>, lane_lost>) {
-            ToGateway(entry, e);
-            ToPlanner(entry, e);
-          }
-        },
-        event);
   });
 }
 
+/** Hands an event to whatever decides in a process. */
+template <typename Event>
+void batch_world::ToAll(const std::string& id, const Event& event) {
+  if (machine* vm = FindMachine(id)) return ToAgent(*vm, event);
+  entry_process& entry = *FindEntry(id);
+  ToGateway(entry, event);
+  ToPlanner(entry, event);
+}
+
 void batch_world::Send(const std::string& from, const send_to_peer& message) {
   const std::pair<std::string, std::string> link{std::min(from, message.peer),
                                                  std::max(from, message.peer)};
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -132,6 +132,8 @@
   void Redial();
 
   void Deliver(std::string_view to, link_event event);
+  template <typename Event>
+  void ToAll(const std::string& id, const Event& event);
   void Send(const std::string& from, const send_to_peer& message);
   void ToGateway(entry_process& entry, gateway_event event);
   void ToPlanner(entry_process& entry, planner_event event);
--- a/tests/world/job_world.cc
+++ b/tests/world/job_world.cc
@@ -45,7 +45,13 @@
                                               std::move(placement.value()));
   hello self{id, last_incarnation_, peer_role::kEntry, id, "d", {}, {}};
   network_.Join(self, [this, id](link_event event) {
-    std::visit([&](auto& e) { entries_.at(id).inbox.emplace_back(std::move(e)); }, event);
+    std::visit(
+        [&](auto& e) {
+          if constexpr (!std::is_same_v<std::decay_t<decltype(e)>, peer_refused>) {
+            entries_.at(id).inbox.emplace_back(std::move(e));
+          }
+        },
+        event);
     Wake(id);
   });
   TickEntry(id, generation);
@@ -142,7 +148,8 @@
     machine& own = *machines_.at(id);
     std::visit(
         [&](auto& e) {
-          if constexpr (!std::is_same_v<std::decay_t<decltype(e)>, lane_lost>) {
+          using link = std::decay_t<decltype(e)>;
+          if constexpr (!std::is_same_v<link, lane_lost> && !std::is_same_v<link, peer_refused>) {
             own.inbox.emplace_back(std::move(e));
           }
         },
--- a/tests/world/request_world.cc
+++ b/tests/world/request_world.cc
@@ -52,11 +52,17 @@
       std::move(admission_registry::Instance().Create(options_.admission).value()));
   state->inbox.emplace_back(document_changed{document_});
   entries_[id] = std::move(state);
-  network_.Join(
-      {id, last_incarnation_, peer_role::kEntry, id, "d1", {}, {}}, [this, id](link_event event) {
-        std::visit([&](auto& e) { entries_.at(id)->inbox.emplace_back(std::move(e)); }, event);
-        Wake(id);
-      });
+  network_.Join({id, last_incarnation_, peer_role::kEntry, id, "d1", {}, {}},
+                [this, id](link_event event) {
+                  std::visit(
+                      [&](auto& e) {
+                        if constexpr (!std::is_same_v<std::decay_t<decltype(e)>, peer_refused>) {
+                          entries_.at(id)->inbox.emplace_back(std::move(e));
+                        }
+                      },
+                      event);
+                  Wake(id);
+                });
   TickEntry(id, generation);
   Beat(id, generation);
 }
@@ -73,7 +79,10 @@
                 [this, id](link_event event) {
                   std::visit(
                       [&](auto& e) {
-                        if constexpr (!std::is_same_v<std::decay_t<decltype(e)>, lane_lost>) {
+                        using link = std::decay_t<decltype(e)>;
+                        constexpr bool kSkipped =
+                            std::is_same_v<link, lane_lost> || std::is_same_v<link, peer_refused>;
+                        if constexpr (!kSkipped) {
                           agents_.at(id)->inbox.emplace_back(std::move(e));
                         }
                       },
