--- a/tests/world/batch_check.cc
+++ b/standins/batch_check.cc
@@ -1,4 +1,4 @@
-#include "tests/world/batch_check.h"
+#include "standins/batch_check.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/standins/standin_fleet.h
@@ -0,0 +1,85 @@
+/** \file
+ * The users' platform over HTTP: the row store and some runners, for the real programs.
+ */
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "kernel/base/clock.h"
+#include "kernel/io/http_client.h"
+#include "kernel/io/http_front.h"
+#include "standins/batch_check.h"
+#include "standins/standin_rows.h"
+#include "standins/standin_runner.h"
+
+namespace eelgrass {
+
+/** Where one runner listens and which agent it registers at. */
+struct fleet_runner_place {
+  std::string listen;  // IP:PORT
+  std::string agent;   // IP:PORT
+  std::string zone;
+};
+
+/**
+ * Serves the store at one address and each runner at its own. Runners beat at their agents. What is
+ * started and ended is checked for tasks that run twice; faults of the store are switched by
+ * GET /standin/store?fault=NAME with none, refuse, silent or lose.
+ */
+class standin_fleet {
+ public:
+  standin_fleet(std::string store, std::vector<fleet_runner_place> runners, std::string service,
+                const clock& time);
+  ~standin_fleet();
+
+  result<void> Start();
+  void Stop();
+
+  /** Promises that were broken, as lines. */
+  std::vector<std::string> broken();
+  int starts();
+
+ private:
+  struct runner_site;
+  class store_handler;
+  class runner_handler;
+  /** A request that waits for an end or a change. */
+  struct waiting {
+    http_front* server = nullptr;
+    http_request request;
+    millis until{0};
+    int runner = -1;  // -1: the store
+  };
+
+  void OnStore(http_front& server, http_request request);
+  void OnRunner(int index, http_request request);
+  bool TryFeed(waiting& wait, bool last);
+  bool TryHold(waiting& wait, bool last);
+  void Tick();
+  void Beat(runner_site& site);
+  static void Answer(http_front& server, uint64_t id, int status, std::string body);
+
+  const std::string store_;
+  const std::string service_;
+  const clock& clock_;
+  std::mutex mutex_;
+  std::string fault_ = "none";
+  standin_rows rows_;
+  standin_gangs gangs_;
+  batch_check check_;
+  std::unique_ptr<http_client> client_;
+  std::unique_ptr<http_front> store_front_;
+  std::unique_ptr<store_handler> store_handler_;
+  std::vector<std::unique_ptr<runner_site>> sites_;
+  std::vector<waiting> waiting_;
+  std::atomic<bool> stopping_{false};
+  std::thread ticker_;
+};
+
+}  // namespace eelgrass
--- a/tests/stories/batch_hunt_story.cc
+++ b/tests/stories/batch_hunt_story.cc
@@ -27,9 +27,10 @@
       const bool gang = pick(2) == 0;
       batch_job job = MakeBatchJob(id, pick(3) == 0 ? "urgent" : "usual", 1 + pick(4),
                                    millis(500 + 500 * pick(6)), 1 + pick(4), gang);
-      if (pick(8) == 0)
+      if (pick(8) == 0) {
         job.spec =
             BehaviorText({{job.steps[0].estimate.count(), gang ? job.steps[0].count : 0, 1}});
+      }
       jobs.push_back(job.id);
       world.Submit(job);
       world.Watch(job.id);
@@ -76,8 +77,9 @@
         world.events().After(millis(500 + pick(4000)), [&] { world.SetLateOrders(0); });
         break;
       case 10:
-        if (!jobs.empty())
+        if (!jobs.empty()) {
           world.Cancel(jobs[static_cast<size_t>(pick(static_cast<int>(jobs.size())))]);
+        }
         break;
       case 11:
         world.ForgetHistory();
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -14,7 +14,6 @@
 constexpr millis kBeat{1500};
 constexpr millis kCallerWait{3000};
 constexpr millis kOrderTimeout{500};
-constexpr millis kHoldSlack{700};
 constexpr int kMostTries = 40;
 constexpr int64_t kWallOrigin = 1700000000000;
 
@@ -44,7 +43,7 @@
 batch_config UsualConfig() {
   batch_config config;
   config.version = 1;
-  const auto queue = [](std::string name, int priority, double stretch) {
+  const auto queue = [](const std::string& name, int priority, double stretch) {
     batch_queue made;
     made.name = name;
     made.host = "site";
@@ -283,8 +282,9 @@
 /** Connections that are wanted and can be had come up; those of suspended processes go silent. */
 void batch_world::Redial() {
   for (auto& entry : entries_) {
-    for (const auto& address : entry->dialled)
+    for (const auto& address : entry->dialled) {
       Link(entry->id, address.substr(0, address.find(':')));
+    }
   }
   for (auto& [index, vm] : machines_) {
     for (const auto& address : vm->dialled) Link(vm->id, address.substr(0, address.find(':')));
@@ -374,8 +374,9 @@
       events_.After(millis(0),
                     [this, id = entry.id, life, state = news->state, confirmed = news->confirmed] {
                       entry_process* same = FindEntry(id);
-                      if (same->alive && same->life == life)
+                      if (same->alive && same->life == life) {
                         ToPlanner(*same, operators_say{state, confirmed});
+                      }
                     });
     }
   }
@@ -638,7 +639,7 @@
   }
 }
 
-void batch_world::Configure(std::function<void(batch_config&)> edit) {
+void batch_world::Configure(const std::function<void(batch_config&)>& edit) {
   edit(config_);
   ++config_.version;
   row_transaction change;
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -16,8 +16,8 @@
 #include "kernel/batch/gateway_core.h"
 #include "kernel/batch/planner_core.h"
 #include "kernel/io/peer_hub.h"
+#include "standins/batch_check.h"
 #include "standins/standin_rows.h"
-#include "tests/world/batch_check.h"
 #include "tests/world/timeline.h"
 
 namespace eelgrass {
@@ -55,7 +55,7 @@
   void Watch(std::string_view job);
 
   /** Writes a configuration; returns its revision. */
-  void Configure(std::function<void(batch_config&)> edit);
+  void Configure(const std::function<void(batch_config&)>& edit);
   void Evacuate(std::string_view domain, bool out);
 
   void KillEntry(int entry, millis down);
