--- a/standins/batch_check.cc
+++ b/standins/batch_check.cc
@@ -59,16 +59,16 @@
   ++starts_;
   began_.try_emplace(event.task, event.at);
   if (!runs.empty()) Break("TWICE", event.task + " runs twice at once", event.at);
-  if (done_noted_.contains(event.task))
-    Break("TWICE", event.task + " runs after it was done", event.at);
+  const bool again = done_noted_.contains(event.task);
+  if (again) Break("TWICE", event.task + " runs after it was done", event.at);
   runs.push_back({event.worker, event.born_ms, event.run});
   const auto job = jobs_.find(JobOf(event.task));
   if (job == jobs_.end()) return Break("UNASKED", event.task + " was never asked for", event.at);
   seen_job& asked = job->second;
   asked.started = true;
   if (event.spec != asked.job.spec) Break("UNASKED", event.task + " has another text", event.at);
-  if (asked.completed)
-    Break("TWICE", event.task + " starts after its job was shown as done", event.at);
+  const bool shown = asked.completed.has_value();
+  if (shown) Break("TWICE", event.task + " starts after its job was shown as done", event.at);
   const bool late = asked.cancelled && event.at - *asked.cancelled > kCancelTime;
   if (late) Break("UNASKED", event.task + " starts after its job was cancelled", event.at);
 }
