Settings and fields that nothing reads are gone from the batch code

Cause: bounds of the deployment were read and handed on for decisions that do not exist yet (restores, remote work, machine orders), and a reader would look for what they do.

Change: they are removed; each comes back with the decision that needs it. The settings story checks the revocation bound in place of the checkpoint interval, which is not read any more.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -156,12 +156,7 @@
   planning.nonce = RandomHex(kNonceBytes);
   planning.peer_address = hub.self.address;
   planning.early = place_.bounds.early;
-  planning.longest_hold = place_.bounds.longest_hold;
   planning.tracking.grant = std::min(kGrant, place_.bounds.longest_hold * kGrantPercent / kPercent);
-  planning.tracking.stop_timeout = place_.bounds.stop_timeout;
-  planning.tracking.gang_timeout = place_.bounds.gang_timeout;
-  planning.starts.remote_factor = place_.bounds.remote_factor;
-  planning.starts.stop_timeout = place_.bounds.stop_timeout;
   planner_ = std::make_unique<planner_core>(planning, *records_, *order_);
   gateway_handler_ = std::make_unique<gateway_duty>(*gateway_, *hub_, *front_, *status_, counters_);
   planner_handler_ = std::make_unique<planner_duty>(*planner_, *hub_, clock_, counters_);
--- a/src/kernel/batch/job_book.h
+++ b/src/kernel/batch/job_book.h
@@ -35,7 +35,6 @@
   bool done = false;
   int64_t run = 0;    // number of the latest run; 0: none by this planner
   int open_runs = 0;  // members whose run has not certainly ended
-  int begun = 0;      // members of the latest run that are known to have begun
   int failures = 0;
   int64_t last_failed_run = 0;
   std::string saved;
@@ -65,7 +64,6 @@
   int done = 0;        // occurrences
   bool begun = false;  // some task has started
   bool stored = true;  // the final state is in the store
-  int open_runs = 0;   // of all units
 };
 
 /** How many tasks belong to one unit of a step. */
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -30,12 +30,11 @@
 planner_core::planner_core(planner_options options, const batch_record_codec& codec,
                            const unit_order& order)
     : options_(std::move(options)),
-      order_(order),
       term_(options_.node, options_.nonce, codec),
       book_(std::make_unique<job_book>(options_.early)),
       journal_(codec, term_),
       tracker_(std::make_unique<run_tracker>(options_.tracking, *book_, pool_)),
-      starts_(options_.starts, order_) {}
+      starts_(order) {}
 
 void planner_core::Decide(std::span<planner_event> events, millis now, millis wall_now,
                           std::vector<planner_action>& actions) {
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -49,9 +49,7 @@
   std::string nonce;         // differs at each start of the process
   std::string peer_address;  // of this entry, for agents
   tracker_options tracking;
-  start_options starts;
-  millis early{250};
-  millis longest_hold{6000};  // no lease is longer than this
+  millis early{250};  // an occurrence may start this much before its time
 };
 
 /** The planner's load, for metrics. All zero while another entry plans. */
@@ -112,7 +110,6 @@
   int64_t CountWaiting(std::string_view queue) const;
 
   const planner_options options_;
-  const unit_order& order_;
   term_keeper term_;
   std::unique_ptr<job_book> book_;
   worker_pool pool_;
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -202,16 +202,13 @@
     if (record.began == millis(0)) {
       record.began = now;
       book_.OnBegun(record.unit);
-      if (unit_state* unit = book_.Find(record.unit)) ++unit->begun;
     }
     if (record.phase == run_phase::kOrdered) {
       record.phase = run_phase::kRunning;
       record.since = now;
     }
-    record.percent = listed.percent;
     if (!listed.saved.empty() && listed.saved != record.saved) {
       record.saved = listed.saved;
-      record.saved_at = now;
       book_.OnSaved(record.unit, listed.saved);
     }
   }
@@ -304,7 +301,6 @@
   if (found == worker.runs.end()) return;
   if (unit_state* unit = book_.Find(found->second.unit)) {
     unit->open_runs = std::max(0, unit->open_runs - 1);
-    if (unit->open_runs == 0) unit->begun = 0;
   }
   worker.runs.erase(found);
   worker.order_due = true;
@@ -331,7 +327,6 @@
     unit_state* unit = book_.Find(start.unit);
     if (step == nullptr || unit == nullptr) continue;
     unit->run = NextRun();
-    unit->begun = 0;
     for (size_t i = 0; i < start.workers.size(); ++i) {
       pool_worker* worker = pool_.Find(start.workers[i]);
       if (worker == nullptr) continue;
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -15,9 +15,7 @@
 namespace eelgrass {
 
 struct tracker_options {
-  millis grant{4500};         // lease that one report earns a worker
-  millis stop_timeout{900};   // a stop takes at most this long
-  millis gang_timeout{3000};  // a gang member waits this long for the others
+  millis grant{4000};  // lease that one report earns a worker
 };
 
 /** The longest that a run may go on after its worker was last granted a lease. */
--- a/src/kernel/batch/start_planner.cc
+++ b/src/kernel/batch/start_planner.cc
@@ -32,8 +32,7 @@
   return longest;
 }
 
-start_planner::start_planner(start_options options, const unit_order& order)
-    : options_(options), order_(order) {}
+start_planner::start_planner(const unit_order& order) : order_(order) {}
 
 start_plan start_planner::Plan(const planning_view& view) {
   ReadRooms(view);
--- a/src/kernel/batch/start_planner.h
+++ b/src/kernel/batch/start_planner.h
@@ -42,11 +42,6 @@
   millis now{0};
 };
 
-struct start_options {
-  double remote_factor = 3;  // tasks away from their data or spread over racks take this long
-  millis stop_timeout{900};  // a preempted run may take this long to end
-};
-
 /** Which of the ready units goes first: the interface of the ordering policies. */
 class unit_order {
  public:
@@ -72,7 +67,7 @@
  */
 class start_planner {
  public:
-  start_planner(start_options options, const unit_order& order);
+  explicit start_planner(const unit_order& order);
 
   start_plan Plan(const planning_view& view);
 
@@ -119,7 +114,6 @@
   void Take(const candidate& unit, std::span<room* const> rooms, const planning_view& view,
             start_plan& plan);
 
-  const start_options options_;
   const unit_order& order_;
   std::vector<room> rooms_;
   std::map<unit_ref, std::vector<const run_record*>> running_;  // by unit
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -30,12 +30,10 @@
   int64_t run = 0;
   amounts each;
   run_phase phase = run_phase::kHeld;
-  millis since{0};     // of the phase
-  millis began{0};     // when it was first seen running; 0: not yet
-  millis saved_at{0};  // when its checkpoint last changed
+  millis since{0};  // of the phase
+  millis began{0};  // when it was first seen running; 0: not yet
   std::string saved;
   std::string ticket;  // from the advice that the queue's policy demands
-  int64_t percent = -1;
 };
 
 /** One worker. */
--- a/src/kernel/io/deployment.h
+++ b/src/kernel/io/deployment.h
@@ -16,16 +16,9 @@
 /** Bounds that the platform sets; each is a setting, with its source in the platform's pages. */
 struct deployment_bounds {
   millis longest_hold{6000};  // lease of a worker
-  millis stop_timeout{900};   // a stop takes at most this long
-  millis gang_timeout{3000};  // a gang member waits this long for the others
   millis revocation{5000};    // a withdrawn key is refused after this at the latest
   millis grace{6000};         // between the request to stop and the end of a process
   millis early{250};          // an occurrence may start this much before its time
-  millis reclaim{3000};       // guaranteed jobs have begun after this
-  millis restore{500};        // time that a start from a checkpoint takes
-  millis checkpoint{1000};    // work between two checkpoints
-  double remote_factor = 3;   // tasks away from their data or spread over racks take this long
-  bool fences_machine_orders = true;
 };
 
 /** The place of one process. */
@@ -42,7 +35,6 @@
   std::string worker_address;      // agents: of their worker
   std::string store_address;
   std::string advice_address;
-  std::string machines_address;
   deployment_bounds bounds;
 };
 
--- a/tests/stories/batch_policy_story.cc
+++ b/tests/stories/batch_policy_story.cc
@@ -67,7 +67,7 @@
   const planning_view view{book, pool, config, evacuated, &desk, millis(0)};
   const unit_ref unit{job.id, 0, 0, 0};
   const auto order = std::move(unit_order_registry::Instance().Create("arrival").value());
-  start_planner planner({}, *order);
+  start_planner planner(*order);
 
   CHECK(planner.Plan(view).starts.empty());
   const auto request = desk.Next(view);
--- a/tests/stories/platform_story.cc
+++ b/tests/stories/platform_story.cc
@@ -241,11 +241,11 @@
   };
   const auto place = load(R"({"Node":"n1","Ip":"10.1.0.1","Zone":"z","PortRange":[7000,7015],
     "Listen":{"Front":"10.1.0.1:80"},"Seeds":["10.1.0.2:81"],"platform":{"Addr":"10.9.0.1:1"},
-    "Bounds":{"HoldMaxMs":10000,"GraceS":6,"CheckpointIntervalS":0.5},"New":{}})");
+    "Bounds":{"HoldMaxMs":10000,"GraceS":6,"RevokeMs":4000},"New":{}})");
   REQUIRE(place);
   CHECK(place.value().bounds.longest_hold == millis(10000));
   CHECK(place.value().bounds.grace == millis(6000));
-  CHECK(place.value().bounds.checkpoint == millis(500));
+  CHECK(place.value().bounds.revocation == millis(4000));
   CHECK(place.value().seeds == std::vector<std::string>{"10.1.0.2:81"});
   CHECK_FALSE(load("{}"));
   CHECK_FALSE(load(R"({"Node":"n1","Ip":"10.1.0.1","Zone":"z"})"));
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -152,9 +152,7 @@
   planner.node = entry.id;
   planner.nonce = entry.id + "-" + std::to_string(entry.life);
   planner.peer_address = Address(entry.id);
-  planner.longest_hold = options_.worker.longest_hold;
   planner.tracking.grant = millis(4000);
-  planner.tracking.stop_timeout = options_.worker.stop_time;
   entry.planner = std::make_unique<planner_core>(planner, *codec_, *order_);
   for (const auto& other : entries_) {
     if (other->id != entry.id) entry.dialled.insert(Address(other->id));
