Failures that an earlier planner had not stored count, whichever worker reports first

Ruled out: counting by the highest failed run only, which drops a failure that is seen after a later one.

Change: a unit keeps the numbers of its failed runs, in the store too, so that each counts once in any order; only ends of runs that this planner gave up itself do not count. An older run's end neither stops a newer gang nor replaces its checkpoint.

--- a/src/kernel/batch/batch_records.h
+++ b/src/kernel/batch/batch_records.h
@@ -19,8 +19,7 @@
   int step = 0;
   int index = 0;
   bool done = false;
-  int failures = 0;
-  int64_t last_failed_run = 0;  // so that an end that is listed twice counts once
+  std::vector<int64_t> failed_runs;  // each counts once, however often its end is listed
   std::string saved;            // latest checkpoint; empty: none
 };
 
--- a/src/kernel/batch/job_book.cc
+++ b/src/kernel/batch/job_book.cc
@@ -52,8 +52,7 @@
     unit_state* unit = Find(ref);
     if (unit == nullptr) continue;
     if (task.done && !unit->done) OnDone(ref, job->accepted);
-    unit->failures = task.failures;
-    unit->last_failed_run = task.last_failed_run;
+    unit->failed_runs = {task.failed_runs.begin(), task.failed_runs.end()};
     unit->saved = task.saved;
   }
   if (!progress.tasks.empty()) job->begun = true;
@@ -146,18 +145,16 @@
   tracked_job* job = Find(ref.job);
   unit_state* unit = Find(ref);
   if (job == nullptr || unit == nullptr || unit->done || IsFinal(job->state)) return;
-  if (run <= unit->last_failed_run) return;
-  unit->last_failed_run = run;
-  ++unit->failures;
+  const batch_step& step = job->job.steps[static_cast<size_t>(ref.step)];
+  if (step.long_running || !unit->failed_runs.insert(run).second) return;
   unit->failed_on.insert(std::string(worker));
   dirty_.insert(ref.job);
-  const batch_step& step = job->job.steps[static_cast<size_t>(ref.step)];
-  if (step.long_running || unit->failures < attempts) return;
+  if (unit->failures() < attempts) return;
   log_event("job-out-of-attempts")
       .With("job", ref.job)
       .With("step", ref.step)
       .With("unit", ref.unit)
-      .With("failures", unit->failures);
+      .With("failures", unit->failures());
   Finish(*job, batch_state::kFailed);
 }
 
@@ -192,9 +189,12 @@
       const auto& units = job.occurrences[k].steps[s].units;
       for (size_t u = 0; u < units.size(); ++u) {
         const unit_state& unit = units[u];
-        if (!unit.done && unit.failures == 0 && unit.saved.empty()) continue;
-        progress.tasks.push_back({static_cast<int>(k), static_cast<int>(s), static_cast<int>(u),
-                                  unit.done, unit.failures, unit.last_failed_run,
+        if (!unit.done && unit.failed_runs.empty() && unit.saved.empty()) continue;
+        progress.tasks.push_back({static_cast<int>(k),
+                                  static_cast<int>(s),
+                                  static_cast<int>(u),
+                                  unit.done,
+                                  {unit.failed_runs.begin(), unit.failed_runs.end()},
                                   unit.done ? std::string() : unit.saved});
       }
     }
--- a/src/kernel/batch/job_book.h
+++ b/src/kernel/batch/job_book.h
@@ -35,12 +35,14 @@
   bool done = false;
   int64_t run = 0;    // number of the latest run; 0: none by this planner
   int open_runs = 0;  // members whose run has not certainly ended
-  int failures = 0;
-  int64_t last_failed_run = 0;
+  std::set<int64_t> failed_runs;
+  int64_t given_up_run = 0;  // latest run whose lease has lapsed: its end does not count any more
   std::string saved;
   millis ready_since{0};
   millis not_before{0};             // a pause after a run that did not get far
   std::set<std::string> failed_on;  // workers
+
+  int failures() const { return static_cast<int>(failed_runs.size()); }
 };
 
 struct step_state {
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -158,9 +158,10 @@
   const unit_ref unit = UnitOf(task, step);
   unit_state* state = book_.Find(unit);
   if (state == nullptr) return;
-  // A run that was given up because its lease had lapsed does not count any more.
-  const bool counts =
-      known || (state->open_runs == 0 && end.run > state->last_failed_run) || end.run == state->run;
+  // A run that was given up because its lease had lapsed does not count any more. One that an
+  // earlier planner started counts, also if its successor is known already.
+  const bool counts = known || end.run > state->given_up_run;
+  const bool latest = known || end.run == state->run || state->open_runs == 0;
   // Work that is done is done, whichever run did it: nothing of it is to run again.
   if (!step.long_running && end.how == run_end::kDone) {
     Note(worker, true, now);
@@ -172,10 +173,10 @@
     book_.OnFailed(unit, end.run, queue == nullptr ? INT32_MAX : queue->attempts,
                    worker.profile.self.id);
   }
-  if (counts && !end.saved.empty()) book_.OnSaved(unit, end.saved);
+  if (latest && !end.saved.empty()) book_.OnSaved(unit, end.saved);
   if (known) Close(worker, ref);
   // One member's end is the end of the whole gang.
-  if (step.gang && state->open_runs > 0 && counts) Stop(unit, "a member has ended", now);
+  if (step.gang && state->open_runs > 0 && latest) Stop(unit, "a member has ended", now);
   ++changes_;
 }
 
@@ -234,7 +235,7 @@
     unit_state* unit = book_.Find(record.unit);
     const tracked_job* job = book_.Find(task.job);
     if (unit == nullptr || job == nullptr) return false;
-    const bool free = unit->open_runs == 0 && listed.run > unit->last_failed_run;
+    const bool free = unit->open_runs == 0;
     const bool fellow = step->gang && unit->open_runs > 0 && unit->run == listed.run;
     if (!unit->done && !IsFinal(job->state) && (free || fellow)) {
       record.phase = run_phase::kRunning;
@@ -316,6 +317,9 @@
         .With("run", ref.run)
         .With("worker", worker.profile.self.id)
         .With("reason", reason);
+    if (unit_state* unit = book_.Find(worker.runs.at(ref).unit)) {
+      unit->given_up_run = std::max(unit->given_up_run, ref.run);
+    }
     Close(worker, ref);
   }
 }
--- a/src/plugins/records/json/json_records.cc
+++ b/src/plugins/records/json/json_records.cc
@@ -19,7 +19,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(batch_job, id, queue, organisation, spec, steps,
                                                 occurrences, first_start, interval)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task_progress, occurrence, step, index, done,
-                                                failures, last_failed_run, saved)
+                                                failed_runs, saved)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_progress, job, state, tasks)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(term_record, holder, nonce, fence, write)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_record, id, agent, address)
--- /dev/null
+++ b/tests/stories/run_tracker_story.cc
@@ -0,0 +1,54 @@
+#include <doctest/doctest.h>
+
+#include "kernel/batch/run_tracker.h"
+#include "tests/world/batch_world.h"
+
+namespace eelgrass {
+namespace {
+
+TEST_CASE("a new planner counts the failures that nobody has stored yet") {
+  job_book book(millis(250));
+  worker_pool pool;
+  run_tracker tracker({}, book, pool);
+  batch_config config;
+  batch_queue queue;
+  queue.name = "usual";
+  queue.attempts = 3;
+  config.queues.push_back(queue);
+  const batch_job job = MakeBatchJob("a1", "usual", 1, millis(1000), 1);
+  book.Add(job, millis(0));
+  tracker.Begin(7, millis(0));
+  const unit_ref unit{job.id, 0, 0, 0};
+  const std::string task = job.id + ".0.0.0";
+  const auto report = [&](std::string_view worker, std::vector<listed_run> running,
+                          std::vector<listed_end> ended) {
+    worker_report said;
+    said.term = 7;
+    said.sequence = 1;
+    said.present = said.listed = true;
+    said.worker.self = {std::string(worker), 1};
+    said.running = std::move(running);
+    said.ended = std::move(ended);
+    tracker.On("agent-" + std::string(worker), said, config, true, millis(10));
+  };
+
+  SUBCASE("also when the next run is seen before the failure of the one before") {
+    report("w1", {{task, 202, "", 100, 0}}, {});
+    report("w2", {}, {{1, task, 201, run_end::kFailed, ""}});
+    CHECK(book.Find(unit)->failures() == 1);
+  }
+  SUBCASE("in whichever order they are seen, and each once") {
+    report("w1", {}, {{1, task, 202, run_end::kFailed, ""}});
+    report("w2", {}, {{1, task, 201, run_end::kFailed, ""}});
+    report("w3", {}, {{1, task, 201, run_end::kFailed, ""}});
+    CHECK(book.Find(unit)->failures() == 2);
+  }
+  SUBCASE("but not one that an earlier planner has stored") {
+    book.Restore({job.id, batch_state::kRunning, {{0, 0, 0, false, {201}, ""}}});
+    report("w2", {}, {{1, task, 201, run_end::kFailed, ""}});
+    CHECK(book.Find(unit)->failures() == 1);
+  }
+}
+
+}  // namespace
+}  // namespace eelgrass
