--- a/src/kernel/batch/batch_records.h
+++ b/src/kernel/batch/batch_records.h
@@ -20,7 +20,7 @@
   int index = 0;
   bool done = false;
   std::vector<int64_t> failed_runs;  // each counts once, however often its end is listed
-  std::string saved;            // latest checkpoint; empty: none
+  std::string saved;                 // latest checkpoint; empty: none
 };
 
 /** Progress of a job. A final job keeps its state only. */
