One copy of a task's room, of forgetting a worker and of an agent's links

Cause: reading the whole change again. What a task takes of a worker's room stood three times, dropping and forgetting workers twice, and batch_agent handed links on as agent_links already does; four functions took arguments that they did not read.

Change: RoomOf, planner_core::Forget, agent_links; the arguments are gone. Behaviour is the same.

--- a/src/daemons/node/batch_agent.cc
+++ b/src/daemons/node/batch_agent.cc
@@ -40,12 +40,13 @@
   core_ = std::make_unique<agent_core>(SeedAddresses(place_));
   duty_ =
       std::make_unique<duty<agent_event>>(duty_options{"agent", kRing, 64, kTick}, clock_, *this);
+  links_ = std::make_unique<agent_links<agent_event>>(*duty_);
   return Ok();
 }
 
 result<void> batch_agent::Start() {
   BOOST_OUTCOME_TRY(Build());
-  BOOST_OUTCOME_TRY(hub_->Start(*this));
+  BOOST_OUTCOME_TRY(hub_->Start(*links_));
   duty_->Start();
   BOOST_OUTCOME_TRY(metrics_page_->Start());
   BOOST_OUTCOME_TRY(front_->Start(*this));
@@ -57,12 +58,6 @@
 
 bool batch_agent::OnLeft(worker_left left) { return duty_->Offer(std::move(left)); }
 
-void batch_agent::OnLink(link_event event) {
-  if (auto* up = std::get_if<peer_up>(&event)) duty_->Deliver(std::move(*up));
-  if (auto* down = std::get_if<peer_down>(&event)) duty_->Deliver(std::move(*down));
-  if (auto* said = std::get_if<peer_said>(&event)) duty_->Deliver(std::move(*said));
-}
-
 void batch_agent::Handle(std::span<agent_event> events, millis now) {
   core_->Decide(events, now, actions_);
   for (auto& action : actions_) Carry(action);
--- a/src/daemons/node/batch_agent.h
+++ b/src/daemons/node/batch_agent.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "daemons/node/agent_links.h"
 #include "daemons/node/process_signals.h"
 #include "daemons/node/status_page.h"
 #include "kernel/base/duty.h"
@@ -18,7 +19,7 @@
 namespace eelgrass {
 
 /** Runs an agent_core against the workers that register at this process. */
-class batch_agent : public beat_listener, public link_listener, public duty_handler<agent_event> {
+class batch_agent : public beat_listener, public duty_handler<agent_event> {
  public:
   batch_agent(deployment place, const clock& time);
   ~batch_agent() override;
@@ -30,7 +31,6 @@
 
   bool OnBeat(worker_beat beat) override;
   bool OnLeft(worker_left left) override;
-  void OnLink(link_event event) override;
   void Handle(std::span<agent_event> events, millis now) override;
 
  private:
@@ -51,6 +51,7 @@
   std::unique_ptr<beat_front> front_;
   std::unique_ptr<agent_core> core_;
   std::unique_ptr<duty<agent_event>> duty_;
+  std::unique_ptr<agent_links<agent_event>> links_;
   std::vector<agent_action> actions_;
 };
 
--- a/src/kernel/batch/job_book.cc
+++ b/src/kernel/batch/job_book.cc
@@ -13,6 +13,12 @@
 
 }  // namespace
 
+amounts RoomOf(const batch_step& step) {
+  amounts room = step.each;
+  if (step.fills) room.cpu_milli = 0;
+  return room;
+}
+
 unit_ref UnitOf(const task_ref& task, const batch_step& step) {
   return {task.job, task.occurrence, task.step, step.gang ? 0 : task.index};
 }
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -41,14 +41,14 @@
   out_ = &actions;
   for (auto& event : events) {
     std::visit([&](auto& e) { On(e, now); }, event);
-    if (term_.holding() != was_holding_) term_.holding() ? BeginTerm(now) : EndTerm(now);
+    if (term_.holding() != was_holding_) term_.holding() ? BeginTerm(now) : EndTerm();
   }
   if (auto call = term_.Next(now)) {
     call->token = -1;  // the journal's tokens are positive
     out_->emplace_back(std::move(*call));
   }
   if (term_.holding()) {
-    TakeWritten(now);
+    TakeWritten();
     Plan(now, wall_now);
     if (book_->TakeFinished()) journal_.Hurry();
     std::vector<send_to_peer> orders;
@@ -148,13 +148,13 @@
   pool_ = worker_pool{};
   book_ = std::make_unique<job_book>(options_.early);
   tracker_ = std::make_unique<run_tracker>(options_.tracking, *book_, pool_);
-  tracker_->Begin(term_.fence(), now);
+  tracker_->Begin(term_.fence());
   early_reports_.clear();
   reported_.clear();
   advice_.Reset();
 }
 
-void planner_core::EndTerm(millis) {
+void planner_core::EndTerm() {
   was_holding_ = false;
   planning_ = false;
   journal_.Reset();
@@ -196,8 +196,13 @@
     const bool same_place = worker.profile.address == newest.address;
     if (same_place && worker.profile.self.born_ms < newest.self.born_ms) replaced.push_back(id);
   }
-  for (const auto& id : replaced) {
-    tracker_->Drop(id, "another worker has its address");
+  Forget(replaced, "another worker has its address");
+}
+
+/** Nothing can run at these workers any more. */
+void planner_core::Forget(std::span<const std::string> workers, std::string_view reason) {
+  for (const auto& id : workers) {
+    tracker_->Drop(id, reason);
     journal_.Forget(id);
   }
 }
@@ -209,10 +214,7 @@
     const bool silent = !worker.linked || now - worker.reported > kUnreported;
     if (silent && worker.runs.empty() && now > worker.lease_end) gone.push_back(id);
   }
-  for (const auto& id : gone) {
-    tracker_->Drop(id, "gone");
-    journal_.Forget(id);
-  }
+  Forget(gone, "gone");
 }
 
 void planner_core::Answer(const std::string& asker, const job_inquiry& inquiry, millis now) {
@@ -276,7 +278,7 @@
   return stats;
 }
 
-void planner_core::TakeWritten(millis) {
+void planner_core::TakeWritten() {
   const auto written = journal_.TakeWritten();
   if (!written) return;
   for (const auto& [id, state] : written->jobs) {
@@ -328,7 +330,7 @@
 void planner_core::Plan(millis now, millis wall_now) {
   if (!Recovered(now) || operators_.config == nullptr) return;
   book_->Release(now, wall_now);
-  tracker_->Tick(*operators_.config, now);
+  tracker_->Tick(now);
   ForgetGone(now);
   const bool informed = now - operators_confirmed_ < kOperatorsAge;
   if (!term_.Trusted(now) || !informed || journal_.handed_over()) return;
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -94,13 +94,14 @@
   void On(planner_drain& event, millis now);
 
   void BeginTerm(millis now);
-  void EndTerm(millis now);
+  void EndTerm();
   void TakeReport(const std::string& agent, worker_report& report, millis now);
   void Answer(const std::string& asker, const job_inquiry& inquiry, millis now);
   void ForgetReplaced(const worker_profile& newest);
   void ForgetGone(millis now);
+  void Forget(std::span<const std::string> workers, std::string_view reason);
   void Reply(const std::string& asker, const job_reply& reply);
-  void TakeWritten(millis now);
+  void TakeWritten();
   bool Recovered(millis now);
   void Plan(millis now, millis wall_now);
   void Notify(millis now);
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -37,7 +37,7 @@
 run_tracker::run_tracker(tracker_options options, job_book& book, worker_pool& pool)
     : options_(options), book_(book), pool_(pool) {}
 
-void run_tracker::Begin(int64_t term, millis) {
+void run_tracker::Begin(int64_t term) {
   term_ = term;
   runs_begun_ = 0;
   orders_sent_ = 0;
@@ -230,8 +230,7 @@
   const batch_step* step = book_.StepOf({task.job, task.occurrence, task.step, 0});
   if (step != nullptr) {
     record.unit = UnitOf(task, *step);
-    record.each = step->each;
-    if (step->fills) record.each.cpu_milli = 0;
+    record.each = RoomOf(*step);
     unit_state* unit = book_.Find(record.unit);
     const tracked_job* job = book_.Find(task.job);
     if (unit == nullptr || job == nullptr) return false;
@@ -338,8 +337,7 @@
       record.unit = start.unit;
       record.task = ToText(MemberOf(start.unit, *step, static_cast<int>(i)));
       record.run = unit->run;
-      record.each = step->each;
-      if (step->fills) record.each.cpu_milli = 0;
+      record.each = RoomOf(*step);
       record.since = now;
       record.saved = unit->saved;
       if (i < start.tickets.size()) record.ticket = start.tickets[i];
@@ -413,7 +411,7 @@
   for (const auto& unit : overdue) Stop(unit, "not begun in time", now);
 }
 
-void run_tracker::Tick(const batch_config&, millis now) {
+void run_tracker::Tick(millis now) {
   std::set<unit_ref> ended;
   for (auto& [id, worker] : pool_.all()) {
     if (!worker.runs.empty() && now > worker.lease_end) CloseAll(worker, "the lease has lapsed");
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -31,7 +31,7 @@
   run_tracker(tracker_options options, job_book& book, worker_pool& pool);
 
   /** A new term: orders count anew, and run numbers are above those of all earlier terms. */
-  void Begin(int64_t term, millis now);
+  void Begin(int64_t term);
 
   /** Takes a report. The configuration gives the attempts that a queue allows. */
   void On(std::string_view agent, const worker_report& report, const batch_config& config,
@@ -48,7 +48,7 @@
   void Stop(const unit_ref& unit, std::string_view reason, millis now);
 
   /** Stops what runs for jobs that have ended, releases held runs, ends what has lapsed. */
-  void Tick(const batch_config& config, millis now);
+  void Tick(millis now);
 
   /** The orders that are due. Without trust in the term they start nothing and grant nothing. */
   void TakeOrders(bool trusted, std::vector<send_to_peer>& orders);
--- a/src/kernel/batch/start_planner.cc
+++ b/src/kernel/batch/start_planner.cc
@@ -131,8 +131,7 @@
           unit.step = &job.job.steps[s];
           unit.queue = queue;
           unit.state = &state;
-          unit.each = unit.step->each;
-          if (unit.step->fills) unit.each.cpu_milli = 0;
+          unit.each = RoomOf(*unit.step);
           unit.members = UnitSize(*unit.step);
           unit.rank = rank;
           ready.push_back(unit);
--- a/tests/stories/run_tracker_story.cc
+++ b/tests/stories/run_tracker_story.cc
@@ -17,7 +17,7 @@
   config.queues.push_back(queue);
   const batch_job job = MakeBatchJob("a1", "usual", 1, millis(1000), 1);
   book.Add(job, millis(0));
-  tracker.Begin(7, millis(0));
+  tracker.Begin(7);
   const unit_ref unit{job.id, 0, 0, 0};
   const std::string task = job.id + ".0.0.0";
   const auto report = [&](std::string_view worker, std::vector<listed_run> running,
