Workers that are gone are known from the platform's list of VMs, not only from their lapsed leases

Cause: when a worker's VM goes at short notice, its gangs break at once but started again only when the lease had lapsed.

Change: departure_watch asks for the list while a worker with runs is silent; a worker whose VM is down, or that no VM names, is gone. Without an answer leases decide as before.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -80,10 +80,12 @@
     : core_(core), hub_(hub), clock_(time), counters_(counters) {}
 
 void planner_duty::Join(store_port<planner_event>& store, event_sink<gateway_event>& gateway,
-                        advice_service& advice, event_sink<planner_event>& self) {
+                        advice_service& advice, vm_directory& directory,
+                        event_sink<planner_event>& self) {
   store_ = &store;
   gateway_ = &gateway;
   advice_ = &advice;
+  directory_ = &directory;
   self_ = &self;
 }
 
@@ -115,6 +117,9 @@
   } else if (const auto* advice = std::get_if<advice_request>(&action)) {
     counters_.Count("advice_calls_total");
     advice_->Ask(*advice, [this](advice_reply reply) { self_->Deliver(std::move(reply)); });
+  } else if (const auto* listing = std::get_if<vm_listing_request>(&action)) {
+    counters_.Count("vm_listings_total");
+    directory_->List(*listing, [this](vm_listing answer) { self_->Deliver(std::move(answer)); });
   }
 }
 
@@ -132,6 +137,8 @@
       "platform", row_store_options{place_.store_address}, *client_));
   advice_ = BOOST_OUTCOME_TRYX(advice_registry::Instance().Create(
       "platform", advice_options{place_.advice_address}, *client_));
+  directory_ = BOOST_OUTCOME_TRYX(vm_directory_registry::Instance().Create(
+      "platform", vm_directory_options{place_.directory_address}, *client_));
   front_options callers;
   callers.listen = place_.front_address;
   callers.max_body = kMaxBodyBytes;
@@ -167,7 +174,7 @@
   gateway_store_ = std::make_unique<store_port<gateway_event>>(*store_, *gateway_duty_);
   planner_store_ = std::make_unique<store_port<planner_event>>(*store_, *planner_duty_);
   gateway_handler_->Join(*gateway_store_, *planner_duty_);
-  planner_handler_->Join(*planner_store_, *gateway_duty_, *advice_, *planner_duty_);
+  planner_handler_->Join(*planner_store_, *gateway_duty_, *advice_, *directory_, *planner_duty_);
   return Ok();
 }
 
--- a/src/daemons/node/batch_entry.h
+++ b/src/daemons/node/batch_entry.h
@@ -17,6 +17,7 @@
 #include "kernel/io/deployment.h"
 #include "kernel/io/job_front.h"
 #include "kernel/io/peer_hub.h"
+#include "kernel/io/vm_directory.h"
 
 namespace eelgrass {
 
@@ -50,7 +51,7 @@
   planner_duty(planner_core& core, peer_hub& hub, const clock& time, metrics& counters);
 
   void Join(store_port<planner_event>& store, event_sink<gateway_event>& gateway,
-            advice_service& advice, event_sink<planner_event>& self);
+            advice_service& advice, vm_directory& directory, event_sink<planner_event>& self);
   void Handle(std::span<planner_event> events, millis now) override;
   bool handed_over() const { return handed_over_; }
 
@@ -64,6 +65,7 @@
   store_port<planner_event>* store_ = nullptr;
   event_sink<gateway_event>* gateway_ = nullptr;
   advice_service* advice_ = nullptr;
+  vm_directory* directory_ = nullptr;
   event_sink<planner_event>* self_ = nullptr;
   std::vector<planner_action> actions_;
   millis next_gauges_{0};
@@ -97,6 +99,7 @@
   std::unique_ptr<http_client> client_;
   std::unique_ptr<row_store> store_;
   std::unique_ptr<advice_service> advice_;
+  std::unique_ptr<vm_directory> directory_;
   std::unique_ptr<http_front> front_server_;
   std::unique_ptr<http_front> ready_server_;
   std::unique_ptr<http_front> metrics_server_;
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -19,6 +19,15 @@
 /** An agent that has not reported for this long may not know who plans. */
 constexpr millis kHeardOf{2500};
 
+/**
+ * A worker with runs that was not reported for this long may be gone: two reports are missing, and
+ * a report's way takes a few milliseconds.
+ */
+constexpr millis kSilent{1300};
+
+/** After a takeover agents have this long to report before their workers are in question. */
+constexpr millis kReportTime{400};
+
 /** Starts need to know what operators want at least this well. */
 constexpr millis kOperatorsAge{3500};
 
@@ -50,6 +59,7 @@
   if (term_.holding()) {
     TakeWritten();
     Plan(now, wall_now);
+    WatchDepartures(now);
     if (book_->TakeFinished()) journal_.Hurry();
     std::vector<send_to_peer> orders;
     tracker_->TakeOrders(term_.Trusted(now), orders);
@@ -127,6 +137,15 @@
   planned_changes_ = -1;
 }
 
+void planner_core::On(vm_listing& event, millis) {
+  std::vector<std::string> gone = departures_.On(event);
+  std::erase_if(gone, [&](const std::string& id) {
+    const pool_worker* worker = pool_.Find(id);
+    return worker != nullptr && worker->listing && worker->reported >= event.requested;
+  });
+  if (term_.holding() && journal_.loaded()) Forget(gone, "its VM is down");
+}
+
 void planner_core::On(own_inquiry& event, millis now) { Answer("", event.inquiry, now); }
 
 void planner_core::On(operators_say& event, millis) {
@@ -152,6 +171,7 @@
   early_reports_.clear();
   reported_.clear();
   advice_.Reset();
+  departures_.Reset();
 }
 
 void planner_core::EndTerm() {
@@ -217,6 +237,24 @@
   Forget(gone, "gone");
 }
 
+/** Workers on which runs may be and of which nothing has been heard. */
+std::vector<std::string> planner_core::SilentWorkers(millis now) const {
+  std::vector<std::string> silent;
+  if (!journal_.loaded()) return silent;
+  if (now - term_began_ > kReportTime) {
+    for (const auto& [id, record] : journal_.expected()) silent.push_back(id);
+  }
+  for (const auto& [id, worker] : pool_.all()) {
+    const bool silent_agent = now - worker.reported > kSilent;
+    if (!worker.runs.empty() && (silent_agent || !worker.listing)) silent.push_back(id);
+  }
+  return silent;
+}
+
+void planner_core::WatchDepartures(millis now) {
+  if (auto request = departures_.Next(SilentWorkers(now), now)) out_->emplace_back(*request);
+}
+
 void planner_core::Answer(const std::string& asker, const job_inquiry& inquiry, millis now) {
   job_reply reply{inquiry.id};
   if (!term_.holding()) {
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "kernel/batch/advice_desk.h"
+#include "kernel/batch/departure_watch.h"
 #include "kernel/batch/planner_journal.h"
 #include "kernel/batch/run_tracker.h"
 #include "kernel/batch/start_planner.h"
@@ -34,15 +35,17 @@
 /** The process is to end: hand the term over. */
 struct planner_drain {};
 
-using planner_event = std::variant<store_reply, peer_up, peer_down, peer_refused, peer_said,
-                                   own_inquiry, operators_say, planner_drain, advice_reply>;
+using planner_event =
+    std::variant<store_reply, peer_up, peer_down, peer_refused, peer_said, own_inquiry,
+                 operators_say, planner_drain, advice_reply, vm_listing>;
 
 /** To this entry's own gateway. */
 struct tell_gateway {
   std::variant<job_reply, planner_notice> message;
 };
 
-using planner_action = std::variant<store_request, send_to_peer, tell_gateway, advice_request>;
+using planner_action =
+    std::variant<store_request, send_to_peer, tell_gateway, advice_request, vm_listing_request>;
 
 struct planner_options {
   std::string node;          // id of this entry
@@ -89,6 +92,7 @@
   void On(peer_refused& event, millis now);
   void On(peer_said& event, millis now);
   void On(advice_reply& event, millis now);
+  void On(vm_listing& event, millis now);
   void On(own_inquiry& event, millis now);
   void On(operators_say& event, millis now);
   void On(planner_drain& event, millis now);
@@ -99,6 +103,8 @@
   void Answer(const std::string& asker, const job_inquiry& inquiry, millis now);
   void ForgetReplaced(const worker_profile& newest);
   void ForgetGone(millis now);
+  void WatchDepartures(millis now);
+  std::vector<std::string> SilentWorkers(millis now) const;
   void Forget(std::span<const std::string> workers, std::string_view reason);
   void Reply(const std::string& asker, const job_reply& reply);
   void TakeWritten();
@@ -126,6 +132,7 @@
   std::map<std::string, std::string> entries_;       // linked entries: address by id
   std::map<std::string, std::string> lost_entries_;  // address by id
   advice_desk advice_;
+  departure_watch departures_;
   std::set<std::string> agents_;  // linked agents
   std::map<std::pair<std::string, std::string>, worker_report> early_reports_;
   std::map<std::string, std::vector<std::pair<std::string, int64_t>>> cancels_;  // by job
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -54,6 +54,7 @@
   pacing_.clear();
   pace_ = pace_policy{};
   pace_changes_.clear();
+  refused_connection_ = false;
   seen_upto_ = 0;
   lease_until_ = millis(0);
   next_hold_ = now;
@@ -148,6 +149,9 @@
   if (!(answer.worker == profile_.self)) return;
   const bool other_life = answer.outcome == call_outcome::kOtherLife ||
                           (answer.born_ms != 0 && answer.born_ms != profile_.self.born_ms);
+  const bool refused = answer.outcome == call_outcome::kNeverSent;
+  if (refused != refused_connection_) changed_ = true;
+  refused_connection_ = refused;
   if (answer.outcome != call_outcome::kDone || other_life) {
     next_hold_ = now + kRetryPause;
     if (other_life && confirmed_term_ != 0) {
@@ -292,6 +296,7 @@
     case call_outcome::kNoAnswer:
       start.doubtful = true;
       start.phase = start_phase::kUnanswered;
+      start.not_before = now + kRetryPause;
       log_event("start-unanswered")
           .With("worker", profile_.self.id)
           .With("task", answer.run.task)
@@ -394,7 +399,8 @@
   report.sent_ms = now.count();
   report.present = true;
   report.term = confirmed_term_;
-  report.listed = confirmed_term_ != 0 && now - last_answer_ < kAnsweringFor;
+  report.listed =
+      confirmed_term_ != 0 && !refused_connection_ && now - last_answer_ < kAnsweringFor;
   report.worker = profile_;
   report.running = running_;
   report.ended = ended_;
--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -104,6 +104,7 @@
   millis lease_until_{0};
   std::deque<sent_report> reports_;
   bool holding_ = false;
+  bool refused_connection_ = false;  // nobody listens at the worker's address
   int64_t holds_begun_ = 0;
   int64_t hold_number_ = 0;  // of the hold under way
   millis hold_sent_{0};
--- a/src/kernel/io/deployment.h
+++ b/src/kernel/io/deployment.h
@@ -35,6 +35,7 @@
   std::string worker_address;      // agents: of their worker
   std::string store_address;
   std::string advice_address;
+  std::string directory_address;  // of the list of VMs
   deployment_bounds bounds;
 };
 
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -392,10 +392,31 @@
         entry_process* same = FindEntry(id);
         if (same->alive && same->life == life) ToGateway(*same, own_planner_said{message});
       });
+    } else if (const auto* listing = std::get_if<vm_listing_request>(&action)) {
+      ListVms(entry, *listing);
     }
   }
 }
 
+/** A VM whose worker has crashed is down until the next one starts there. */
+void batch_world::ListVms(const entry_process& entry, const vm_listing_request& request) {
+  ++vm_lists_;
+  vm_listing listing;
+  listing.requested = request.at;
+  listing.answered = vm_list_answers_ && !cut_.contains(entry.id);
+  for (const auto& [index, vm] : machines_) {
+    if (!listing.answered) break;
+    const bool up = vm->runner != nullptr;
+    listing.vms.push_back({"vm-" + std::to_string(index), up ? vm_state::kUp : vm_state::kDown,
+                           up ? vm->runner->self().id : std::string()});
+  }
+  const int64_t life = entry.life;
+  events_.After(kStoreTime, [this, id = entry.id, life, listing] {
+    entry_process* same = FindEntry(id);
+    if (same->alive && same->life == life) ToPlanner(*same, listing);
+  });
+}
+
 void batch_world::CarryOut(machine& vm, std::vector<agent_action>& actions) {
   for (auto& action : actions) {
     if (const auto* send = std::get_if<send_to_peer>(&action)) {
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -72,6 +72,10 @@
   void SetStoreFor(int entry, store_fault fault) { entry_faults_[EntryId(entry)] = fault; }
   void ForgetHistory() { rows_.ForgetHistory(); }
 
+  /** The platform's list of VMs answers, or does not. It answers from the start. */
+  void SetVmList(bool answers) { vm_list_answers_ = answers; }
+  int vm_lists() const { return vm_lists_; }
+
   /** Orders to workers get no answer and are carried out seconds later, with this probability. */
   void SetLateOrders(double share) { late_orders_ = share; }
 
@@ -141,6 +145,7 @@
   void CarryOut(entry_process& entry, std::vector<gateway_action>& actions);
   void CarryOut(entry_process& entry, std::vector<planner_action>& actions);
   void CarryOut(machine& vm, std::vector<agent_action>& actions);
+  void ListVms(const entry_process& entry, const vm_listing_request& request);
   void CallStore(entry_process& entry, const store_request& request, bool gateway);
   void AnswerStore(const std::string& id, int64_t life, bool gateway, store_reply reply,
                    millis delay);
@@ -172,6 +177,8 @@
   store_fault store_fault_ = store_fault::kNone;
   std::map<std::string, store_fault, std::less<>> entry_faults_;
   double late_orders_ = 0;
+  bool vm_list_answers_ = true;
+  int vm_lists_ = 0;
   std::map<uint64_t, caller_try> callers_;
   uint64_t last_caller_ = 0;
   batch_config config_;
