Urgent work beyond its organisation's guarantee stops what is less urgent

Gangs that want one rack waited for twice their estimate even if no rack could ever hold them.

Ruled out: backfill with reservations alone; urgent objectives of 2 to 4 s leave no time to wait for tasks of 6 to 10 s.

Change: a job of the first priority may stop later priorities if that costs others no more work than it has itself; a victim whose job would become late counts with all its work. A gang waits for one rack only if some rack could hold it.

--- a/src/kernel/batch/start_planner.cc
+++ b/src/kernel/batch/start_planner.cc
@@ -32,6 +32,11 @@
   return longest;
 }
 
+millis Objective(const tracked_job& job, const batch_queue& queue) {
+  const auto chain = static_cast<double>(LongestChain(job.job).count());
+  return millis(static_cast<int64_t>(queue.stretch * chain)) + queue.target_latency;
+}
+
 start_planner::start_planner(const unit_order& order) : order_(order) {}
 
 start_plan start_planner::Plan(const planning_view& view) {
@@ -44,7 +49,7 @@
     const std::pair<std::string, int> shape{unit.unit.job, unit.unit.step};
     if (full.contains(shape)) continue;
     auto place = Place(unit, view);
-    if (!place && guaranteed_.contains(unit.unit.job)) place = Preempt(unit, view, plan);
+    if (!place && MayMakeRoom(unit, view)) place = Preempt(unit, view, plan);
     if (!place) {
       full.insert(shape);
       continue;
@@ -184,11 +189,24 @@
   }
   if (unit.step->same_rack && unit.members > 1) {
     auto place = PlaceInOneRack(unit, rooms);
-    if (place || patient) return place;
+    if (place || (patient && SomeRackHolds(unit, rooms))) return place;
   }
   return PlaceIn(unit, rooms);
 }
 
+/** Whether a rack with nothing on it would hold a whole unit: otherwise waiting is pointless. */
+bool start_planner::SomeRackHolds(const candidate& unit, std::span<room* const> rooms) {
+  std::map<std::string, int64_t> members;  // that fit, by rack
+  for (const auto* entry : rooms) {
+    int64_t most = unit.members;
+    if (unit.step->max_per_worker > 0) most = std::min<int64_t>(most, unit.step->max_per_worker);
+    const worker_profile& profile = entry->worker->profile;
+    members[profile.rack] += CountFitting(unit.each, profile.capacity, most);
+  }
+  return std::any_of(members.begin(), members.end(),
+                     [&](const auto& rack) { return rack.second >= unit.members; });
+}
+
 std::optional<std::vector<start_planner::room*>> start_planner::PlaceInOneRack(
     const candidate& unit, std::span<room* const> rooms) {
   std::map<std::string, std::vector<room*>> racks;
@@ -248,9 +266,26 @@
   return record.phase == run_phase::kStopping || preempted_.contains(record.unit);
 }
 
+/** Whether others may be stopped for a unit: for what is guaranteed, and for urgent work in time.
+ */
+bool start_planner::MayMakeRoom(const candidate& unit, const planning_view& view) const {
+  if (guaranteed_.contains(unit.unit.job)) return true;
+  if (unit.queue->priority != 0 || unit.step->long_running) return false;
+  const millis objective = Objective(*unit.job, *unit.queue);
+  return view.now + unit.step->estimate < unit.job->accepted + objective * kLateFactor;
+}
+
+bool start_planner::IsLessUrgent(const unit_ref& victim, const candidate& by,
+                                 const planning_view& view) const {
+  const tracked_job* job = view.book.Find(victim.job);
+  const batch_queue* queue = job == nullptr ? nullptr : view.config.FindQueueByName(job->job.queue);
+  return queue != nullptr && queue->priority > by.queue->priority;
+}
+
 bool start_planner::MayPreempt(const unit_ref& victim, const candidate& by,
                                const planning_view& view) const {
   if (victim.job == by.unit.job || guaranteed_.contains(victim.job)) return false;
+  if (!guaranteed_.contains(by.unit.job) && !IsLessUrgent(victim, by, view)) return false;
   const batch_step* step = view.book.StepOf(victim);
   if (step == nullptr || !step->long_running) return step != nullptr;
   // Of tasks that last only so many may be away at once.
@@ -270,6 +305,27 @@
          });
 }
 
+/** All the work of a unit, in thousandths of a core times milliseconds. */
+double start_planner::WorkOf(const batch_step& step) {
+  return static_cast<double>(Weight(step.each) * UnitSize(step) * step.estimate.count());
+}
+
+/**
+ * What it costs to stop a unit now: the work that is lost, and all of its work if its job can no
+ * longer be in time after that. In thousandths of a core times milliseconds.
+ */
+double start_planner::CostOf(const unit_ref& unit, const planning_view& view) const {
+  const double loss = LossOf(unit, view);
+  const tracked_job* job = view.book.Find(unit.job);
+  const batch_step* step = view.book.StepOf(unit);
+  const batch_queue* queue = job == nullptr ? nullptr : view.config.FindQueueByName(job->job.queue);
+  if (queue == nullptr || step == nullptr || job->job.occurrences > 0) return loss;
+  const millis until = job->accepted + Objective(*job, *queue);
+  const bool was_in_time = view.now < until;
+  const bool late_then = view.now + step->estimate > until;
+  return was_in_time && late_then ? loss + WorkOf(*step) : loss;
+}
+
 /** Work that is lost when a unit is stopped now, in thousandths of a core times milliseconds. */
 double start_planner::LossOf(const unit_ref& unit, const planning_view& view) const {
   const auto found = running_.find(unit);
@@ -300,14 +356,14 @@
     if (Stopping(record) || chosen.contains(record.unit)) continue;
     if (!MayPreempt(record.unit, unit, view)) continue;
     const auto gain = static_cast<double>(std::max<int64_t>(1, Weight(record.each)));
-    choices.emplace_back(LossOf(record.unit, view) / gain, &record);
+    choices.emplace_back(CostOf(record.unit, view) / gain, &record);
   }
   std::sort(choices.begin(), choices.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
   double cost = 0;
   for (const auto& [loss, record] : choices) {
     if (unit.each.Fits(free)) break;
-    if (!victims.contains(record->unit)) cost += LossOf(record->unit, view);
+    if (!victims.contains(record->unit)) cost += CostOf(record->unit, view);
     victims.insert(record->unit);
     free += record->each;
   }
@@ -331,6 +387,10 @@
     std::vector<room> saved;
     for (auto* entry : rooms) saved.push_back(*entry);
     double cost = 0;
+    // Urgent work beyond the guarantee may cost others no more than it is itself.
+    const double most = guaranteed_.contains(unit.unit.job)
+                            ? std::numeric_limits<double>::infinity()
+                            : WorkOf(*unit.step);
     for (int member = 0; member < unit.members; ++member) {
       room* cheapest = nullptr;
       std::set<unit_ref> cheapest_victims;
@@ -350,7 +410,7 @@
       place.push_back(cheapest);
     }
     for (size_t i = 0; i < rooms.size(); ++i) *rooms[i] = saved[i];
-    if (static_cast<int>(place.size()) < unit.members || cost >= best_cost) continue;
+    if (static_cast<int>(place.size()) < unit.members || cost >= best_cost || cost > most) continue;
     best_cost = cost;
     best = std::move(place);
     best_victims = std::move(victims);
--- a/src/kernel/batch/start_planner.h
+++ b/src/kernel/batch/start_planner.h
@@ -60,10 +60,18 @@
 /** Estimated work of the longest chain of steps of one occurrence. */
 millis LongestChain(const batch_job& job);
 
+/** How long after its acceptance a job may end and still be in time. */
+millis Objective(const tracked_job& job, const batch_queue& queue);
+
+/** A job that ends later than this many times its objective is worth nothing any more. */
+inline constexpr int64_t kLateFactor = 3;
+
 /**
  * Goes through the ready units in order and gives each the tightest place that it fits into. Jobs
  * of the first priority within their organisation's guarantee may stop anything that is not
- * guaranteed itself: whatever loses the least work.
+ * guaranteed itself: whatever loses the least work. Other jobs of the first priority may stop what
+ * is less urgent, as long as that costs others no more work than they have themselves; this answers
+ * bursts of short urgent gangs on a cluster that longer work has filled.
  */
 class start_planner {
  public:
@@ -107,7 +115,12 @@
                                             start_plan& plan);
   double CostOfMember(const candidate& unit, const room& target, const planning_view& view,
                       const std::set<unit_ref>& chosen, std::set<unit_ref>& victims) const;
+  static bool SomeRackHolds(const candidate& unit, std::span<room* const> rooms);
+  static double WorkOf(const batch_step& step);
   double LossOf(const unit_ref& unit, const planning_view& view) const;
+  double CostOf(const unit_ref& unit, const planning_view& view) const;
+  bool MayMakeRoom(const candidate& unit, const planning_view& view) const;
+  bool IsLessUrgent(const unit_ref& victim, const candidate& by, const planning_view& view) const;
   bool MayPreempt(const unit_ref& victim, const candidate& by, const planning_view& view) const;
   bool Stopping(const run_record& record) const;
   bool AtWork(const unit_ref& unit) const;
