A fault soak of the real programs as separate processes

Change: tests/soak starts entries, agents and the stand-in of the platform, and disturbs them from outside: kill, terminate, pause and hang-up signals in overlapping series, loopback proxies before the store, the runners and the heartbeats (delay, reset, silence, one way), a store that refuses, is silent, loses answers, does writes late or forgets its history, runners whose VM goes down, new configurations. Callers report what they were told to the stand-in, where batch_check judges it together with what the runners see, while it runs.

Not covered: connections between entries and agents go past the proxies (an entry names its own address), so that only signals silence or reset them; clocks are not stepped.

--- a/standins/eelgrass_fleet.cc
+++ b/standins/eelgrass_fleet.cc
@@ -16,8 +16,9 @@
 constexpr int kBadUse = 2;
 
 constexpr std::string_view kUse =
-    "eelgrass_fleet STORE SERVICE [RUNNER=AGENT@ZONE...]\n"
-    "  STORE, RUNNER, AGENT are IP:PORT; runs until SIGTERM, then prints what was broken\n";
+    "eelgrass_fleet STORE SERVICE [RUNNER=AGENT@ZONE[/NAMED]...]\n"
+    "  STORE, RUNNER, AGENT and NAMED, the address that the runner names, are IP:PORT; runs until "
+    "SIGTERM, then prints what was broken\n";
 
 bool ReadPlace(std::string_view word, eelgrass::fleet_runner_place& place) {
   const size_t equals = word.find('=');
@@ -25,7 +26,9 @@
   if (equals == std::string_view::npos || at == std::string_view::npos || at < equals) return false;
   place.listen = word.substr(0, equals);
   place.agent = word.substr(equals + 1, at - equals - 1);
-  place.zone = word.substr(at + 1);
+  const size_t slash = word.find('/');
+  place.zone = word.substr(at + 1, slash == std::string_view::npos ? slash : slash - at - 1);
+  if (slash != std::string_view::npos) place.advertised = word.substr(slash + 1);
   return true;
 }
 
--- a/standins/standin_fleet.cc
+++ b/standins/standin_fleet.cc
@@ -22,6 +22,11 @@
 constexpr millis kBeatInterval{500};
 constexpr millis kBeatTimeout{1000};
 constexpr int kIdBytes = 5;
+constexpr int kBusy = 429;
+
+/** A write that is late is done this much later, by the platform's description of the fault. */
+constexpr millis kShortestDelay{1000};
+constexpr uint64_t kDelaySpreadMs = 3000;
 
 row_key KeyOf(const json& entry) {
   return {entry.value("Table", ""), entry.value("part", ""), entry.value("Key", "")};
@@ -64,7 +69,8 @@
   fleet_runner_place place;
   std::unique_ptr<http_front> front;
   std::unique_ptr<runner_handler> handler;
-  std::unique_ptr<standin_runner> runner;
+  std::unique_ptr<standin_runner> runner;  // the latest life
+  bool up = false;                         // the VM
   int64_t sequence = 0;
   millis next_beat{0};
 };
@@ -114,9 +120,7 @@
     options.listen = site.place.listen;
     site.front = BOOST_OUTCOME_TRYX(front_registry::Instance().Create("restinio", options));
     site.handler = std::make_unique<runner_handler>(*this, static_cast<int>(i));
-    site.runner = std::make_unique<standin_runner>(
-        worker_identity{"i-" + RandomHex(kIdBytes), clock_.WallNow().count()}, runner_options{},
-        gangs_, [this](const runner_event& event) { check_.OnRunner(event); }, clock_.Now());
+    Revive(site);
     BOOST_OUTCOME_TRY(site.front->Start(*site.handler));
   }
   ticker_ = std::thread([this] {
@@ -159,32 +163,11 @@
 void standin_fleet::OnStore(http_front& server, http_request request) {
   std::lock_guard lock(mutex_);
   const millis now = clock_.Now();
-  if (request.path() == "/standin/store") {
-    fault_ = request.Parameter("fault");
-    return Answer(server, request.id, kOk, "{}");
-  }
+  if (OnTest(server, request)) return;
+  if (request.path() == "/machines") return Answer(server, request.id, kOk, VmList());
   if (fault_ == "refuse") return Answer(server, request.id, kUnavailable, "{}");
   if (fault_ == "silent") return;  // the caller's own time-out ends it
-  if (request.path() == "/rows-tx") {
-    const json body = json::parse(request.body.data, nullptr, false);
-    if (!body.is_object()) return Answer(server, request.id, kBadRequest, "{}");
-    const row_transaction change = ReadTransaction(body);
-    // The check learns of jobs from the store: what was stored may run.
-    const transaction_result done = rows_.Apply(change);
-    for (const auto& write : change.writes) {
-      if (done.outcome != row_outcome::kDone || write.at.table != "jobs") continue;
-      const json job = json::parse(write.value, nullptr, false);
-      batch_job asked;
-      asked.id = write.at.key;
-      asked.spec = job.value("spec", "");
-      check_.OnSubmitted(asked);
-      check_.OnAnswer(asked.id, call_kind::kSubmit, {0, call_answer::kAccepted}, now);
-    }
-    if (fault_ == "lose") return;
-    const int status = done.outcome == row_outcome::kDone ? kOk : kNotMet;
-    return Answer(server, request.id, status,
-                  RowsBody(done.current, done.revision, false, now).dump());
-  }
+  if (request.path() == "/rows-tx") return OnTransaction(server, request);
   if (request.path() == "/rows-get") {
     const rows_result found =
         rows_.Read({std::string(request.Parameter("Table")), std::string(request.Parameter("part")),
@@ -194,10 +177,120 @@
   }
   if (request.path() != "/rows-feed") return Answer(server, request.id, kBadRequest, "{}");
   const millis wait(std::atoll(std::string(request.Parameter("WaitMs")).c_str()));
-  waiting entry{&server, std::move(request), now + wait, -1};
+  waiting entry{&server, std::move(request), now + wait, -1, ""};
   if (!TryFeed(entry, false)) waiting_.push_back(std::move(entry));
 }
 
+/** What tests ask of the stand-in; false for the platform's own calls. */
+bool standin_fleet::OnTest(http_front& server, const http_request& request) {
+  const std::string_view path = request.path();
+  json answer = json::object();
+  if (path == "/standin/store") {
+    fault_ = request.Parameter("fault");
+    if (fault_ == "forget") rows_.ForgetHistory();
+  } else if (path == "/standin/crash" || path == "/standin/revive") {
+    const auto index =
+        static_cast<size_t>(std::atoll(std::string(request.Parameter("runner")).c_str()));
+    if (index >= sites_.size()) return false;
+    runner_site& site = *sites_[index];
+    if (path == "/standin/revive") {
+      if (!site.up) Revive(site);
+    } else if (site.up) {
+      site.runner->Die(clock_.Now());
+      site.up = false;
+    }
+  } else if (path == "/standin/submitted") {
+    const json body = json::parse(request.body.data, nullptr, false);
+    callers_report_ = true;
+    batch_job asked;
+    asked.id = body.value("job", "");
+    asked.spec = body.value("spec", "");
+    check_.OnSubmitted(asked);
+  } else if (path == "/standin/answer") {
+    TakeCallerAnswer(request.body.data);
+  } else if (path == "/standin/broken") {
+    if (!request.Parameter("finish").empty()) check_.Finish();
+    answer["broken"] = check_.broken();
+  } else {
+    return false;
+  }
+  Answer(server, request.id, kOk, answer.dump());
+  return true;
+}
+
+void standin_fleet::TakeCallerAnswer(std::string_view text) {
+  const json body = json::parse(text.begin(), text.end(), nullptr, false);
+  if (!body.is_object()) return;
+  const std::string kind = body.value("kind", "");
+  const int status = body.value("status", 0);
+  const bool good = status >= kOk && status < kOk + 100;
+  const bool refused = status == kBusy || status == kUnavailable;
+  caller_reply reply;
+  if (kind == "submit") {
+    reply.answer = good      ? call_answer::kAccepted
+                   : refused ? call_answer::kUnavailable
+                             : call_answer::kOutcomeUnknown;
+    check_.OnAnswer(body.value("job", ""), call_kind::kSubmit, reply, clock_.Now());
+  } else if (kind == "cancel" && (good || status == kGone)) {
+    reply.answer = call_answer::kCancelled;
+    check_.OnAnswer(body.value("job", ""), call_kind::kCancel, reply, clock_.Now());
+  } else if (kind == "state" && good) {
+    const std::string state = body.value("state", "");
+    reply.answer = call_answer::kState;
+    reply.state = state == "completed"  ? batch_state::kCompleted
+                  : state == "failed"   ? batch_state::kFailed
+                  : state == "canceled" ? batch_state::kCancelled
+                                        : batch_state::kRunning;
+    check_.OnAnswer(body.value("job", ""), call_kind::kState, reply, clock_.Now());
+  }
+}
+
+/** All VMs, as the platform lists them. */
+std::string standin_fleet::VmList() const {
+  json list = json::array();
+  for (size_t i = 0; i < sites_.size(); ++i) {
+    const runner_site& site = *sites_[i];
+    list.push_back({{"Machine", "m-" + std::to_string(i)},
+                    {"State", site.up ? "up" : "down"},
+                    {"Id", site.up ? json(site.runner->self().id) : json()}});
+  }
+  return json{{"Machines", list}, {"NextToken", nullptr}}.dump();
+}
+
+void standin_fleet::Revive(runner_site& site) {
+  site.runner = std::make_unique<standin_runner>(
+      worker_identity{"i-" + RandomHex(kIdBytes), clock_.WallNow().count()}, runner_options{},
+      gangs_, [this](const runner_event& event) { check_.OnRunner(event); }, clock_.Now());
+  site.sequence = 0;
+  site.up = true;
+}
+
+void standin_fleet::OnTransaction(http_front& server, const http_request& request) {
+  const millis now = clock_.Now();
+  const json body = json::parse(request.body.data, nullptr, false);
+  if (!body.is_object()) return Answer(server, request.id, kBadRequest, "{}");
+  const row_transaction change = ReadTransaction(body);
+  if (fault_ == "late") {
+    const millis delay(static_cast<int64_t>(random_() % kDelaySpreadMs));
+    late_.emplace_back(now + kShortestDelay + delay, change);
+    return;
+  }
+  const transaction_result done = rows_.Apply(change);
+  for (const auto& write : change.writes) {
+    // Without callers' reports the check learns of jobs from the store: what was stored may run.
+    if (callers_report_ || done.outcome != row_outcome::kDone || write.at.table != "jobs") continue;
+    const json job = json::parse(write.value, nullptr, false);
+    batch_job asked;
+    asked.id = write.at.key;
+    asked.spec = job.value("spec", "");
+    check_.OnSubmitted(asked);
+    check_.OnAnswer(asked.id, call_kind::kSubmit, {0, call_answer::kAccepted}, now);
+  }
+  if (fault_ == "lose") return;
+  const int status = done.outcome == row_outcome::kDone ? kOk : kNotMet;
+  Answer(server, request.id, status, RowsBody(done.current, done.revision, false, now).dump());
+}
+
 bool standin_fleet::TryFeed(waiting& wait, bool last) {
   const int64_t after = std::atoll(std::string(wait.request.Parameter("After")).c_str());
   const rows_result found = rows_.Changes(wait.request.Parameter("Table"), after);
@@ -214,6 +307,7 @@
 void standin_fleet::OnRunner(int index, http_request request) {
   std::lock_guard lock(mutex_);
   runner_site& site = *sites_[static_cast<size_t>(index)];
+  if (!site.up) return;  // nobody answers
   standin_runner& runner = *site.runner;
   const millis now = clock_.Now();
   http_front& server = *site.front;
@@ -255,12 +349,16 @@
     return Answer(server, request.id, kConflict, answer.dump());
   }
   runner.Hold(call, now);
-  waiting entry{&server, std::move(request), now + millis(body.value("WaitMs", int64_t{0})), index};
+  waiting entry{&server, std::move(request), now + millis(body.value("WaitMs", int64_t{0})), index,
+                runner.self().id};
   if (!TryHold(entry, entry.until <= now)) waiting_.push_back(std::move(entry));
 }
 
 bool standin_fleet::TryHold(waiting& wait, bool last) {
-  standin_runner& runner = *sites_[static_cast<size_t>(wait.runner)]->runner;
+  const runner_site& site = *sites_[static_cast<size_t>(wait.runner)];
+  const standin_runner& runner = *site.runner;
+  // A hold that waited when its runner crashed is never answered.
+  if (!site.up || wait.life != runner.self().id) return true;
   const json body = json::parse(wait.request.body.data, nullptr, false);
   if (!last && !runner.HasEndAfter(body.value("SeenUpto", int64_t{0}))) return false;
   hold_answer lists;
@@ -282,7 +380,12 @@
 void standin_fleet::Tick() {
   std::lock_guard lock(mutex_);
   const millis now = clock_.Now();
+  for (const auto& [at, change] : late_) {
+    if (now >= at) rows_.Apply(change);
+  }
+  std::erase_if(late_, [now](const auto& entry) { return now >= entry.first; });
   for (auto& site : sites_) {
+    if (!site->up) continue;
     site->runner->Advance(now);
     if (now >= site->next_beat) Beat(*site);
   }
@@ -303,7 +406,7 @@
   call.headers.push_back({"Content-Type", "application/json"});
   call.body.data =
       json{{"Service", service_},
-           {"Addr", site.place.listen},
+           {"Addr", site.place.advertised.empty() ? site.place.listen : site.place.advertised},
            {"Zone", site.place.zone},
            {"State", "ready"},
            {"Seq", ++site.sequence},
--- a/standins/standin_fleet.h
+++ b/standins/standin_fleet.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -25,12 +26,19 @@
   std::string listen;  // IP:PORT
   std::string agent;   // IP:PORT
   std::string zone;
+  std::string advertised;  // IP:PORT that the runner names; empty: where it listens
 };
 
 /**
  * Serves the store at one address and each runner at its own. Runners beat at their agents. What is
- * started and ended is checked for tasks that run twice; faults of the store are switched by
- * GET /standin/store?fault=NAME with none, refuse, silent or lose.
+ * started and ended is checked for tasks that run twice. Tests steer it at the store's address:
+ *
+ * - GET /standin/store?fault=NAME: none, refuse, silent, lose (answers), late (done after 1 to 4 s,
+ *   not answered), forget (the history, once).
+ * - GET /standin/crash?runner=N and /standin/revive?runner=N: the VM goes down, and a new life
+ * comes.
+ * - POST /standin/submitted and /standin/answer: what a caller hands in and is told, for the check.
+ * - GET /standin/broken[?finish=1]: broken promises so far, or with what only the end shows.
  */
 class standin_fleet {
  public:
@@ -54,10 +62,16 @@
     http_front* server = nullptr;
     http_request request;
     millis until{0};
-    int runner = -1;  // -1: the store
+    int runner = -1;   // -1: the store
+    std::string life;  // of the runner
   };
 
   void OnStore(http_front& server, http_request request);
+  bool OnTest(http_front& server, const http_request& request);
+  void OnTransaction(http_front& server, const http_request& request);
+  void TakeCallerAnswer(std::string_view text);
+  void Revive(runner_site& site);
+  std::string VmList() const;
   void OnRunner(int index, http_request request);
   bool TryFeed(waiting& wait, bool last);
   bool TryHold(waiting& wait, bool last);
@@ -78,6 +92,9 @@
   std::unique_ptr<store_handler> store_handler_;
   std::vector<std::unique_ptr<runner_site>> sites_;
   std::vector<waiting> waiting_;
+  std::vector<std::pair<millis, row_transaction>> late_;  // to be done at that time
+  bool callers_report_ = false;  // otherwise what is stored counts as accepted
+  std::mt19937 random_;
   std::atomic<bool> stopping_{false};
   std::thread ticker_;
 };
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,100 @@
+#!/usr/bin/env python3
+"""Runs the real programs under random faults and checks the promises to callers and workers.
+
+The promises are judged by the stand-in's own checker (standins/batch_check.h), from what callers
+report and what its workers see; this program starts, disturbs and asks.
+"""
+
+import argparse
+import os
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+from callers import Callers
+from deployment import Deployment
+from faults import Faults
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+
+
+def play(seed, options):
+    """Plays one seed. Returns what was broken, as lines, and a summary."""
+    chance = random.Random(seed)
+    folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+    deployment = Deployment(options.binaries, folder, 80 + seed % 40, options.entries,
+                            options.agents)
+    callers = Callers(deployment, random.Random(chance.random()))
+    faults = Faults(deployment, random.Random(chance.random()))
+    broken = []
+    try:
+        deployment.start()
+        until = time.monotonic() + options.seconds
+        next_fault = time.monotonic() + 1.0
+        while time.monotonic() < until and not broken:
+            callers.hand_in()
+            if time.monotonic() >= next_fault:
+                faults.begin_one()
+                next_fault = time.monotonic() + chance.expovariate(1 / options.gap)
+            time.sleep(chance.uniform(0.05, 0.25))
+            broken = deployment.standin("/standin/broken")["broken"]
+        faults.join()
+        deployment.heal()
+        callers.finish()
+        broken = deployment.standin("/standin/broken?finish=1")["broken"]
+        broken += [f"LOST {job} was {state}" for job, state in callers.unfinished.items()
+                   if state == "accepted"]
+        broken += deployment.odd_exits
+        for name in deployment.entries + deployment.agents:
+            deployment.terminate(name)
+        broken += [line for line in deployment.odd_exits if line not in broken]
+    finally:
+        deployment.stop()
+    summary = f"{len(callers.threads)} jobs, {len(faults.log)} faults, answers {callers.answers}"
+    with open(os.path.join(folder, "faults.log"), "w", encoding="utf-8") as file:
+        file.write("\n".join(faults.log + [summary] + broken) + "\n")
+    if broken:
+        summary += f"; logs in {folder}"
+    else:
+        shutil.rmtree(folder)
+    return broken, summary
+
+
+def seeds_of(options):
+    if options.seed is not None:
+        return [options.seed]
+    kept = []
+    with open(os.path.join(HERE, "seeds.txt"), encoding="utf-8") as file:
+        kept = [int(line.split()[0]) for line in file if line.strip() and line[0] != "#"]
+    first = options.first if options.first is not None else random.SystemRandom().randrange(10**9)
+    return (kept if options.kept else []) + [first + n for n in range(options.seeds)]
+
+
+def main():
+    options = argparse.ArgumentParser(description=__doc__)
+    options.add_argument("--binaries", default="build/bin", help="folder of the programs")
+    options.add_argument("--seeds", type=int, default=1, help="how many seeds to play")
+    options.add_argument("--first", type=int, help="first of them; drawn if it is left out")
+    options.add_argument("--seed", type=int, help="plays just this one")
+    options.add_argument("--kept", action="store_true", help="also those of seeds.txt")
+    options.add_argument("--seconds", type=float, default=15, help="of load and faults, a seed")
+    options.add_argument("--gap", type=float, default=0.8, help="mean seconds between faults")
+    options.add_argument("--entries", type=int, default=3)
+    options.add_argument("--agents", type=int, default=4)
+    options = options.parse_args()
+    failed = 0
+    seeds = seeds_of(options)
+    for seed in seeds:
+        broken, summary = play(seed, options)
+        failed += 1 if broken else 0
+        print(f"seed {seed}: {'BROKEN' if broken else 'kept'}; {summary}", flush=True)
+        for line in broken:
+            print(f"  {line}", flush=True)
+    print(f"{len(seeds) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
