New fences reach workers at once; entries that would refuse keyed calls are not ready; "no such job" in time

Change: a new term's hold does not wait for the one under way; ready needs a configuration that is certain enough for keyed calls; the jobs' feed answers every 2 s and "no such job" needs a list of 2.8 s.

Tests: worker_steward_story.cc (new; not run on the old code), readiness in batch_recovery_story.cc, and batch_check now catches an accepted job that is not known, with a story of its own. 63 stories pass.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -50,7 +50,8 @@
   Retry(now);
   FollowOperators(now);
   KeepRoster(now);
-  const bool ready = operators_.known() && !draining_;
+  // An entry that would refuse keyed calls leaves new connections to others.
+  const bool ready = operators_.known() && Fresh(now) && !draining_;
   if (ready != ready_) {
     ready_ = ready;
     out_->emplace_back(ready_change{ready});
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -31,8 +31,11 @@
 /** Starts need to know what operators want at least this well. */
 constexpr millis kOperatorsAge{3500};
 
-/** "No such job" needs a list of jobs that is at most this old; callers see a job in 3 s. */
-constexpr millis kListAge{4500};
+/**
+ * "No such job" needs a list of jobs that is at most this old: callers see their job 3 s after its
+ * acceptance (the platform's visible_ms) at the latest.
+ */
+constexpr millis kListAge{2800};
 
 }  // namespace
 
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -7,8 +7,11 @@
 namespace eelgrass {
 namespace {
 
-/** The feed of new jobs answers at least this often, so that a silent connection is noticed. */
-constexpr millis kFeedWait{3000};
+/**
+ * The feed of new jobs answers at least this often, so that a silent connection is noticed and the
+ * list of jobs is known to be complete up to a time that callers can rely on.
+ */
+constexpr millis kFeedWait{2000};
 
 /** Progress that nobody waits for is written together within this time. */
 constexpr millis kGroupTime{400};
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -97,6 +97,8 @@
   if (term <= term_) return;
   term_ = term;
   order_sequence_ = 0;
+  // The hold under way may wait for an end; its answer has an earlier fence and says nothing.
+  holding_ = false;
   next_hold_ = now;
   // The new planner decides from the lists. What is still under way to the worker either shows
   // there or has a fence that the worker will not take any more.
@@ -145,6 +147,7 @@
 }
 
 void worker_steward::On(const hold_answer& answer, millis now) {
+  if (answer.fence != term_) return;
   holding_ = false;
   if (!(answer.worker == profile_.self)) return;
   const bool other_life = answer.outcome == call_outcome::kOtherLife ||
@@ -168,10 +171,6 @@
     clock_ms_ = answer.clock_ms;
     clock_read_ = now;
   }
-  if (answer.fence != term_) {
-    next_hold_ = now;
-    return;
-  }
   TakeLists(answer, now);
 }
 
--- a/standins/batch_check.cc
+++ b/standins/batch_check.cc
@@ -8,6 +8,9 @@
 /** A cancelled job's tasks may still be started for this long: the deployments' bound. */
 constexpr millis kCancelTime{3000};
 
+/** An accepted job is known to every entry after this: the deployments' bound. */
+constexpr millis kVisibleTime{3000};
+
 std::string JobOf(std::string_view task) { return std::string(task.substr(0, task.find('.'))); }
 
 }  // namespace
@@ -23,10 +26,16 @@
                            millis now) {
   seen_job& job = jobs_[std::string(id)];
   if (kind == call_kind::kSubmit) {
-    if (reply.answer == call_answer::kAccepted) job.accepted = true;
+    if (reply.answer == call_answer::kAccepted && !job.accepted) {
+      job.accepted = true;
+      job.accepted_at = now;
+    }
     if (reply.answer == call_answer::kOutcomeUnknown) job.unclear = true;
   } else if (reply.answer == call_answer::kCancelled) {
     if (!job.cancelled) job.cancelled = now;
+  } else if (reply.answer == call_answer::kNoSuchJob) {
+    const bool visible = job.accepted && now - job.accepted_at > kVisibleTime;
+    if (visible && !job.cancelled) Break("LOST", std::string(id) + " is not known", now);
   } else if (reply.answer == call_answer::kState) {
     if (IsFinal(job.shown) && reply.state != job.shown) Break("REGRESS", id, now);
     job.shown = reply.state;
--- a/standins/batch_check.h
+++ b/standins/batch_check.h
@@ -39,6 +39,7 @@
   struct seen_job {
     batch_job job;
     bool accepted = false;
+    millis accepted_at{0};
     bool unclear = false;  // some try was neither accepted nor refused for certain
     bool started = false;
     std::optional<millis> cancelled;
--- a/standins/standin_fleet.cc
+++ b/standins/standin_fleet.cc
@@ -234,6 +234,9 @@
   } else if (kind == "cancel" && (good || status == kGone)) {
     reply.answer = call_answer::kCancelled;
     check_.OnAnswer(body.value("job", ""), call_kind::kCancel, reply, clock_.Now());
+  } else if (kind == "state" && status == kGone) {
+    reply.answer = call_answer::kNoSuchJob;
+    check_.OnAnswer(body.value("job", ""), call_kind::kState, reply, clock_.Now());
   } else if (kind == "state" && good) {
     const std::string state = body.value("state", "");
     reply.answer = call_answer::kState;
--- a/tests/stories/batch_check_story.cc
+++ b/tests/stories/batch_check_story.cc
@@ -70,6 +70,13 @@
     CHECK(check.broken().size() == 1);
     CHECK(check.broken()[0].starts_with("REFUSED"));
   }
+  SUBCASE("an accepted job that is not known a while later") {
+    check.OnAnswer(job.id, call_kind::kState, {4, call_answer::kNoSuchJob}, millis(2900));
+    CHECK(check.broken().empty());
+    check.OnAnswer(job.id, call_kind::kState, {5, call_answer::kNoSuchJob}, millis(3100));
+    CHECK(check.broken().size() == 1);
+    CHECK(check.broken()[0].starts_with("LOST"));
+  }
   SUBCASE("an accepted job that never ends, and one that changes its end") {
     check.Finish();
     CHECK(check.broken().size() == 1);
--- a/tests/stories/batch_recovery_story.cc
+++ b/tests/stories/batch_recovery_story.cc
@@ -58,9 +58,13 @@
     world.SetStoreFor(planner, store_fault::kRefuses);
     world.RunFor(millis(6000));
     CHECK(world.Planner() != planner);
+    CHECK_FALSE(world.Ready(planner));  // it refuses keyed calls: new ones go elsewhere
+    CHECK(world.Ready(world.Planner()));
     HandIn(world, 6, "d");
     world.RunFor(millis(2000));
     world.SetStoreFor(planner, store_fault::kNone);
+    world.RunFor(millis(5000));
+    CHECK(world.Ready(planner));
   }
   SUBCASE("again and again") {
     for (int i = 0; i < 4; ++i) {
--- /dev/null
+++ b/tests/stories/worker_steward_story.cc
@@ -0,0 +1,87 @@
+#include <doctest/doctest.h>
+
+#include "kernel/batch/worker_steward.h"
+
+namespace eelgrass {
+namespace {
+
+TEST_CASE("an agent beside a worker follows a new planner") {
+  worker_beat beat;
+  beat.worker.self = {"w1", 17};
+  beat.sequence = 1;
+  beat.clock_ms = 1000;
+  worker_steward steward(beat, millis(0));
+  std::vector<worker_call> calls;
+  const auto holds = [&](millis now) {
+    calls.clear();
+    steward.Tick(now, calls);
+    std::vector<hold_call> found;
+    for (const auto& call : calls) {
+      if (const auto* hold = std::get_if<hold_call>(&call)) found.push_back(*hold);
+    }
+    return found;
+  };
+  const auto answer = [&](int64_t fence, call_outcome outcome, millis now) {
+    hold_answer said;
+    said.worker = {"w1", 17};
+    said.fence = fence;
+    said.outcome = outcome;
+    said.born_ms = 17;
+    said.clock_ms = 1000 + now.count();
+    steward.On(said, now);
+  };
+  steward.SetTerm(5, millis(0));
+  REQUIRE(holds(millis(0)).size() == 1);
+
+  SUBCASE("while a hold for the earlier one waits: the new fence is brought at once") {
+    steward.SetTerm(8, millis(100));
+    const auto next = holds(millis(100));
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].fence == 8);
+    SUBCASE("and the earlier answer, late, neither counts nor begins another") {
+      answer(5, call_outcome::kDone, millis(400));
+      CHECK(holds(millis(400)).empty());
+      CHECK(steward.Report(1, millis(400)).term == 0);
+      answer(8, call_outcome::kDone, millis(410));
+      CHECK(steward.Report(2, millis(410)).term == 8);
+    }
+  }
+  SUBCASE("nobody listens at the worker's address: the planner hears of it at once") {
+    answer(5, call_outcome::kDone, millis(10));
+    CHECK(steward.Report(1, millis(10)).listed);
+    answer(5, call_outcome::kNeverSent, millis(20));
+    CHECK(steward.changed());
+    CHECK_FALSE(steward.Report(2, millis(20)).listed);
+    answer(5, call_outcome::kDone, millis(300));
+    CHECK(steward.Report(3, millis(300)).listed);
+  }
+  SUBCASE("a start that was not answered is repeated after a pause, not at once") {
+    answer(5, call_outcome::kDone, millis(10));
+    const int64_t sequence = 1;
+    steward.Report(sequence, millis(10));
+    worker_order order;
+    order.term = 5;
+    order.sequence = 1;
+    order.worker = {"w1", 17};
+    order.starts.push_back({"a.0.0.0", 1, "", ""});
+    order.grant_sequence = sequence;
+    order.grant_ms = 4000;
+    steward.On(order, millis(20));
+    const auto starts = [&](millis now) {
+      calls.clear();
+      steward.Tick(now, calls);
+      return std::count_if(calls.begin(), calls.end(), [](const auto& call) {
+        return std::holds_alternative<start_call>(call);
+      });
+    };
+    REQUIRE(starts(millis(20)) == 1);
+    steward.On(
+        start_answer{{"w1", 17}, {"a.0.0.0", 1}, 5, call_outcome::kNoAnswer, start_refusal::kRoom},
+        millis(25));
+    CHECK(starts(millis(30)) == 0);
+    CHECK(starts(millis(300)) == 1);
+  }
+}
+
+}  // namespace
+}  // namespace eelgrass
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -84,6 +84,7 @@
 
   /** The entry that plans; -1: nobody does. */
   int Planner() const;
+  bool Ready(int entry) const { return entries_.at(static_cast<size_t>(entry))->gateway->ready(); }
   const standin_rows& rows() const { return rows_; }
   int store_calls() const { return store_calls_; }
   const standin_runner& worker(int index) const { return *machines_.at(index)->runner; }
