--- a/src/kernel/base/log_writer.cc
+++ b/src/kernel/base/log_writer.cc
@@ -4,6 +4,8 @@
 #include <pthread.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <vector>
 
 namespace eelgrass {
@@ -21,6 +23,9 @@
 /** How long a reader that does not read may hold up the end of the process. */
 constexpr int kStopPatienceMs = 100;
 
+/** While it waits for a reader, the thread looks this often whether the process is to end. */
+constexpr int kPollMs = 1000;
+
 }  // namespace
 
 log_writer::log_writer(int descriptor) : descriptor_(descriptor), ring_(kRing) {
@@ -73,11 +78,22 @@
 void log_writer::Write(std::string_view text) {
   while (!text.empty()) {
     pollfd ready{descriptor_, POLLOUT, 0};
-    if (stopping_ && poll(&ready, 1, kStopPatienceMs) <= 0) return;
+    const bool writable = poll(&ready, 1, stopping_ ? kStopPatienceMs : kPollMs) > 0;
+    if (!writable && stopping_) return Drop(text);
+    if (!writable) continue;
     const ssize_t size = write(descriptor_, text.data(), text.size());
-    if (size <= 0) return;  // nobody reads any more
-    text.remove_prefix(static_cast<size_t>(size));
+    if (size > 0) {
+      text.remove_prefix(static_cast<size_t>(size));
+    } else if (errno != EINTR && errno != EAGAIN) {
+      return Drop(text);  // nobody reads any more
+    }
   }
 }
 
+void log_writer::Drop(std::string_view text) {
+  const int64_t lines = std::count(text.begin(), text.end(), '\n');
+  dropped_ += lines;
+  dropped_total_ += lines;
+}
+
 }  // namespace eelgrass
--- a/src/kernel/base/log_writer.h
+++ b/src/kernel/base/log_writer.h
@@ -35,6 +35,7 @@
  private:
   void Run();
   void Write(std::string_view text);
+  void Drop(std::string_view text);
 
   const int descriptor_;
   bounded_ring<std::string> ring_;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -84,6 +84,11 @@
     options.add_argument("--entries", type=int, default=3)
     options.add_argument("--agents", type=int, default=4)
     options = options.parse_args()
+    # Copies, so that a build beside a long run does not change the programs under it.
+    copies = tempfile.mkdtemp(prefix="soak-programs-")
+    for program in ("eelgrass_batch", "eelgrass_fleet"):
+        shutil.copy2(os.path.join(options.binaries, program), copies)
+    options.binaries = copies
     failed = 0
     seeds = seeds_of(options)
     for seed in seeds:
@@ -92,6 +97,7 @@
         print(f"seed {seed}: {'BROKEN' if broken else 'kept'}; {summary}", flush=True)
         for line in broken:
             print(f"  {line}", flush=True)
+    shutil.rmtree(copies)
     print(f"{len(seeds) - failed} passed, {failed} failed")
     return 1 if failed else 0
 
