Decisions no longer depend on I/O or encodings

Cause: three dependencies pointed the wrong way (docs/PLATFORM.md): io/caller_front.h included control, io/record_table.cc included encoding, jobs/job_planner.h included io. Two different structs were named planner_stats in one namespace, in one library: undefined behaviour for their implicit members.

Change: records and the table's view move to kernel/records, the front ends' interface to kernel/front; rows are compared field by field instead of by their text; the batch planner's figures are planner_load.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -97,7 +97,7 @@
   handed_over_ = core_.handed_over();
   if (now < next_gauges_) return;
   next_gauges_ = now + kGaugeInterval;
-  const planner_stats stats = core_.stats();
+  const planner_load stats = core_.stats();
   counters_.Set("planning", stats.planning ? 1 : 0);
   counters_.Set("open_jobs", stats.open_jobs);
   counters_.Set("waiting_jobs", stats.waiting_jobs);
--- a/src/daemons/node/control_duty.h
+++ b/src/daemons/node/control_duty.h
@@ -11,7 +11,7 @@
 #include "kernel/base/event_sink.h"
 #include "kernel/base/metrics.h"
 #include "kernel/control/control_core.h"
-#include "kernel/io/caller_front.h"
+#include "kernel/front/caller_front.h"
 #include "kernel/io/peer_hub.h"
 #include "kernel/io/table_store.h"
 
--- a/src/daemons/node/report_duty.h
+++ b/src/daemons/node/report_duty.h
@@ -9,7 +9,7 @@
 #include "kernel/base/clock.h"
 #include "kernel/base/duty_handler.h"
 #include "kernel/base/event_sink.h"
-#include "kernel/io/caller_front.h"
+#include "kernel/front/caller_front.h"
 #include "kernel/io/http_client.h"
 #include "kernel/report/report_core.h"
 
--- a/src/daemons/node/router_duty.h
+++ b/src/daemons/node/router_duty.h
@@ -9,7 +9,7 @@
 #include "kernel/base/duty_handler.h"
 #include "kernel/base/event_sink.h"
 #include "kernel/base/metrics.h"
-#include "kernel/io/caller_front.h"
+#include "kernel/front/caller_front.h"
 #include "kernel/io/peer_hub.h"
 #include "kernel/requests/request_router.h"
 
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -316,8 +316,8 @@
   return waiting;
 }
 
-planner_stats planner_core::stats() const {
-  planner_stats stats;
+planner_load planner_core::stats() const {
+  planner_load stats;
   stats.planning = planning_;
   if (!term_.holding()) return stats;
   stats.term = term_.fence();
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -56,7 +56,7 @@
 };
 
 /** The planner's load, for metrics. All zero while another entry plans. */
-struct planner_stats {
+struct planner_load {
   bool planning = false;
   int64_t term = 0;
   int64_t open_jobs = 0;
@@ -81,7 +81,7 @@
   bool handed_over() const { return !term_.holding() || journal_.handed_over(); }
 
   bool planning() const { return planning_; }
-  planner_stats stats() const;
+  planner_load stats() const;
   const job_book& book() const { return *book_; }
   const worker_pool& pool() const { return pool_; }
 
--- a/src/kernel/config/change_book.h
+++ b/src/kernel/config/change_book.h
@@ -10,7 +10,7 @@
 
 #include "kernel/base/error.h"
 #include "kernel/base/millis.h"
-#include "kernel/io/record_table.h"
+#include "kernel/records/record_table.h"
 
 namespace eelgrass {
 
--- a/src/kernel/config/config_keeper.h
+++ b/src/kernel/config/config_keeper.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "kernel/base/millis.h"
-#include "kernel/io/record_table.h"
 #include "kernel/model/duty_events.h"
 #include "kernel/model/link_events.h"
+#include "kernel/records/record_table.h"
 
 namespace eelgrass {
 
--- a/src/kernel/control/change_intake.h
+++ b/src/kernel/control/change_intake.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "kernel/control/operator_command.h"
-#include "kernel/io/records.h"
+#include "kernel/records/records.h"
 
 namespace eelgrass {
 
--- a/src/kernel/control/control_core.h
+++ b/src/kernel/control/control_core.h
@@ -16,10 +16,10 @@
 #include "kernel/control/entry_directory.h"
 #include "kernel/control/operator_command.h"
 #include "kernel/control/operator_reply.h"
-#include "kernel/io/record_table.h"
 #include "kernel/jobs/job_planner.h"
 #include "kernel/model/duty_events.h"
 #include "kernel/model/link_events.h"
+#include "kernel/records/record_table.h"
 #include "kernel/report/burn_table.h"
 
 namespace eelgrass {
--- a/src/kernel/control/entry_directory.h
+++ b/src/kernel/control/entry_directory.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "kernel/base/millis.h"
-#include "kernel/io/record_table.h"
+#include "kernel/records/record_table.h"
 
 namespace eelgrass {
 
--- a/src/kernel/control/job_visibility.cc
+++ b/src/kernel/control/job_visibility.cc
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "kernel/io/record_table.h"
+#include "kernel/records/record_table.h"
 
 namespace eelgrass {
 
--- a/src/kernel/control/operator_reply.h
+++ b/src/kernel/control/operator_reply.h
@@ -12,8 +12,8 @@
 #include "kernel/config/config_keeper.h"
 #include "kernel/config/document_issue.h"
 #include "kernel/config/document_merge.h"
-#include "kernel/io/records.h"
 #include "kernel/jobs/job_planner.h"
+#include "kernel/records/records.h"
 
 namespace eelgrass {
 
--- a/src/kernel/encoding/record_json.h
+++ b/src/kernel/encoding/record_json.h
@@ -7,7 +7,7 @@
 #include <string_view>
 
 #include "kernel/base/error.h"
-#include "kernel/io/records.h"
+#include "kernel/records/records.h"
 
 namespace eelgrass {
 
--- a/src/kernel/io/table_store.h
+++ b/src/kernel/io/table_store.h
@@ -7,7 +7,7 @@
 
 #include "kernel/base/plugin_registry.h"
 #include "kernel/io/http_client.h"
-#include "kernel/io/records.h"
+#include "kernel/records/records.h"
 
 namespace eelgrass {
 
--- a/src/kernel/jobs/job_planner.h
+++ b/src/kernel/jobs/job_planner.h
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "kernel/base/millis.h"
-#include "kernel/io/record_table.h"
 #include "kernel/jobs/cluster.h"
 #include "kernel/jobs/failure_tracker.h"
 #include "kernel/jobs/guarantee_ledger.h"
@@ -20,6 +19,7 @@
 #include "kernel/jobs/submission_rules.h"
 #include "kernel/model/duty_events.h"
 #include "kernel/model/link_events.h"
+#include "kernel/records/record_table.h"
 
 namespace eelgrass {
 
--- a/src/kernel/model/job.h
+++ b/src/kernel/model/job.h
@@ -26,6 +26,7 @@
   millis run_ms{0};       // true run time, for worker stand-ins
   bool fails = false;     // fails when run, for worker stand-ins
 
+  bool operator==(const job_spec&) const = default;
   resources total() const { return per_task * tasks; }
 };
 
@@ -66,6 +67,7 @@
   int64_t anchor_incarnation = 0;           // of the first member's agent
   std::vector<std::string> failed_workers;  // distinct workers on which it failed
   std::string reason;
+  bool operator==(const job_row&) const = default;
 };
 
 }  // namespace eelgrass
--- a/src/kernel/io/record_table.cc
+++ b/src/kernel/records/record_table.cc
@@ -1,9 +1,7 @@
-#include "kernel/io/record_table.h"
+#include "kernel/records/record_table.h"
 
 #include <algorithm>
 
-#include "kernel/encoding/record_json.h"
-
 namespace eelgrass {
 namespace {
 
@@ -12,8 +10,6 @@
 constexpr double kMaxTokens = 20;          // writes saved up
 constexpr millis kRetryPause{500};
 
-bool SameRow(const record& a, const record& b) { return RecordText(a) == RecordText(b); }
-
 }  // namespace
 
 record_table::record_table(int writes_per_second, millis scan_interval)
@@ -215,12 +211,12 @@
   bool all_ours = true;
   for (size_t i = 0; i < item.keys.size(); ++i) {
     const stored_record* row = Find(item.keys[i]);
-    all_ours = all_ours && row != nullptr && SameRow(row->value, item.values[i]);
+    all_ours = all_ours && row != nullptr && row->value == item.values[i];
   }
   for (size_t i = 0; i < item.keys.size(); ++i) {
     const std::string& key = item.keys[i];
     const stored_record* row = Find(key);
-    const bool ours = row != nullptr && SameRow(row->value, item.values[i]);
+    const bool ours = row != nullptr && row->value == item.values[i];
     if (all_ours || (ours && !item.grouped)) {
       Settle(key, table_event::kind::kWritten, *row, events);
       continue;
--- a/src/kernel/io/record_table.h
+++ b/src/kernel/records/record_table.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "kernel/base/millis.h"
-#include "kernel/io/records.h"
+#include "kernel/records/records.h"
 
 namespace eelgrass {
 
--- a/src/kernel/io/records.cc
+++ b/src/kernel/records/records.cc
@@ -1,4 +1,4 @@
-#include "kernel/io/records.h"
+#include "kernel/records/records.h"
 
 namespace eelgrass {
 namespace {
--- a/src/kernel/io/records.h
+++ b/src/kernel/records/records.h
@@ -20,11 +20,13 @@
   std::string change;  // id of the change that wrote it
   std::string author;
   int64_t at_ms = 0;  // wall time
+  bool operator==(const config_record&) const = default;
 };
 
 /** A past configuration. */
 struct history_record {
   config_record config;
+  bool operator==(const history_record&) const = default;
 };
 
 /** State of a booked change. */
@@ -46,6 +48,7 @@
   change_state state = change_state::kBooked;
   int64_t applied_version = 0;
   std::string reason;
+  bool operator==(const change_record&) const = default;
 };
 
 /** An entry that takes part. Refreshed every few seconds. */
@@ -57,6 +60,7 @@
   int64_t version = 0;  // of the configuration in force there
   bool leaving = false;
   int64_t beat = 0;  // raised at every refresh
+  bool operator==(const entry_record&) const = default;
 };
 
 /** Which entry plans jobs. Advisory: agents and job rows arbitrate. */
@@ -64,6 +68,7 @@
   std::string holder;
   int64_t incarnation = 0;
   int64_t beat = 0;  // raised at every renewal
+  bool operator==(const planner_record&) const = default;
 };
 
 using record = std::variant<job_row, config_record, history_record, change_record, entry_record,
--- a/src/plugins/front/rest/rest_front.cc
+++ b/src/plugins/front/rest/rest_front.cc
@@ -6,7 +6,7 @@
 #include <mutex>
 
 #include "kernel/base/digest.h"
-#include "kernel/io/caller_front.h"
+#include "kernel/front/caller_front.h"
 #include "kernel/report/burn_format.h"
 #include "plugins/front/rest/rest_replies.h"
 #include "plugins/front/rest/rest_routes.h"
--- a/tests/stories/codec_story.cc
+++ b/tests/stories/codec_story.cc
@@ -8,6 +8,42 @@
 namespace eelgrass {
 namespace {
 
+TEST_CASE("a record of the table service comes back as it was, in every field") {
+  const auto comes_back = [](const record& value) {
+    const auto read = ParseRecord(RecordKey(value), RecordText(value));
+    return read.has_value() && read.value() == value;
+  };
+  SUBCASE("a job") {
+    job_row job;
+    job.id = "j1";
+    job.spec = {"name",           "owner",   "class",   3,   {8, 16, 32},
+                adjacency::kRack, millis(5), millis(6), true};
+    job.state = job_state::kStopping;
+    job.epoch = 2;
+    job.cancel_wanted = job.borrowing = true;
+    job.submitted_ms = 3;
+    job.started_ms = 4;
+    job.ended_ms = 5;
+    job.saved_ms = 6;
+    job.members = {{"w1", "127.0.0.1:1", 2, {8, 16, 32}}};
+    job.anchor_incarnation = 7;
+    job.failed_workers = {"w2"};
+    job.reason = "why";
+    CHECK(comes_back(job));
+  }
+  SUBCASE("a configuration, a past one and a change") {
+    const config_record config{4, "text", "change", "author", 9};
+    CHECK(comes_back(config));
+    CHECK(comes_back(history_record{config}));
+    CHECK(comes_back(change_record{"c1", "a", "r", "n", "t", 3, 4, true, true,
+                                   change_state::kReviewed, 5, "why"}));
+  }
+  SUBCASE("an entry and who plans") {
+    CHECK(comes_back(entry_record{"e1", 1, "127.0.0.1:1", "d", 2, true, 3}));
+    CHECK(comes_back(planner_record{"e1", 1, 2}));
+  }
+}
+
 TEST_CASE("a message on the wire") {
   const auto codec = codec_registry::Instance().Create("cbor").value();
 
--- a/tests/stories/record_table_story.cc
+++ b/tests/stories/record_table_story.cc
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "kernel/config/change_book.h"
-#include "kernel/io/record_table.h"
+#include "kernel/records/record_table.h"
 #include "tests/world/fake_store.h"
 
 namespace eelgrass {
--- a/tests/world/fake_store.h
+++ b/tests/world/fake_store.h
@@ -8,7 +8,7 @@
 #include <random>
 #include <string>
 
-#include "kernel/io/records.h"
+#include "kernel/records/records.h"
 #include "tests/world/timeline.h"
 
 namespace eelgrass {
