A caller whom an entry cannot serve comes back through another one

Change: an answer 503 or 504 ends its connection, so that the balancer sends the next try elsewhere.

What is open: such an entry should pass the call on, or refuse at once.

--- a/src/kernel/batch/caller_call.h
+++ b/src/kernel/batch/caller_call.h
@@ -50,8 +50,9 @@
   call_answer answer = call_answer::kUnavailable;
   batch_state state = batch_state::kPending;
   int64_t waiting = 0;
-  millis retry_after{0};  // refusals only
-  millis took{0};         // since the call arrived
+  millis retry_after{0};   // refusals only
+  bool elsewhere = false;  // another entry may do what this one cannot: end the connection
+  millis took{0};          // since the call arrived
   std::string detail{};
 };
 
--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -340,6 +340,9 @@
         .With("detail", reply.detail);
   }
   reply.took = now - call.arrived;
+  // On an open connection a caller's next try would come back to this entry.
+  reply.elsewhere =
+      reply.answer == call_answer::kUnavailable || reply.answer == call_answer::kOutcomeUnknown;
   out_->emplace_back(std::move(reply));
   call.call.id = 0;
 }
--- a/tests/stories/platform_story.cc
+++ b/tests/stories/platform_story.cc
@@ -2,6 +2,7 @@
 
 #include <fstream>
 
+#include "kernel/batch/gateway_core.h"
 #include "kernel/batch/operator_source.h"
 #include "kernel/io/deployment.h"
 #include "kernel/io/job_front.h"
@@ -117,6 +118,32 @@
     CHECK(status(call_answer::kUnavailable) == 503);
     CHECK(status(call_answer::kOutcomeUnknown) == 504);
   }
+  SUBCASE("a caller who should come back through another entry loses the connection to this one") {
+    caller_reply reply{1, call_answer::kUnavailable};
+    front->Reply(reply);
+    CHECK_FALSE(server.answers.back().close);
+    reply.elsewhere = true;
+    front->Reply(reply);
+    CHECK(server.answers.back().close);
+  }
+}
+
+TEST_CASE("an entry that cannot serve a caller sends it elsewhere") {
+  const auto source = std::move(operator_source_registry::Instance().Create("platform").value());
+  const auto codec = std::move(record_codec_registry::Instance().Create("json").value());
+  gateway_core gateway(gateway_options{"e1", "10.0.0.1:7000"}, *source, *codec);
+  caller_call call;
+  call.id = 1;
+  call.path = "/q/5c0e7a21d94b36f8";
+  std::vector<gateway_event> events{call};
+  std::vector<gateway_action> actions;
+  gateway.Decide(events, millis(0), actions);
+  const auto reply = std::find_if(actions.begin(), actions.end(), [](const auto& action) {
+    return std::holds_alternative<caller_reply>(action);
+  });
+  REQUIRE(reply != actions.end());
+  CHECK(std::get<caller_reply>(*reply).answer == call_answer::kUnavailable);
+  CHECK(std::get<caller_reply>(*reply).elsewhere);
 }
 
 TEST_CASE("heartbeats on the platform") {
