--- a/src/kernel/batch/store_exchange.h
+++ b/src/kernel/batch/store_exchange.h
@@ -34,8 +34,8 @@
 inline constexpr std::string_view kJobsTable = "jobs";
 inline constexpr std::string_view kProgressTable = "progress";
 inline constexpr std::string_view kTermTable = "term";
-inline constexpr std::string_view kPlannerKey = "planner";  // rewritten with every write
-inline constexpr std::string_view kEpochKey = "epoch";      // rewritten by takeovers only
+inline constexpr std::string_view kHolderKey = "planner";  // rewritten with every write
+inline constexpr std::string_view kEpochKey = "epoch";     // rewritten by takeovers only
 inline constexpr std::string_view kWorkersTable = "workers";
 inline constexpr std::string_view kEntriesTable = "entries";
 
--- a/src/kernel/batch/term_keeper.cc
+++ b/src/kernel/batch/term_keeper.cc
@@ -24,7 +24,7 @@
 term_keeper::term_keeper(std::string node, std::string nonce, const batch_record_codec& codec)
     : node_(std::move(node)), nonce_(std::move(nonce)), codec_(codec) {}
 
-row_key term_keeper::Row() const { return {std::string(kTermTable), "", std::string(kPlannerKey)}; }
+row_key term_keeper::Row() const { return {std::string(kTermTable), "", std::string(kHolderKey)}; }
 
 void term_keeper::OnStoreClock(millis store_now, millis sent) {
   if (store_now > millis(0)) store_offset_ = store_now - sent;
@@ -52,7 +52,7 @@
   store_request request;
   request.timeout = kStoreTimeout;
   if (step_ != step::kTaking) {
-    request.call = row_range{std::string(kTermTable), "", std::string(kPlannerKey)};
+    request.call = row_range{std::string(kTermTable), "", std::string(kHolderKey)};
     return request;
   }
   row_transaction change;
--- a/tests/stories/takeover_story.cc
+++ b/tests/stories/takeover_story.cc
@@ -26,10 +26,8 @@
     rows_result rows;
     rows.outcome = row_outcome::kDone;
     rows.store_now = millis(store_now);
-    rows.rows.push_back({{std::string(kTermTable), "", std::string(kPlannerKey)},
-                         codec->Encode(record),
-                         70,
-                         false});
+    rows.rows.push_back(
+        {{std::string(kTermTable), "", std::string(kHolderKey)}, codec->Encode(record), 70, false});
     keeper.On({0, rows}, millis(1110));
   };
   SUBCASE("it was sent long ago: the entry takes over at once") {
