An agent that was suspended does not carry out starts that were given up meanwhile

Its worker's lease ran out, the planner gave the starts up and ran them elsewhere, the job was shown as completed. When the agent woke up it took the old order; the lease check held the starts back, but they stayed wanted, and the next grant, which came with an order that did not name them any more, let them go: four tasks ran again.

Ruled out: dropping everything that is wanted when a lease ends, which would lose starts under a new grant.

Change: an order names every start that is still wanted; the agent drops the others, and stops one that may be under way.

Test: worker_steward_story.cc, "a start that the planner gave up": it failed on the code before.

--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -125,6 +125,7 @@
     std::erase_if(ended_, [this](const listed_end& end) { return end.number <= seen_upto_; });
     next_hold_ = std::min(next_hold_, now);
   }
+  if (order.grant_ms > 0) DropUnwanted(order);
   for (const auto& run : order.forget) refused_.erase(run);
   for (const auto& run : order.starts) {
     const run_ref ref{run.task, run.run};
@@ -138,6 +139,28 @@
   }
 }
 
+/**
+ * An order names every start that is still wanted. One that it leaves out was given up while this
+ * agent could not be reached: it must not be carried out under the new grant.
+ */
+void worker_steward::DropUnwanted(const worker_order& order) {
+  std::erase_if(starts_, [&](const auto& entry) {
+    const auto& [ref, start] = entry;
+    const bool wanted = std::any_of(
+        order.starts.begin(), order.starts.end(),
+        [&](const wanted_run& run) { return run.task == ref.task && run.run == ref.run; });
+    if (wanted || start.phase == start_phase::kRefused) return false;
+    const bool called = start.phase == start_phase::kCalling || start.doubtful;
+    if (called) stops_.try_emplace(ref);
+    log_event("start-unwanted")
+        .With("worker", profile_.self.id)
+        .With("task", ref.task)
+        .With("run", ref.run)
+        .With("called", called ? 1 : 0);
+    return !called;
+  });
+}
+
 bool worker_steward::Lists(const run_ref& run) const {
   const auto names = [&](const auto& entry) {
     return entry.task == run.task && entry.run == run.run;
--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -78,6 +78,7 @@
   void Pace(millis now);
   millis NextHold(millis now) const;
   void Refuse(const run_ref& run, start_refusal reason);
+  void DropUnwanted(const worker_order& order);
   bool Lists(const run_ref& run) const;
   int64_t DeadlineFor(millis now) const;
   void CallHold(millis now, std::vector<worker_call>& calls);
--- a/tests/stories/worker_steward_story.cc
+++ b/tests/stories/worker_steward_story.cc
@@ -55,6 +55,30 @@
     answer(5, call_outcome::kDone, millis(300));
     CHECK(steward.Report(3, millis(300)).listed);
   }
+  SUBCASE("a start that the planner gave up while the VM was suspended is not carried out") {
+    answer(5, call_outcome::kDone, millis(10));
+    steward.Report(1, millis(10));
+    worker_order before;
+    before.term = 5;
+    before.sequence = 1;
+    before.worker = {"w1", 17};
+    before.starts.push_back({"a.0.0.0", 1, "", ""});
+    before.grant_sequence = 1;
+    before.grant_ms = 4000;
+    steward.On(before, millis(6000));  // read after the suspension: the grant is over
+    steward.Report(2, millis(6000));
+    worker_order now;
+    now.term = 5;
+    now.sequence = 2;
+    now.worker = {"w1", 17};
+    now.grant_sequence = 2;
+    now.grant_ms = 4000;
+    steward.On(now, millis(6010));
+    calls.clear();
+    steward.Tick(millis(6010), calls);
+    CHECK(std::none_of(calls.begin(), calls.end(),
+                       [](const auto& call) { return std::holds_alternative<start_call>(call); }));
+  }
   SUBCASE("a start that was not answered is repeated after a pause, not at once") {
     answer(5, call_outcome::kDone, millis(10));
     const int64_t sequence = 1;
