--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -145,7 +145,8 @@
  */
 void worker_steward::DropUnwanted(const worker_order& order) {
   std::erase_if(starts_, [&](const auto& entry) {
-    const auto& [ref, start] = entry;
+    const run_ref& ref = entry.first;
+    const ordered_start& start = entry.second;
     const bool wanted = std::any_of(
         order.starts.begin(), order.starts.end(),
         [&](const wanted_run& run) { return run.task == ref.task && run.run == ref.run; });
