A list of VMs that cannot be read whole proves nobody gone

An entry of the list that could not be read was passed over, and a body without the list counted as an empty one; a worker that is missing in the list is taken for gone, so that its tasks would have started elsewhere while it ran them.

--- a/tests/stories/platform_story.cc
+++ b/tests/stories/platform_story.cc
@@ -7,6 +7,7 @@
 #include "kernel/io/deployment.h"
 #include "kernel/io/job_front.h"
 #include "kernel/io/row_store.h"
+#include "kernel/io/vm_directory.h"
 
 namespace eelgrass {
 namespace {
@@ -128,6 +129,40 @@
   }
 }
 
+TEST_CASE("the platform's list of VMs") {
+  fake_client client;
+  const auto directory =
+      std::move(vm_directory_registry::Instance()
+                    .Create("platform", vm_directory_options{"10.0.0.9:80"}, client)
+                    .value());
+  const auto list = [&](std::string_view body) {
+    client.answer = http_response{200, {}, {std::string(body)}, false};
+    vm_listing read;
+    directory->List({millis(7)}, [&](vm_listing listing) { read = std::move(listing); });
+    return read;
+  };
+  SUBCASE("is read whole") {
+    const vm_listing read = list(
+        R"({"Machines":[{"Machine":"m-1","State":"up","Id":"i-1","New":1},
+            {"Machine":"m-2","State":"down","Id":null}],"NextToken":null})");
+    CHECK(read.answered);
+    CHECK(read.requested == millis(7));
+    REQUIRE(read.vms.size() == 2);
+    CHECK(read.vms[0].worker == "i-1");
+    CHECK(read.vms[0].state == vm_state::kUp);
+    CHECK(read.vms[1].state == vm_state::kDown);
+  }
+  SUBCASE("proves nothing if a part of it cannot be read: a worker in it would seem to be gone") {
+    for (const auto* body :
+         {"{}", R"({"Machines":null})", R"({"Machines":{"m-1":{}}})",
+          R"({"Machines":[{"Machine":"m-1","State":"up","Id":7}],"NextToken":null})",
+          R"({"Machines":["m-1"],"NextToken":null})"}) {
+      CAPTURE(body);
+      CHECK_FALSE(list(body).answered);
+    }
+  }
+}
+
 TEST_CASE("an entry that cannot serve a caller sends it elsewhere") {
   const auto source = std::move(operator_source_registry::Instance().Create("platform").value());
   const auto codec = std::move(record_codec_registry::Instance().Create("json").value());
