One set of status codes, one check of a world's promises, costs of preemption once a plan

Cause: read again as a whole. What it costs to stop a unit was computed for every member of every urgent gang anew, over all workers. departure_watch told its request by arithmetic on another time, and a start on its way out was logged with each order.

Change: http_status, RequireKept, FindRow, QueueOf, batch_world::Order, a context manager in faults.py, the request's time kept as such, costs kept for the length of one plan, in which nothing that they depend on changes. Behaviour is the same but for that log line.

--- a/src/daemons/node/report_duty.cc
+++ b/src/daemons/node/report_duty.cc
@@ -2,13 +2,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include "kernel/base/http_status.h"
 #include "kernel/encoding/burn_json.h"
 
 namespace eelgrass {
 namespace {
 
 constexpr millis kStoreTimeout{5000};
-constexpr int kOk = 200;
 constexpr std::string_view kObjects = "/objects/";
 constexpr std::string_view kPrefix = "burn-";
 
@@ -45,7 +45,7 @@
 void report_duty::Carry(const list_snapshots& /*action*/) {
   Call("GET", std::string(kObjects) + "?prefix=" + std::string(kPrefix), {},
        [this](const result<http_response>& reply) {
-         if (!reply || reply.value().status != kOk) return;
+         if (!reply || reply.value().status != http_status::kOk) return;
          const auto tree = nlohmann::json::parse(reply.value().body.data, nullptr, false);
          if (!tree.is_object() || !tree.contains("names")) return;
          self_->Offer(snapshot_names{tree["names"].get<std::vector<std::string>>()});
@@ -55,7 +55,7 @@
 void report_duty::Carry(const read_snapshot& action) {
   Call("GET", std::string(kObjects) + action.name, {},
        [this, name = action.name](const result<http_response>& reply) {
-         if (!reply || reply.value().status != kOk) return;
+         if (!reply || reply.value().status != http_status::kOk) return;
          auto table = ParseBurnTable(reply.value().body.data);
          if (table) self_->Offer(snapshot_read{name, std::move(table.value())});
        });
--- a/src/daemons/node/router_duty.cc
+++ b/src/daemons/node/router_duty.cc
@@ -1,16 +1,16 @@
 #include "daemons/node/router_duty.h"
 
+#include "kernel/base/http_status.h"
+
 namespace eelgrass {
 
 namespace {
 
-constexpr int kFirstServerError = 500;
-constexpr int kTooManyRequests = 429;
-
 /** Whether an outcome says something about the service: a caller's own mistake does not. */
 bool Counts(const caller_answer& answer) {
   const bool served = answer.outcome == request_outcome::kCompleted;
-  return served || answer.status >= kFirstServerError || answer.status == kTooManyRequests;
+  return served || answer.status >= http_status::kFirstServerError ||
+         answer.status == http_status::kTooManyRequests;
 }
 
 }  // namespace
@@ -23,8 +23,8 @@
   front_->Answer(answer);
   counters_.Record("request_latency_ms", static_cast<double>(answer.latency.count()));
   if (!Counts(answer)) return;
-  const bool good =
-      answer.outcome == request_outcome::kCompleted && answer.status < kFirstServerError;
+  const bool good = answer.outcome == request_outcome::kCompleted &&
+                    answer.status < http_status::kFirstServerError;
   burn_sample sample{answer.organisation, answer.service,      good,
                      answer.latency,      answer.problem.step, answer.problem.peer};
   // A full ring costs the report a sample; the caller has its answer.
--- a/src/kernel/batch/departure_watch.cc
+++ b/src/kernel/batch/departure_watch.cc
@@ -25,14 +25,14 @@
                                                         millis now) {
   if (silent.empty() || now < next_) return std::nullopt;
   asked_ = {silent.begin(), silent.end()};
-  asking_ = true;
+  asked_at_ = now;
   next_ = now + kAnswerTime;
   return vm_listing_request{now};
 }
 
 std::vector<std::string> departure_watch::On(const vm_listing& listing) {
-  if (!asking_ || listing.requested + kAnswerTime != next_) return {};
-  asking_ = false;
+  if (asked_at_ != listing.requested) return {};
+  asked_at_.reset();
   next_ = listing.requested + kListPause;
   if (!listing.answered) return {};
   std::set<std::string> gone = std::move(asked_);
--- a/src/kernel/batch/departure_watch.h
+++ b/src/kernel/batch/departure_watch.h
@@ -32,8 +32,8 @@
   void Reset() { *this = departure_watch(); }
 
  private:
-  std::set<std::string> asked_;  // silent workers that the request under way is for
-  bool asking_ = false;
+  std::set<std::string> asked_;     // silent workers that the request under way is for
+  std::optional<millis> asked_at_;  // the request under way
   millis next_{0};
 };
 
--- a/src/kernel/batch/start_planner.cc
+++ b/src/kernel/batch/start_planner.cc
@@ -18,6 +18,11 @@
 /** How many times a unit's estimate it may wait for the rack of its data or for a single rack. */
 constexpr int64_t kRackPatience = 2;
 
+/** The queue of a job; nullptr when either is not known. */
+const batch_queue* QueueOf(const tracked_job* job, const planning_view& view) {
+  return job == nullptr ? nullptr : view.config.FindQueueByName(job->job.queue);
+}
+
 }  // namespace
 
 millis LongestChain(const batch_job& job) {
@@ -43,6 +48,7 @@
   ReadRooms(view);
   ReadGuarantees(view);
   preempted_.clear();
+  costs_.clear();
   start_plan plan;
   std::set<std::pair<std::string, int>> full;  // steps of which nothing more fits
   for (const auto& unit : Ready(view)) {
@@ -266,8 +272,7 @@
   return record.phase == run_phase::kStopping || preempted_.contains(record.unit);
 }
 
-/** Whether others may be stopped for a unit: for what is guaranteed, and for urgent work in time.
- */
+/** Whether others may be stopped for it: it is guaranteed, or urgent and can still be in time. */
 bool start_planner::MayMakeRoom(const candidate& unit, const planning_view& view) const {
   if (guaranteed_.contains(unit.unit.job)) return true;
   if (unit.queue->priority != 0 || unit.step->long_running) return false;
@@ -276,9 +281,8 @@
 }
 
 bool start_planner::IsLessUrgent(const unit_ref& victim, const candidate& by,
-                                 const planning_view& view) const {
-  const tracked_job* job = view.book.Find(victim.job);
-  const batch_queue* queue = job == nullptr ? nullptr : view.config.FindQueueByName(job->job.queue);
+                                 const planning_view& view) {
+  const batch_queue* queue = QueueOf(view.book.Find(victim.job), view);
   return queue != nullptr && queue->priority > by.queue->priority;
 }
 
@@ -314,11 +318,17 @@
  * What it costs to stop a unit now: the work that is lost, and all of its work if its job can no
  * longer be in time after that. In thousandths of a core times milliseconds.
  */
-double start_planner::CostOf(const unit_ref& unit, const planning_view& view) const {
+double start_planner::CostOf(const unit_ref& unit, const planning_view& view) {
+  const auto known = costs_.find(unit);
+  if (known != costs_.end()) return known->second;
+  return costs_.emplace(unit, NewCostOf(unit, view)).first->second;
+}
+
+double start_planner::NewCostOf(const unit_ref& unit, const planning_view& view) const {
   const double loss = LossOf(unit, view);
   const tracked_job* job = view.book.Find(unit.job);
   const batch_step* step = view.book.StepOf(unit);
-  const batch_queue* queue = job == nullptr ? nullptr : view.config.FindQueueByName(job->job.queue);
+  const batch_queue* queue = QueueOf(job, view);
   if (queue == nullptr || step == nullptr || job->job.occurrences > 0) return loss;
   const millis until = job->accepted + Objective(*job, *queue);
   const bool was_in_time = view.now < until;
@@ -345,7 +355,7 @@
 /** The loss of making room for one more member at a worker; infinite when it cannot be made. */
 double start_planner::CostOfMember(const candidate& unit, const room& target,
                                    const planning_view& view, const std::set<unit_ref>& chosen,
-                                   std::set<unit_ref>& victims) const {
+                                   std::set<unit_ref>& victims) {
   amounts free = target.future;
   for (const auto& [ref, record] : target.worker->runs) {
     if (!Stopping(record) && chosen.contains(record.unit)) free += record.each;
--- a/src/kernel/batch/start_planner.h
+++ b/src/kernel/batch/start_planner.h
@@ -115,13 +115,15 @@
   std::optional<std::vector<room*>> Preempt(const candidate& unit, const planning_view& view,
                                             start_plan& plan);
   double CostOfMember(const candidate& unit, const room& target, const planning_view& view,
-                      const std::set<unit_ref>& chosen, std::set<unit_ref>& victims) const;
+                      const std::set<unit_ref>& chosen, std::set<unit_ref>& victims);
   static bool SomeRackHolds(const candidate& unit, std::span<room* const> rooms);
   static double WorkOf(const batch_step& step);
   double LossOf(const unit_ref& unit, const planning_view& view) const;
-  double CostOf(const unit_ref& unit, const planning_view& view) const;
+  double CostOf(const unit_ref& unit, const planning_view& view);
+  double NewCostOf(const unit_ref& unit, const planning_view& view) const;
   bool MayMakeRoom(const candidate& unit, const planning_view& view) const;
-  bool IsLessUrgent(const unit_ref& victim, const candidate& by, const planning_view& view) const;
+  static bool IsLessUrgent(const unit_ref& victim, const candidate& by,
+                           const planning_view& view);
   bool MayPreempt(const unit_ref& victim, const candidate& by, const planning_view& view) const;
   bool Stopping(const run_record& record) const;
   bool AtWork(const unit_ref& unit) const;
@@ -131,6 +133,7 @@
   const unit_order& order_;
   std::vector<room> rooms_;
   std::map<unit_ref, std::vector<const run_record*>> running_;  // by unit
+  std::map<unit_ref, double> costs_;                            // of stopping, in this plan
   std::set<unit_ref> preempted_;                                // in this plan
   std::set<std::string> guaranteed_;  // jobs that are within their organisation's guarantee
 };
--- a/src/kernel/batch/term_keeper.cc
+++ b/src/kernel/batch/term_keeper.cc
@@ -26,6 +26,12 @@
 
 row_key term_keeper::Row() const { return {std::string(kTermTable), "", std::string(kHolderKey)}; }
 
+const row* term_keeper::FindRow(std::span<const row> rows) const {
+  const auto found = std::find_if(rows.begin(), rows.end(),
+                                  [this](const row& entry) { return entry.at == Row(); });
+  return found == rows.end() ? nullptr : &*found;
+}
+
 void term_keeper::OnStoreClock(millis store_now, millis sent) {
   if (store_now > millis(0)) store_offset_ = store_now - sent;
 }
@@ -84,9 +90,7 @@
     step_ = step::kWatching;
     return;
   }
-  const auto found = std::find_if(answer.rows.begin(), answer.rows.end(),
-                                  [this](const row& entry) { return entry.at == Row(); });
-  Observe(found == answer.rows.end() ? nullptr : &*found, now);
+  Observe(FindRow(answer.rows), now);
 }
 
 /** Decides from the row whether to take over, or to look again later. */
@@ -132,16 +136,15 @@
     return;
   }
   OnStoreContact(sent_);
-  const auto row = std::find_if(answer.current.begin(), answer.current.end(),
-                                [this](const auto& entry) { return entry.at == Row(); });
-  if (row == answer.current.end()) {
+  const row* found = FindRow(answer.current);
+  if (found == nullptr) {
     step_ = step::kReading;
     return;
   }
-  const auto record = codec_.DecodeTerm(row->value);
+  const auto record = codec_.DecodeTerm(found->value);
   // An earlier try of this takeover whose answer was lost has been done.
   if (record && record.value().nonce == nonce_ && record.value().fence == 0) {
-    return Hold(row->revision, now);
+    return Hold(found->revision, now);
   }
   step_ = step::kWatching;
   silent_since_ = now;
@@ -227,18 +230,16 @@
     return term_write::kDone;
   }
   if (result.outcome != row_outcome::kConflict) return term_write::kTryAgain;
-  for (const auto& found : result.current) {
-    if (!(found.at == Row())) continue;
-    const auto record = codec_.DecodeTerm(found.value);
-    const bool own = record && record.value().nonce == nonce_ &&
-                     (record.value().fence == fence_ || record.value().fence == 0);
-    if (!own) return term_write::kLost;
-    revision_ = found.revision;
-    if (record.value().write < writes_) return term_write::kTryAgain;
-    confirmed_ = std::max(confirmed_, sent);
-    return term_write::kDone;
-  }
-  return term_write::kLost;
+  const row* found = FindRow(result.current);
+  if (found == nullptr) return term_write::kLost;
+  const auto record = codec_.DecodeTerm(found->value);
+  const bool own = record && record.value().nonce == nonce_ &&
+                   (record.value().fence == fence_ || record.value().fence == 0);
+  if (!own) return term_write::kLost;
+  revision_ = found->revision;
+  if (record.value().write < writes_) return term_write::kTryAgain;
+  confirmed_ = std::max(confirmed_, sent);
+  return term_write::kDone;
 }
 
 void term_keeper::StepDown(std::string_view reason, millis now) {
--- a/src/kernel/batch/term_keeper.h
+++ b/src/kernel/batch/term_keeper.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 #include "kernel/batch/batch_records.h"
@@ -79,6 +80,7 @@
 
   bool PlannerAlive() const;
   row_key Row() const;
+  const row* FindRow(std::span<const row> rows) const;
   void OnStoreClock(millis store_now, millis sent);
   void OnRead(const rows_result& answer, millis now);
   void OnTaken(const transaction_result& answer, millis now);
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -152,7 +152,8 @@
         [&](const wanted_run& run) { return run.task == ref.task && run.run == ref.run; });
     if (wanted || start.phase == start_phase::kRefused) return false;
     const bool called = start.phase == start_phase::kCalling || start.doubtful;
-    if (called) stops_.try_emplace(ref);
+    const bool known = called && !stops_.try_emplace(ref).second;
+    if (known) return false;  // on its way out already
     log_event("start-unwanted")
         .With("worker", profile_.self.id)
         .With("task", ref.task)
--- a/src/kernel/requests/request_router.cc
+++ b/src/kernel/requests/request_router.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "kernel/base/http_status.h"
+
 namespace eelgrass {
 namespace {
 
@@ -16,13 +18,6 @@
 constexpr double kServiceMargin = 3;       // of the mean service time, left when an attempt starts
 constexpr int kDefaultConnections = 2048;  // open requests for each organisation
 
-constexpr int kServiceUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-constexpr int kTooManyRequests = 429;
-constexpr int kNotFound = 404;
-constexpr int kContentTooLarge = 413;
-constexpr int kFirstServerError = 500;
-
 error Problem(error_kind kind, std::string_view step, std::string_view peer,
               std::string_view detail) {
   return {kind, std::string(step), std::string(peer), std::string(detail)};
@@ -62,13 +57,13 @@
 
 void request_router::On(const caller_request& request) {
   if (draining_) {
-    Refuse(request, kServiceUnavailable,
+    Refuse(request, http_status::kServiceUnavailable,
            Problem(error_kind::kUnavailable, "admit", options_.entry, "the entry is leaving"));
     return;
   }
   const service_entry* service = document_->FindService(request.service);
   if (service == nullptr) {
-    Refuse(request, kNotFound,
+    Refuse(request, http_status::kNotFound,
            Problem(error_kind::kNotFound, "find-service", "", "no service of this name"));
     return;
   }
@@ -89,7 +84,7 @@
 
 bool request_router::Admit(const caller_request& request, const service_entry& service) {
   if (static_cast<int64_t>(request.body.data.size()) > service.max_body) {
-    Refuse(request, kContentTooLarge,
+    Refuse(request, http_status::kContentTooLarge,
            Problem(error_kind::kInvalid, "admit", "",
                    "the body is larger than " + std::to_string(service.max_body) + " bytes"));
     return false;
@@ -98,7 +93,7 @@
   const int limit =
       owner != nullptr && owner->max_connections > 0 ? owner->max_connections : kDefaultConnections;
   if (open_by_organisation_[request.organisation] >= limit) {
-    Refuse(request, kTooManyRequests,
+    Refuse(request, http_status::kTooManyRequests,
            Problem(error_kind::kExhausted, "admit", "", "too many open requests"));
     return false;
   }
@@ -111,7 +106,7 @@
   view.mean_service_ms = upstreams_.MeanServiceMs(request.service);
   view.deadline = request.deadline > millis(0) ? request.deadline : service.default_deadline_ms;
   if (admission_->Admit(view)) return true;
-  Refuse(request, kServiceUnavailable,
+  Refuse(request, http_status::kServiceUnavailable,
          Problem(error_kind::kExhausted, "admit", "", "the queue is too long for the deadline"));
   return false;
 }
@@ -182,7 +177,7 @@
       return;
     case attempt_state::kFinished:
       if (view != nullptr) upstreams_.RecordSuccess(*view, static_cast<double>(answer.service_ms));
-      if (view != nullptr && answer.status >= kFirstServerError) {
+      if (view != nullptr && answer.status >= http_status::kFirstServerError) {
         upstreams_.RecordFailure(*view, now_);
       }
       Complete(item, answer);
@@ -493,7 +488,7 @@
 void request_router::FinishNotRun(flight& item, std::string_view step, std::string_view detail) {
   caller_answer reply;
   reply.outcome = request_outcome::kNotRun;
-  reply.status = kServiceUnavailable;
+  reply.status = http_status::kServiceUnavailable;
   reply.problem = Problem(error_kind::kUnavailable, step, item.agent, detail);
   Finish(item, std::move(reply));
 }
@@ -501,7 +496,7 @@
 void request_router::FinishUnknown(flight& item, std::string_view step, std::string_view detail) {
   caller_answer reply;
   reply.outcome = request_outcome::kUnknown;
-  reply.status = kGatewayTimeout;
+  reply.status = http_status::kGatewayTimeout;
   reply.problem = Problem(error_kind::kUnknown, step, item.agent, detail);
   Finish(item, std::move(reply));
 }
--- a/src/plugins/front/rest/rest_front.cc
+++ b/src/plugins/front/rest/rest_front.cc
@@ -6,6 +6,7 @@
 #include <mutex>
 
 #include "kernel/base/digest.h"
+#include "kernel/base/http_status.h"
 #include "kernel/front/caller_front.h"
 #include "kernel/report/burn_format.h"
 #include "plugins/front/rest/rest_replies.h"
@@ -15,9 +16,6 @@
 namespace {
 
 constexpr std::string_view kServices = "/v1/services/";
-constexpr int kUnauthorised = 401;
-constexpr int kBadRequest = 400;
-constexpr int kServiceUnavailable = 503;
 constexpr size_t kMaxKeyLength = 200;
 
 bool IdempotentMethod(std::string_view method) {
@@ -64,7 +62,8 @@
     const std::string_view path = request.path();
     if (path == "/healthz") return Plain(request.id, 200, "alive\n");
     if (path == "/readyz") {
-      return Plain(request.id, ready_ ? 200 : kServiceUnavailable, ready_ ? "ready\n" : "no\n");
+      return Plain(request.id, ready_ ? http_status::kOk : http_status::kServiceUnavailable,
+                   ready_ ? "ready\n" : "no\n");
     }
     if (path == "/metrics") return Plain(request.id, 200, context_.counters.Text());
     const auto who = Identify(request);
@@ -133,9 +132,9 @@
   }
 
   void Unauthorised(uint64_t id) {
-    http_response response =
-        ProblemResponse(kUnauthorised, {error_kind::kInvalid, "identify-caller", context_.entry,
-                                        "a valid bearer token is needed"});
+    http_response response = ProblemResponse(
+        http_status::kUnauthorized, {error_kind::kInvalid, "identify-caller", context_.entry,
+                                     "a valid bearer token is needed"});
     response.headers.push_back({"WWW-Authenticate", "Bearer"});
     response.headers.push_back({"Eelgrass-Outcome", "not-run"});
     context_.server.Respond(id, std::move(response));
@@ -167,7 +166,8 @@
     const std::string_view deadline = request.Header("Eelgrass-Deadline-Ms");
     const std::string_view key = request.Header("Idempotency-Key");
     const auto invalid = [&](std::string_view detail) {
-      RefuseRelay(request.id, kBadRequest, error_kind::kInvalid, "read-request", detail);
+      RefuseRelay(request.id, http_status::kBadRequest, error_kind::kInvalid, "read-request",
+                  detail);
     };
     if (who.is_operator()) return invalid("operators' tokens are not for services");
     if (!marked.empty() && marked != "yes" && marked != "no") {
@@ -192,7 +192,7 @@
     call.body = std::move(request.body);
     const uint64_t id = request.id;
     if (context_.router.Offer(std::move(call))) return;
-    RefuseRelay(id, kServiceUnavailable, error_kind::kExhausted, "queue-request",
+    RefuseRelay(id, http_status::kServiceUnavailable, error_kind::kExhausted, "queue-request",
                 "the entry's request ring is full");
   }
 
@@ -208,7 +208,7 @@
     if (context_.reports.Offer(report_wanted{request.id, format})) return;
     const error full{error_kind::kExhausted, "queue-report", context_.entry,
                      "the entry's report ring is full"};
-    context_.server.Respond(request.id, ProblemResponse(kServiceUnavailable, full));
+    context_.server.Respond(request.id, ProblemResponse(http_status::kServiceUnavailable, full));
   }
 
   void Command(const http_request& request, const principal& who) {
@@ -223,7 +223,7 @@
     if (context_.control.Offer(std::move(order))) return;
     const error full{error_kind::kExhausted, "queue-command", context_.entry,
                      "the entry's control ring is full"};
-    context_.server.Respond(request.id, ProblemResponse(kServiceUnavailable, full));
+    context_.server.Respond(request.id, ProblemResponse(http_status::kServiceUnavailable, full));
   }
 
   front_context context_;
--- a/src/plugins/front/rest/rest_replies.cc
+++ b/src/plugins/front/rest/rest_replies.cc
@@ -1,5 +1,6 @@
 #include "plugins/front/rest/rest_replies.h"
 
+#include "kernel/base/http_status.h"
 #include "kernel/encoding/json_fields.h"
 
 namespace eelgrass {
@@ -7,9 +8,6 @@
 
 using json = nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kCreated = 201;
-
 json Members(const std::vector<gang_member>& members) {
   json list = json::array();
   for (const auto& member : members) {
@@ -243,7 +241,8 @@
     return ProblemResponse(StatusOf(refused->problem.kind), refused->problem, refused->issues);
   }
   const auto* detail = std::get_if<job_detail>(&view);
-  const int status = detail != nullptr && detail->accepted ? kCreated : kOk;
+  const int status =
+      detail != nullptr && detail->accepted ? http_status::kCreated : http_status::kOk;
   return std::visit(
       [status](const auto& v) {
         if constexpr (std::is_same_v<std::decay_t<decltype(v)>, refusal>) {
--- a/src/plugins/store/http_table/http_table.cc
+++ b/src/plugins/store/http_table/http_table.cc
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <nlohmann/json.hpp>
 
+#include "kernel/base/http_status.h"
 #include "kernel/base/log_event.h"
 #include "kernel/encoding/record_json.h"
 #include "kernel/io/table_store.h"
@@ -13,9 +14,6 @@
 
 using json = nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kConflict = 409;
-constexpr int kUnavailable = 503;
 constexpr int kScanLimit = 2000;  // rows
 
 void ReadRows(const json& rows, std::vector<stored_record>& records) {
@@ -86,12 +84,12 @@
     try {
       const json tree = json::parse(reply.value().body.data);
       const int status = reply.value().status;
-      if (status == kOk || status == kConflict) {
-        answer.status = status == kOk ? store_status::kOk : store_status::kConflict;
+      if (status == http_status::kOk || status == http_status::kConflict) {
+        answer.status = status == http_status::kOk ? store_status::kOk : store_status::kConflict;
         answer.revision = tree.at("revision").get<int64_t>();
         answer.more = tree.value("more", false);
         ReadRows(tree.value("rows", json::array()), answer.records);
-      } else if (status == kUnavailable || !writes) {
+      } else if (status == http_status::kServiceUnavailable || !writes) {
         answer.status = store_status::kUnavailable;
       }
     } catch (const json::exception&) {
--- a/standins/standin_fleet.cc
+++ b/standins/standin_fleet.cc
@@ -5,24 +5,17 @@
 
 #include "kernel/base/base64.h"
 #include "kernel/base/digest.h"
+#include "kernel/base/http_status.h"
 
 namespace eelgrass {
 namespace {
 
 using json = nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kConflict = 409;
-constexpr int kGone = 410;
-constexpr int kNotMet = 412;
-constexpr int kOtherLife = 421;
-constexpr int kUnavailable = 503;
 constexpr millis kTick{10};
 constexpr millis kBeatInterval{500};
 constexpr millis kBeatTimeout{1000};
 constexpr int kIdBytes = 5;
-constexpr int kBusy = 429;
 
 /** A write that is late is done this much later, by the platform's description of the fault. */
 constexpr millis kShortestDelay{1000};
@@ -164,18 +157,19 @@
   std::lock_guard lock(mutex_);
   const millis now = clock_.Now();
   if (OnTest(server, request)) return;
-  if (request.path() == "/machines") return Answer(server, request.id, kOk, VmList());
-  if (fault_ == "refuse") return Answer(server, request.id, kUnavailable, "{}");
+  if (request.path() == "/machines") return Answer(server, request.id, http_status::kOk, VmList());
+  if (fault_ == "refuse") return Answer(server, request.id, http_status::kServiceUnavailable, "{}");
   if (fault_ == "silent") return;  // the caller's own time-out ends it
   if (request.path() == "/rows-tx") return OnTransaction(server, request);
   if (request.path() == "/rows-get") {
     const rows_result found =
         rows_.Read({std::string(request.Parameter("Table")), std::string(request.Parameter("part")),
                     std::string(request.Parameter("From"))});
-    return Answer(server, request.id, kOk,
+    return Answer(server, request.id, http_status::kOk,
                   RowsBody(found.rows, found.revision, found.more, now).dump());
   }
-  if (request.path() != "/rows-feed") return Answer(server, request.id, kBadRequest, "{}");
+  if (request.path() != "/rows-feed")
+    return Answer(server, request.id, http_status::kBadRequest, "{}");
   const millis wait(std::atoll(std::string(request.Parameter("WaitMs")).c_str()));
   waiting entry{&server, std::move(request), now + wait, -1, ""};
   if (!TryFeed(entry, false)) waiting_.push_back(std::move(entry));
@@ -214,7 +208,7 @@
   } else {
     return false;
   }
-  Answer(server, request.id, kOk, answer.dump());
+  Answer(server, request.id, http_status::kOk, answer.dump());
   return true;
 }
 
@@ -223,18 +217,19 @@
   if (!body.is_object()) return;
   const std::string kind = body.value("kind", "");
   const int status = body.value("status", 0);
-  const bool good = status >= kOk && status < kOk + 100;
-  const bool refused = status == kBusy || status == kUnavailable;
+  const bool good = status >= http_status::kOk && status < http_status::kOk + 100;
+  const bool refused =
+      status == http_status::kTooManyRequests || status == http_status::kServiceUnavailable;
   caller_reply reply;
   if (kind == "submit") {
     reply.answer = good      ? call_answer::kAccepted
                    : refused ? call_answer::kUnavailable
                              : call_answer::kOutcomeUnknown;
     check_.OnAnswer(body.value("job", ""), call_kind::kSubmit, reply, clock_.Now());
-  } else if (kind == "cancel" && (good || status == kGone)) {
+  } else if (kind == "cancel" && (good || status == http_status::kGone)) {
     reply.answer = call_answer::kCancelled;
     check_.OnAnswer(body.value("job", ""), call_kind::kCancel, reply, clock_.Now());
-  } else if (kind == "state" && status == kGone) {
+  } else if (kind == "state" && status == http_status::kGone) {
     reply.answer = call_answer::kNoSuchJob;
     check_.OnAnswer(body.value("job", ""), call_kind::kState, reply, clock_.Now());
   } else if (kind == "state" && good) {
@@ -271,7 +266,7 @@
 void standin_fleet::OnTransaction(http_front& server, const http_request& request) {
   const millis now = clock_.Now();
   const json body = json::parse(request.body.data, nullptr, false);
-  if (!body.is_object()) return Answer(server, request.id, kBadRequest, "{}");
+  if (!body.is_object()) return Answer(server, request.id, http_status::kBadRequest, "{}");
   const row_transaction change = ReadTransaction(body);
   if (fault_ == "late") {
     const millis delay(static_cast<int64_t>(random_() % kDelaySpreadMs));
@@ -290,7 +285,8 @@
     check_.OnAnswer(asked.id, call_kind::kSubmit, {0, call_answer::kAccepted}, now);
   }
   if (fault_ == "lose") return;
-  const int status = done.outcome == row_outcome::kDone ? kOk : kNotMet;
+  const int status =
+      done.outcome == row_outcome::kDone ? http_status::kOk : http_status::kPreconditionFailed;
   Answer(server, request.id, status, RowsBody(done.current, done.revision, false, now).dump());
 }
 
@@ -298,11 +294,11 @@
   const int64_t after = std::atoll(std::string(wait.request.Parameter("After")).c_str());
   const rows_result found = rows_.Changes(wait.request.Parameter("Table"), after);
   if (found.outcome == row_outcome::kHistoryGone) {
-    Answer(*wait.server, wait.request.id, kGone, "{}");
+    Answer(*wait.server, wait.request.id, http_status::kGone, "{}");
     return true;
   }
   if (found.rows.empty() && !last) return false;
-  Answer(*wait.server, wait.request.id, kOk,
+  Answer(*wait.server, wait.request.id, http_status::kOk,
          RowsBody(found.rows, found.revision, false, clock_.Now()).dump());
   return true;
 }
@@ -315,10 +311,10 @@
   const millis now = clock_.Now();
   http_front& server = *site.front;
   const json body = json::parse(request.body.data, nullptr, false);
-  if (!body.is_object()) return Answer(server, request.id, kBadRequest, "{}");
+  if (!body.is_object()) return Answer(server, request.id, http_status::kBadRequest, "{}");
   const std::string_view expected = request.Header("X-Eelgrasshaven-Expect-Instance");
   if (!expected.empty() && expected != runner.self().id) {
-    return Answer(server, request.id, kOtherLife, "{}");
+    return Answer(server, request.id, http_status::kMisdirectedRequest, "{}");
   }
   const int64_t fence = body.value("Fence", int64_t{0});
   json answer{{"ClockMs", runner.ClockAt(now)}, {"born", runner.self().born_ms}};
@@ -330,26 +326,27 @@
                 body.value("Saved", "")};
     start_refusal refusal = start_refusal::kRoom;
     if (runner.Start(call, now, refusal) == call_outcome::kDone) {
-      return Answer(server, request.id, kOk, answer.dump());
+      return Answer(server, request.id, http_status::kOk, answer.dump());
     }
     answer["Reason"] = RefusalWord(refusal);
-    return Answer(server, request.id, kConflict, answer.dump());
+    return Answer(server, request.id, http_status::kConflict, answer.dump());
   }
   if (request.path() == "/run-stop") {
     stop_call call;
     call.fence = fence;
     call.run = {body.value("Task", ""), body.value("Run", int64_t{0})};
     const bool done = runner.Stop(call, now) == call_outcome::kDone;
-    return Answer(server, request.id, done ? kOk : kConflict, answer.dump());
+    return Answer(server, request.id, done ? http_status::kOk : http_status::kConflict,
+                  answer.dump());
   }
-  if (request.path() != "/hold") return Answer(server, request.id, kBadRequest, "{}");
+  if (request.path() != "/hold") return Answer(server, request.id, http_status::kBadRequest, "{}");
   hold_call call;
   call.fence = fence;
   call.seen_upto = body.value("SeenUpto", int64_t{0});
   call.deadline_ms = body.value("DeadlineMs", int64_t{0});
   if (fence < runner.fence()) {
     answer["Reason"] = "fence";
-    return Answer(server, request.id, kConflict, answer.dump());
+    return Answer(server, request.id, http_status::kConflict, answer.dump());
   }
   runner.Hold(call, now);
   waiting entry{&server, std::move(request), now + millis(body.value("WaitMs", int64_t{0})), index,
@@ -376,7 +373,7 @@
   }
   const json answer{
       {"ClockMs", lists.clock_ms}, {"born", lists.born_ms}, {"Running", running}, {"Ended", ended}};
-  Answer(*wait.server, wait.request.id, kOk, answer.dump());
+  Answer(*wait.server, wait.request.id, http_status::kOk, answer.dump());
   return true;
 }
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import signal
 import threading
 import time
+from contextlib import contextmanager
 
 
 class Faults:
@@ -38,21 +39,30 @@
     def _note(self, what):
         self.log.append(f"{time.monotonic() - self._began:7.2f} {what}")
 
-    def _own(self, name):
-        """One fault a process at a time, so that each is ended by whoever began it."""
-        if name in self._busy:
-            return False
-        self._busy.add(name)
-        return True
+    @contextmanager
+    def _holding(self, names):
+        """One fault at a time for each of these, so that whoever began it ends it.
 
-    def _kill(self, name, length):
-        if not self._own(name):
-            return
-        self._note(f"kill {name} for {length:.1f} s")
-        self.deployment.kill(name)
+        Gives those that were free; they are free again afterwards.
+        """
+        free = [name for name in names if name not in self._busy]
+        self._busy.update(free)
+        try:
+            yield free
+        finally:
+            self._busy.difference_update(free)
+
+    def _restart(self, names, length):
         time.sleep(length)
-        self.deployment.run(name)
-        self._busy.discard(name)
+        for name in names:
+            self.deployment.run(name)
+
+    def _kill(self, name, length):
+        with self._holding([name]) as held:
+            for victim in held:
+                self._note(f"kill {victim} for {length:.1f} s")
+                self.deployment.kill(victim)
+            self._restart(held, length)
 
     def _kill_planner(self, name, length):
         for entry in self.deployment.entries:
@@ -61,67 +71,59 @@
         self._kill(name, length)
 
     def _kill_all(self, _, length):
-        names = [n for n in self.deployment.entries + self.deployment.agents if self._own(n)]
-        self._note(f"kill {len(names)} processes at once for {length / 2:.1f} s")
-        for name in names:
-            self.deployment.kill(name)
-        time.sleep(length / 2)
-        for name in names:
-            self.deployment.run(name)
-            self._busy.discard(name)
+        with self._holding(self.deployment.entries + self.deployment.agents) as held:
+            self._note(f"kill {len(held)} processes at once for {length / 2:.1f} s")
+            for victim in held:
+                self.deployment.kill(victim)
+            self._restart(held, length / 2)
 
     def _terminate(self, name, length):
-        if not self._own(name):
-            return
-        self._note(f"terminate {name}")
-        self.deployment.terminate(name)
-        time.sleep(length / 4)
-        self.deployment.run(name)
-        self._busy.discard(name)
+        with self._holding([name]) as held:
+            for leaver in held:
+                self._note(f"terminate {leaver}")
+                self.deployment.terminate(leaver)
+            self._restart(held, length / 4)
 
     def _pause(self, name, length):
-        if not self._own(name):
-            return
-        self._note(f"pause {name} for {length * 2:.1f} s")
-        self.deployment.pause(name)
-        time.sleep(length * 2)
-        self.deployment.resume(name)
-        self._busy.discard(name)
+        with self._holding([name]) as held:
+            for sleeper in held:
+                self._note(f"pause {sleeper} for {length * 2:.1f} s")
+                self.deployment.pause(sleeper)
+                time.sleep(length * 2)
+                self.deployment.resume(sleeper)
 
     def _hangup(self, name, _):
         self._note(f"hang up {name}")
         self.deployment.send(name, signal.SIGHUP)
 
     def _store(self, _, length):
-        if not self._own("store"):
-            return
-        fault = self.chance.choice(["refuse", "silent", "lose", "late", "forget"])
-        self._note(f"store {fault} for {length:.1f} s")
-        self.deployment.standin(f"/standin/store?fault={fault}")
-        time.sleep(length)
-        self.deployment.standin("/standin/store?fault=none")
-        self._busy.discard("store")
+        with self._holding(["store"]) as held:
+            if not held:
+                return
+            fault = self.chance.choice(["refuse", "silent", "lose", "late", "forget"])
+            self._note(f"store {fault} for {length:.1f} s")
+            self.deployment.standin(f"/standin/store?fault={fault}")
+            time.sleep(length)
+            self.deployment.standin("/standin/store?fault=none")
 
     def _path(self, _, length):
-        what = self.chance.choice(sorted(self.deployment.proxies))
-        if not self._own(what):
-            return
-        fault = self.chance.choice(["delay", "reset", "silent", "one_way"])
-        self._note(f"path {what}: {fault} for {length:.1f} s")
-        self.deployment.proxies[what].set_fault(fault)
-        time.sleep(length)
-        self.deployment.proxies[what].set_fault("none")
-        self._busy.discard(what)
+        with self._holding([self.chance.choice(sorted(self.deployment.proxies))]) as held:
+            for path in held:
+                fault = self.chance.choice(["delay", "reset", "silent", "one_way"])
+                self._note(f"path {path}: {fault} for {length:.1f} s")
+                self.deployment.proxies[path].set_fault(fault)
+                time.sleep(length)
+                self.deployment.proxies[path].set_fault("none")
 
     def _crash_runner(self, _, length):
         index = self.chance.randrange(len(self.deployment.agents))
-        if not self._own(f"runner {index}"):
-            return
-        self._note(f"crash runner {index} for {length:.1f} s")
-        self.deployment.standin(f"/standin/crash?runner={index}")
-        time.sleep(length)
-        self.deployment.standin(f"/standin/revive?runner={index}")
-        self._busy.discard(f"runner {index}")
+        with self._holding([f"runner {index}"]) as held:
+            if not held:
+                return
+            self._note(f"crash runner {index} for {length:.1f} s")
+            self.deployment.standin(f"/standin/crash?runner={index}")
+            time.sleep(length)
+            self.deployment.standin(f"/standin/revive?runner={index}")
 
     def _configure(self, _name, _length):
         self._note("a new configuration")
--- a/tests/stories/batch_hunt_story.cc
+++ b/tests/stories/batch_hunt_story.cc
@@ -3,6 +3,7 @@
 #include <cstdlib>
 
 #include "tests/world/batch_world.h"
+#include "tests/world/require_kept.h"
 
 namespace eelgrass {
 namespace {
@@ -92,9 +93,7 @@
   world.SetStore(store_fault::kNone);
   world.SetLateOrders(0);
   world.RunFor(millis(70000));
-  world.check().Finish();
-  for (const auto& line : world.check().broken()) MESSAGE(line);
-  CHECK(world.check().broken().empty());
+  RequireKept(world);
 }
 
 /** Days to play; EELGRASS_HUNT_FIRST and EELGRASS_HUNT_DAYS choose others. */
--- a/tests/stories/batch_path_story.cc
+++ b/tests/stories/batch_path_story.cc
@@ -1,16 +1,11 @@
 #include <doctest/doctest.h>
 
 #include "tests/world/batch_world.h"
+#include "tests/world/require_kept.h"
 
 namespace eelgrass {
 namespace {
 
-void RequireKept(batch_world& world) {
-  world.check().Finish();
-  for (const auto& line : world.check().broken()) MESSAGE(line);
-  CHECK(world.check().broken().empty());
-}
-
 TEST_CASE("a batch job's way") {
   batch_world world;
   world.RunFor(millis(5000));
--- a/tests/stories/batch_recovery_story.cc
+++ b/tests/stories/batch_recovery_story.cc
@@ -1,16 +1,11 @@
 #include <doctest/doctest.h>
 
 #include "tests/world/batch_world.h"
+#include "tests/world/require_kept.h"
 
 namespace eelgrass {
 namespace {
 
-void RequireKept(batch_world& world) {
-  world.check().Finish();
-  for (const auto& line : world.check().broken()) MESSAGE(line);
-  CHECK(world.check().broken().empty());
-}
-
 /** Hands in a mixed load and watches every job. */
 void HandIn(batch_world& world, int jobs, std::string_view prefix) {
   for (int i = 0; i < jobs; ++i) {
--- a/tests/stories/departure_story.cc
+++ b/tests/stories/departure_story.cc
@@ -2,6 +2,7 @@
 
 #include "kernel/batch/departure_watch.h"
 #include "tests/world/batch_world.h"
+#include "tests/world/require_kept.h"
 
 namespace eelgrass {
 namespace {
@@ -22,9 +23,7 @@
   }
   millis Took() {
     world.RunFor(millis(30000));
-    world.check().Finish();
-    for (const auto& line : world.check().broken()) MESSAGE(line);
-    CHECK(world.check().broken().empty());
+    RequireKept(world);
     REQUIRE(world.check().completed(job.id).has_value());
     return *world.check().completed(job.id) - crashed;
   }
--- a/tests/stories/takeover_story.cc
+++ b/tests/stories/takeover_story.cc
@@ -2,6 +2,7 @@
 
 #include "kernel/batch/term_keeper.h"
 #include "tests/world/batch_world.h"
+#include "tests/world/require_kept.h"
 
 namespace eelgrass {
 namespace {
@@ -85,9 +86,7 @@
   world.RunFor(millis(12000));
   world.CutAgent(0, false);
   world.RunFor(millis(20000));
-  world.check().Finish();
-  for (const auto& line : world.check().broken()) MESSAGE(line);
-  CHECK(world.check().broken().empty());
+  RequireKept(world);
 }
 
 TEST_CASE("a job starts although the store's feed is behind") {
--- a/tests/stories/urgent_load_story.cc
+++ b/tests/stories/urgent_load_story.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "tests/world/batch_world.h"
+#include "tests/world/require_kept.h"
 
 namespace eelgrass {
 namespace {
@@ -31,9 +32,7 @@
   }
   void Finish() {
     world.RunFor(millis(60000));
-    world.check().Finish();
-    for (const auto& line : world.check().broken()) MESSAGE(line);
-    CHECK(world.check().broken().empty());
+    RequireKept(world);
   }
 };
 
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -552,17 +552,9 @@
   });
 }
 
-void batch_world::CallWorker(machine& vm, const start_call& call) {
-  start_answer answer{call.worker, {call.run.task, call.run.run}, call.fence};
-  const int64_t life = vm.life;
-  const auto carry = [this, index = vm.index, call](start_answer& out) {
-    machine& same = *machines_.at(index);
-    if (same.runner == nullptr || same.runner->self().id != call.worker.id) {
-      out.outcome = call_outcome::kNeverSent;
-      return;
-    }
-    out.outcome = same.runner->Start(call, now(), out.refusal);
-  };
+/** Has an order carried out and answered, or without an answer and seconds later. */
+template <typename Answer, typename Carry>
+void batch_world::Order(machine& vm, Answer answer, const Carry& carry) {
   millis delay = kWorkerTime;
   if (Chance(late_orders_)) {
     events_.After(Between(millis(2000), millis(12000)),
@@ -572,33 +564,34 @@
   } else {
     carry(answer);
   }
-  events_.At(std::max(now() + delay, vm.frozen_until), [this, index = vm.index, life, answer] {
+  const millis at = std::max(now() + delay, vm.frozen_until);
+  events_.At(at, [this, index = vm.index, life = vm.life, answer] {
     machine& same = *machines_.at(index);
     if (same.alive && same.life == life) ToAgent(same, answer);
   });
 }
 
+void batch_world::CallWorker(machine& vm, const start_call& call) {
+  start_answer answer{call.worker, {call.run.task, call.run.run}, call.fence};
+  const auto carry = [this, index = vm.index, call](start_answer& out) {
+    machine& same = *machines_.at(index);
+    if (same.runner == nullptr || same.runner->self().id != call.worker.id) {
+      out.outcome = call_outcome::kNeverSent;
+      return;
+    }
+    out.outcome = same.runner->Start(call, now(), out.refusal);
+  };
+  Order(vm, std::move(answer), carry);
+}
+
 void batch_world::CallWorker(machine& vm, const stop_call& call) {
   stop_answer answer{call.worker, call.run, call.fence, call_outcome::kNeverSent};
-  const int64_t life = vm.life;
   const auto carry = [this, index = vm.index, call](stop_answer& out) {
     machine& same = *machines_.at(index);
     const bool there = same.runner != nullptr && same.runner->self().id == call.worker.id;
     out.outcome = there ? same.runner->Stop(call, now()) : call_outcome::kNeverSent;
   };
-  millis delay = kWorkerTime;
-  if (Chance(late_orders_)) {
-    events_.After(Between(millis(2000), millis(12000)),
-                  [carry, answer]() mutable { carry(answer); });
-    answer.outcome = call_outcome::kNoAnswer;
-    delay = kOrderTimeout;
-  } else {
-    carry(answer);
-  }
-  events_.At(std::max(now() + delay, vm.frozen_until), [this, index = vm.index, life, answer] {
-    machine& same = *machines_.at(index);
-    if (same.alive && same.life == life) ToAgent(same, answer);
-  });
+  Order(vm, std::move(answer), carry);
 }
 
 void batch_world::StopProcess(process& stopped) {
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -157,6 +157,8 @@
                   millis until);
   void CallWorker(machine& vm, const hold_call& call);
   void WaitForEnd(machine& vm, const hold_call& call, hold_answer answer, millis until);
+  template <typename Answer, typename Carry>
+  void Order(machine& vm, Answer answer, const Carry& carry);
   void CallWorker(machine& vm, const start_call& call);
   void CallWorker(machine& vm, const stop_call& call);
   void Try(uint64_t caller);
