--- a/src/kernel/batch/start_planner.h
+++ b/src/kernel/batch/start_planner.h
@@ -122,8 +122,7 @@
   double CostOf(const unit_ref& unit, const planning_view& view);
   double NewCostOf(const unit_ref& unit, const planning_view& view) const;
   bool MayMakeRoom(const candidate& unit, const planning_view& view) const;
-  static bool IsLessUrgent(const unit_ref& victim, const candidate& by,
-                           const planning_view& view);
+  static bool IsLessUrgent(const unit_ref& victim, const candidate& by, const planning_view& view);
   bool MayPreempt(const unit_ref& victim, const candidate& by, const planning_view& view) const;
   bool Stopping(const run_record& record) const;
   bool AtWork(const unit_ref& unit) const;
