--- a/standins/standin_fleet.cc
+++ b/standins/standin_fleet.cc
@@ -168,8 +168,9 @@
     return Answer(server, request.id, http_status::kOk,
                   RowsBody(found.rows, found.revision, found.more, now).dump());
   }
-  if (request.path() != "/rows-feed")
+  if (request.path() != "/rows-feed") {
     return Answer(server, request.id, http_status::kBadRequest, "{}");
+  }
   const millis wait(std::atoll(std::string(request.Parameter("WaitMs")).c_str()));
   waiting entry{&server, std::move(request), now + wait, -1, ""};
   if (!TryFeed(entry, false)) waiting_.push_back(std::move(entry));
