Urgent work finds fast, free workers: learned speeds, kept room, runs that leave in time

Change: - worker_speeds learns from ended single tasks how long each worker takes against the others; urgent work takes usual workers first, other work slow ones; all avoid workers twice as slow. - urgent_headroom learns what urgent work needed at once lately; less urgent work that still has time leaves that much free on fast workers, at most a quarter of a service. - Runs that a leaving worker's notice leaves no time for are stopped while they can still be moved. - Stopping urgent work costs more than stopping less urgent work.

--- a/src/kernel/batch/job_book.cc
+++ b/src/kernel/batch/job_book.cc
@@ -104,14 +104,19 @@
 }
 
 unit_state* job_book::Find(const unit_ref& unit) {
+  step_state* step = FindStep(unit);
+  if (step == nullptr || unit.unit < 0) return nullptr;
+  const auto number = static_cast<size_t>(unit.unit);
+  return number < step->units.size() ? &step->units[number] : nullptr;
+}
+
+step_state* job_book::FindStep(const unit_ref& unit) {
   tracked_job* job = Find(unit.job);
-  if (job == nullptr || unit.occurrence < 0 || unit.step < 0 || unit.unit < 0) return nullptr;
+  if (job == nullptr || unit.occurrence < 0 || unit.step < 0) return nullptr;
   if (static_cast<size_t>(unit.occurrence) >= job->occurrences.size()) return nullptr;
   auto& steps = job->occurrences[static_cast<size_t>(unit.occurrence)].steps;
-  if (static_cast<size_t>(unit.step) >= steps.size()) return nullptr;
-  auto& units = steps[static_cast<size_t>(unit.step)].units;
-  return static_cast<size_t>(unit.unit) < units.size() ? &units[static_cast<size_t>(unit.unit)]
-                                                       : nullptr;
+  const auto number = static_cast<size_t>(unit.step);
+  return number < steps.size() ? &steps[number] : nullptr;
 }
 
 const batch_step* job_book::StepOf(const unit_ref& unit) const {
--- a/src/kernel/batch/job_book.h
+++ b/src/kernel/batch/job_book.h
@@ -49,6 +49,8 @@
   std::vector<unit_state> units;
   int done = 0;
   bool released = false;  // all earlier steps are done and its time has come
+  double excess_sum = 0;  // logarithms of how much longer than estimated its ended tasks took
+  int timed_ends = 0;     // of which that is known
 };
 
 struct occurrence_state {
@@ -100,6 +102,7 @@
   tracked_job* Find(std::string_view id);
   const tracked_job* Find(std::string_view id) const;
   unit_state* Find(const unit_ref& unit);
+  step_state* FindStep(const unit_ref& unit);
   const batch_step* StepOf(const unit_ref& unit) const;
 
   /** Jobs that are not final, by id. */
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -45,7 +45,7 @@
       term_(options_.node, options_.nonce, codec),
       book_(std::make_unique<job_book>(options_.early)),
       journal_(codec, term_),
-      tracker_(std::make_unique<run_tracker>(options_.tracking, *book_, pool_)),
+      tracker_(std::make_unique<run_tracker>(options_.tracking, *book_, pool_, speeds_)),
       starts_(order) {}
 
 void planner_core::Decide(std::span<planner_event> events, millis now, millis wall_now,
@@ -180,7 +180,7 @@
   journal_.Reset();
   pool_ = worker_pool{};
   book_ = std::make_unique<job_book>(options_.early);
-  tracker_ = std::make_unique<run_tracker>(options_.tracking, *book_, pool_);
+  tracker_ = std::make_unique<run_tracker>(options_.tracking, *book_, pool_, speeds_);
   tracker_->Begin(term_.fence());
   early_reports_.clear();
   reported_.clear();
@@ -194,7 +194,7 @@
   journal_.Reset();
   pool_ = worker_pool{};
   book_ = std::make_unique<job_book>(options_.early);
-  tracker_ = std::make_unique<run_tracker>(options_.tracking, *book_, pool_);
+  tracker_ = std::make_unique<run_tracker>(options_.tracking, *book_, pool_, speeds_);
   for (const auto& [job, askers] : cancels_) {
     for (const auto& [asker, id] : askers) Reply(asker, {id, inquiry_outcome::kNotPlanner});
   }
@@ -391,8 +391,10 @@
   if (changes == planned_changes_ && now < next_plan_) return;
   planned_changes_ = changes;
   next_plan_ = now + kPlanInterval;
-  const planning_view view{*book_,   pool_, *operators_.config,           operators_.evacuated,
-                           &advice_, now,   recovered ? 0 : term_.fence()};
+  speeds_.Refresh();
+  const planning_view view{
+      *book_,   pool_, *operators_.config,           operators_.evacuated, speeds_,
+      &advice_, now,   recovered ? 0 : term_.fence()};
   tracker_->Apply(starts_.Plan(view), now);
   if (auto request = advice_.Next(view)) out_->emplace_back(std::move(*request));
 }
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -121,6 +121,7 @@
   term_keeper term_;
   std::unique_ptr<job_book> book_;
   worker_pool pool_;
+  worker_speeds speeds_;  // kept over terms: workers do not change with the planner
   planner_journal journal_;
   std::unique_ptr<run_tracker> tracker_;
   start_planner starts_;
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -34,8 +34,9 @@
   return grant + grant * kSlowClockPermille / kPermille + kSlack;
 }
 
-run_tracker::run_tracker(tracker_options options, job_book& book, worker_pool& pool)
-    : options_(options), book_(book), pool_(pool) {}
+run_tracker::run_tracker(tracker_options options, job_book& book, worker_pool& pool,
+                         worker_speeds& speeds)
+    : options_(options), book_(book), pool_(pool), speeds_(speeds) {}
 
 void run_tracker::Begin(int64_t term) {
   term_ = term;
@@ -73,6 +74,8 @@
   worker.report_sequence = report.sequence;
   worker.reported = now;
   worker.profile = report.worker;
+  const bool leaving = report.worker.draining && report.worker.remaining_ms >= 0;
+  worker.leaves_at = leaving ? now + millis(report.worker.remaining_ms) : millis(0);
   worker.listing = report.listed && report.term == term_;
   worker.order_due = true;
   if (!worker.listing) return;
@@ -165,6 +168,7 @@
   // Work that is done is done, whichever run did it: nothing of it is to run again.
   if (!step.long_running && end.how == run_end::kDone) {
     Note(worker, true, now);
+    if (known) LearnSpeed(worker, record->second, step, now);
     book_.OnDone(unit, now);
   }
   if (counts && end.how == run_end::kFailed) {
@@ -180,6 +184,16 @@
   ++changes_;
 }
 
+/** Takes note of how long a run took that did all of its unit's work at full speed. */
+void run_tracker::LearnSpeed(const pool_worker& worker, const run_record& record,
+                             const batch_step& step, millis now) {
+  const bool near = step.data_rack.empty() || step.data_rack == worker.profile.rack;
+  const bool comparable = record.timed && record.began > millis(0) && near && !step.fills;
+  step_state* state = book_.FindStep(record.unit);
+  if (!comparable || step.gang || worker.profile.cold_ms > 0 || state == nullptr) return;
+  speeds_.Learn(worker.profile.self.id, *state, step.estimate, now - record.began);
+}
+
 /** Counts failures in a row, which tell a sick worker from a job that cannot run. */
 void run_tracker::Note(pool_worker& worker, bool good, millis now) {
   worker.failures_in_row = good ? 0 : worker.failures_in_row + 1;
@@ -325,6 +339,7 @@
 
 void run_tracker::Apply(const start_plan& plan, millis now) {
   for (const auto& unit : plan.preempted) Stop(unit, "preempted", now);
+  for (const auto& unit : plan.moved) Stop(unit, "its worker leaves before it can end", now);
   for (const auto& start : plan.starts) {
     const batch_step* step = book_.StepOf(start.unit);
     unit_state* unit = book_.Find(start.unit);
@@ -340,6 +355,7 @@
       record.each = RoomOf(*step);
       record.since = now;
       record.saved = unit->saved;
+      record.timed = unit->saved.empty();
       if (i < start.tickets.size()) record.ticket = start.tickets[i];
       log_event("run-placed")
           .With("task", record.task)
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -10,6 +10,7 @@
 #include "kernel/batch/job_book.h"
 #include "kernel/batch/start_planner.h"
 #include "kernel/batch/worker_pool.h"
+#include "kernel/batch/worker_speeds.h"
 #include "kernel/model/link_events.h"
 
 namespace eelgrass {
@@ -28,7 +29,7 @@
  */
 class run_tracker {
  public:
-  run_tracker(tracker_options options, job_book& book, worker_pool& pool);
+  run_tracker(tracker_options options, job_book& book, worker_pool& pool, worker_speeds& speeds);
 
   /** A new term: orders count anew, and run numbers are above those of all earlier terms. */
   void Begin(int64_t term);
@@ -66,6 +67,8 @@
   void DropUnlisted(pool_worker& worker, const worker_report& report, millis now);
   bool Adopt(pool_worker& worker, const listed_run& listed, millis now);
   void ApplyEnd(pool_worker& worker, const listed_end& end, const batch_config& config, millis now);
+  void LearnSpeed(const pool_worker& worker, const run_record& record, const batch_step& step,
+                  millis now);
   void Close(pool_worker& worker, const run_ref& run);
   void CloseAll(pool_worker& worker, std::string_view reason);
   void ReleaseHeld(millis now);
@@ -77,6 +80,7 @@
   const tracker_options options_;
   job_book& book_;
   worker_pool& pool_;
+  worker_speeds& speeds_;
   int64_t term_ = 0;
   int64_t runs_begun_ = 0;
   int64_t orders_sent_ = 0;
--- a/src/kernel/batch/start_planner.cc
+++ b/src/kernel/batch/start_planner.cc
@@ -15,9 +15,26 @@
 /** A worker that was not heard of for this long gets no new starts; it reports every second. */
 constexpr millis kFreshReport{1600};
 
+/** Estimates are off by a fifth and a notice is the least time: a run that lacks less goes on. */
+constexpr int64_t kNoticeDoubt = 4;
+
+/** What a slow worker takes longer than others, as a share of the work. */
+constexpr double kSlowShare = 0.3;
+
+/**
+ * Stopping urgent work counts this many times: it is short, its callers wait for it, and it would
+ * stop less urgent work in its turn.
+ */
+constexpr double kUrgentLoss = 8;
+
 /** How many times a unit's estimate it may wait for the rack of its data or for a single rack. */
 constexpr int64_t kRackPatience = 2;
 
+/** Room is only kept free while less than one part in this many of a service's capacity is free. */
+constexpr double kBusyShare = 2;
+
+bool IsUrgent(const batch_queue& queue) { return queue.priority == 0; }
+
 /** The queue of a job; nullptr when either is not known. */
 const batch_queue* QueueOf(const tracked_job* job, const planning_view& view) {
   return job == nullptr ? nullptr : view.config.FindQueueByName(job->job.queue);
@@ -50,8 +67,11 @@
   preempted_.clear();
   costs_.clear();
   start_plan plan;
+  LeaveInTime(view, plan);
   std::set<std::pair<std::string, int>> full;  // steps of which nothing more fits
-  for (const auto& unit : Ready(view)) {
+  const std::vector<candidate> ready = Ready(view);
+  KeepHeadroom(ready, view);
+  for (const auto& unit : ready) {
     const std::pair<std::string, int> shape{unit.unit.job, unit.unit.step};
     if (full.contains(shape)) continue;
     auto place = Place(unit, view);
@@ -80,6 +100,7 @@
     if (!Usable(worker, view)) continue;
     room entry;
     entry.worker = &worker;
+    entry.pace = view.speeds.Pace(id);
     entry.future = worker.FutureRoom();
     const amounts present = worker.PresentRoom();
     entry.free = {std::min(present.cpu_milli, entry.future.cpu_milli),
@@ -122,6 +143,24 @@
   }
 }
 
+/** Gives up runs that their worker's notice leaves no time for: elsewhere they can begin at once.
+ */
+void start_planner::LeaveInTime(const planning_view& view, start_plan& plan) const {
+  std::set<unit_ref> moved;
+  for (const auto& [id, worker] : view.pool.all()) {
+    if (worker.leaves_at == millis(0)) continue;
+    for (const auto& [ref, record] : worker.runs) {
+      const batch_step* step = view.book.StepOf(record.unit);
+      if (step == nullptr || step->long_running || record.phase != run_phase::kRunning) continue;
+      const millis left = record.began + step->estimate - view.now;
+      const millis stay = worker.leaves_at - view.now;
+      const bool hopeless = left > stay + stay / kNoticeDoubt;
+      if (record.timed && hopeless) moved.insert(record.unit);
+    }
+  }
+  plan.moved.assign(moved.begin(), moved.end());
+}
+
 std::vector<start_planner::candidate> start_planner::Ready(const planning_view& view) const {
   std::vector<candidate> ready;
   for (const auto& id : view.book.open()) {
@@ -155,13 +194,79 @@
   return ready;
 }
 
+/** Keeps room free for urgent work, by what it has needed at each service lately. */
+void start_planner::KeepHeadroom(std::span<const candidate> ready, const planning_view& view) {
+  std::map<std::string, service_load> loads;
+  for (const auto& entry : rooms_) {
+    const worker_profile& profile = entry.worker->profile;
+    service_load& load = loads[profile.service];
+    load.largest = std::max(load.largest, profile.capacity, [](const amounts& a, const amounts& b) {
+      return Weight(a) < Weight(b);
+    });
+    ++load.workers;
+    load.free += 1 - LargestShare(profile.capacity - entry.free, profile.capacity);
+  }
+  for (const auto& unit : ready) {
+    if (!IsUrgent(*unit.queue)) continue;
+    service_load& load = loads[unit.queue->service];
+    load.urgent += LargestShare(unit.each, load.largest) * unit.members;
+  }
+  for (const auto& [unit, records] : running_) {
+    const batch_queue* queue = QueueOf(view.book.Find(unit.job), view);
+    if (queue == nullptr || !IsUrgent(*queue)) continue;
+    service_load& load = loads[queue->service];
+    for (const auto* record : records) load.urgent += LargestShare(record->each, load.largest);
+  }
+  for (const auto& [service, load] : loads) {
+    urgent_headroom& headroom = headroom_[service];
+    headroom.Learn(load.urgent, view.now);
+    if (load.free * kBusyShare > load.workers) continue;
+    KeepRooms(service, headroom.Kept(load.urgent, load.workers));
+  }
+}
+
+/** Keeps the emptiest fast workers, rack by rack: urgent gangs want whole ones in one rack. */
+void start_planner::KeepRooms(std::string_view service, double workers) {
+  std::map<std::string, int64_t> racks;
+  std::vector<room*> emptiest;
+  for (auto& entry : rooms_) {
+    if (entry.worker->profile.service != service) continue;
+    if (entry.pace != worker_pace::kUsual) continue;
+    racks[entry.worker->profile.rack] += Weight(entry.free);
+    emptiest.push_back(&entry);
+  }
+  std::stable_sort(emptiest.begin(), emptiest.end(), [&](const room* a, const room* b) {
+    const auto key = [&](const room* r) {
+      const std::string& rack = r->worker->profile.rack;
+      return std::tuple(-racks.at(rack), rack, -Weight(r->free));
+    };
+    return key(a) < key(b);
+  });
+  for (auto* entry : emptiest) {
+    if (workers <= 0) return;
+    entry->kept = true;
+    const amounts& capacity = entry->worker->profile.capacity;
+    workers -= 1 - LargestShare(capacity - entry->free, capacity);
+  }
+}
+
+/** Whether a unit may use room that is kept for urgent work: it had to stop already, or is pressed
+ * for time. */
+bool start_planner::Pressed(const candidate& unit, const planning_view& view) {
+  if (IsUrgent(*unit.queue) || unit.step->long_running || !unit.state->saved.empty()) return true;
+  const millis slack = Objective(*unit.job, *unit.queue) - LongestChain(unit.job->job);
+  return unit.job->job.occurrences > 0 || view.now - unit.job->accepted > slack / 2;
+}
+
 std::vector<start_planner::room*> start_planner::RoomsFor(const candidate& unit,
                                                           const planning_view& view) {
+  const bool pressed = Pressed(unit, view);
   std::vector<room*> fitting;
   for (auto& entry : rooms_) {
     const worker_profile& profile = entry.worker->profile;
     const std::string& label = unit.step->required_label;
     if (profile.service != unit.queue->service) continue;
+    if (entry.kept && !pressed) continue;
     if (!label.empty() && !entry.worker->HasLabel(label)) continue;
     if (!unit.each.Fits(profile.capacity)) continue;
     const bool advised = !unit.queue->advice.wanted ||
@@ -170,11 +275,18 @@
     if (!advised) continue;
     fitting.push_back(&entry);
   }
-  // A worker on which the unit has failed comes last; then the tightest place first.
+  // A worker on which the unit has failed comes last; then the tightest place first. Urgent work
+  // takes the fast workers and leaves the slow ones to work that has time.
+  const bool urgent = unit.queue->priority == 0 && !unit.step->long_running;
+  const auto pace_rank = [urgent](worker_pace pace) {
+    if (pace == worker_pace::kCrawling) return 2;
+    return (pace == worker_pace::kSlow) == urgent ? 1 : 0;
+  };
   std::stable_sort(fitting.begin(), fitting.end(), [&](const room* a, const room* b) {
     const auto key = [&](const room* r) {
       return std::tuple(unit.state->failed_on.contains(r->worker->profile.self.id),
-                        r->worker->profile.cold_ms > 0, r->free.accelerators, r->free.cpu_milli);
+                        r->worker->profile.cold_ms > 0, pace_rank(r->pace), r->free.accelerators,
+                        r->free.cpu_milli);
     };
     return key(a) < key(b);
   });
@@ -218,14 +330,16 @@
   std::map<std::string, std::vector<room*>> racks;
   for (auto* entry : rooms) racks[entry->worker->profile.rack].push_back(entry);
   std::optional<std::vector<room*>> best;
-  int64_t least = std::numeric_limits<int64_t>::max();
+  std::pair<worker_pace, int64_t> least{worker_pace::kCrawling,
+                                        std::numeric_limits<int64_t>::max()};
   for (const auto& [rack, members] : racks) {
     auto place = PlaceIn(unit, members);
     if (!place) continue;
-    int64_t free = 0;
-    for (const auto* entry : members) free += entry->free.accelerators;
-    if (free >= least) continue;
-    least = free;
+    std::pair<worker_pace, int64_t> badness{worker_pace::kUsual, 0};
+    for (const auto* entry : *place) badness.first = std::max(badness.first, entry->pace);
+    for (const auto* entry : members) badness.second += entry->free.accelerators;
+    if (badness >= least) continue;
+    least = badness;
     best = std::move(place);
   }
   return best;
@@ -333,6 +447,7 @@
   const millis until = job->accepted + Objective(*job, *queue);
   const bool was_in_time = view.now < until;
   const bool late_then = view.now + step->estimate > until;
+  if (IsUrgent(*queue)) return (loss + WorkOf(*step)) * kUrgentLoss;
   return was_in_time && late_then ? loss + WorkOf(*step) : loss;
 }
 
@@ -380,6 +495,14 @@
   return unit.each.Fits(free) ? cost : std::numeric_limits<double>::infinity();
 }
 
+/** What a worker's pace costs a unit: one slow member slows the whole gang. */
+double start_planner::SlowCost(const candidate& unit, const room& target,
+                               std::span<room* const> place) const {
+  const auto slow = [](const room* entry) { return entry->pace != worker_pace::kUsual; };
+  if (!slow(&target) || std::any_of(place.begin(), place.end(), slow)) return 0;
+  return kSlowShare * WorkOf(*unit.step);
+}
+
 std::optional<std::vector<start_planner::room*>> start_planner::Preempt(const candidate& unit,
                                                                         const planning_view& view,
                                                                         start_plan& plan) {
@@ -397,6 +520,7 @@
     std::vector<room> saved;
     for (auto* entry : rooms) saved.push_back(*entry);
     double cost = 0;
+    double slow_cost = 0;
     // Urgent work beyond the guarantee may cost others no more than it is itself.
     const double most = guaranteed_.contains(unit.unit.job)
                             ? std::numeric_limits<double>::infinity()
@@ -405,23 +529,28 @@
       room* cheapest = nullptr;
       std::set<unit_ref> cheapest_victims;
       double least = std::numeric_limits<double>::infinity();
+      double least_price = 0;
       for (auto* entry : rooms) {
         std::set<unit_ref> more;
         const double price = CostOfMember(unit, *entry, view, victims, more);
-        if (price >= least) continue;
-        least = price;
+        const double badness = price + SlowCost(unit, *entry, place);
+        if (badness >= least) continue;
+        least = badness;
+        least_price = price;
         cheapest = entry;
         cheapest_victims = std::move(more);
       }
       if (cheapest == nullptr) break;
       victims.merge(cheapest_victims);
-      cost += least;
+      cost += least_price;
+      slow_cost += SlowCost(unit, *cheapest, place);
       cheapest->future -= unit.each;
       place.push_back(cheapest);
     }
     for (size_t i = 0; i < rooms.size(); ++i) *rooms[i] = saved[i];
-    if (static_cast<int>(place.size()) < unit.members || cost >= best_cost || cost > most) continue;
-    best_cost = cost;
+    if (static_cast<int>(place.size()) < unit.members || cost > most) continue;
+    if (cost + slow_cost >= best_cost) continue;
+    best_cost = cost + slow_cost;
     best = std::move(place);
     best_victims = std::move(victims);
   }
--- a/src/kernel/batch/start_planner.h
+++ b/src/kernel/batch/start_planner.h
@@ -12,7 +12,9 @@
 
 #include "kernel/base/plugin_registry.h"
 #include "kernel/batch/job_book.h"
+#include "kernel/batch/urgent_headroom.h"
 #include "kernel/batch/worker_pool.h"
+#include "kernel/batch/worker_speeds.h"
 #include "kernel/model/batch_config.h"
 
 namespace eelgrass {
@@ -28,6 +30,7 @@
 struct start_plan {
   std::vector<unit_start> starts;
   std::vector<unit_ref> preempted;
+  std::vector<unit_ref> moved;  // to be stopped, as a worker leaves before they can end
 };
 
 class advice_desk;
@@ -38,6 +41,7 @@
   const worker_pool& pool;
   const batch_config& config;
   const std::set<std::string>& evacuated;
+  const worker_speeds& speeds;
   const advice_desk* advice = nullptr;  // for queues whose policy demands it
   millis now{0};
   int64_t least_term = 0;  // only jobs accepted under this term or a later one may start
@@ -99,14 +103,28 @@
   /** What is left of a worker while a plan is made. */
   struct room {
     const pool_worker* worker = nullptr;
+    worker_pace pace = worker_pace::kUsual;
     amounts free;                                            // now, without what is held for others
     amounts future;                                          // once the stopping runs have ended
     std::map<std::tuple<std::string, int, int>, int> tasks;  // by job, occurrence and step
+    bool kept = false;                                       // for urgent work
+  };
+
+  void LeaveInTime(const planning_view& view, start_plan& plan) const;
+  /** How full a service is; all but the first in workers. */
+  struct service_load {
+    amounts largest;  // capacity of any worker
+    double workers = 0;
+    double free = 0;
+    double urgent = 0;  // taken or asked for by urgent work
   };
 
   std::vector<candidate> Ready(const planning_view& view) const;
   void ReadRooms(const planning_view& view);
   void ReadGuarantees(const planning_view& view);
+  void KeepHeadroom(std::span<const candidate> ready, const planning_view& view);
+  void KeepRooms(std::string_view service, double workers);
+  static bool Pressed(const candidate& unit, const planning_view& view);
   std::vector<room*> RoomsFor(const candidate& unit, const planning_view& view);
   std::optional<std::vector<room*>> Place(const candidate& unit, const planning_view& view);
   std::optional<std::vector<room*>> PlaceIn(const candidate& unit, std::span<room* const> rooms);
@@ -119,6 +137,7 @@
   static bool SomeRackHolds(const candidate& unit, std::span<room* const> rooms);
   static double WorkOf(const batch_step& step);
   double LossOf(const unit_ref& unit, const planning_view& view) const;
+  double SlowCost(const candidate& unit, const room& target, std::span<room* const> place) const;
   double CostOf(const unit_ref& unit, const planning_view& view);
   double NewCostOf(const unit_ref& unit, const planning_view& view) const;
   bool MayMakeRoom(const candidate& unit, const planning_view& view) const;
@@ -134,6 +153,7 @@
   std::map<unit_ref, std::vector<const run_record*>> running_;  // by unit
   std::map<unit_ref, double> costs_;                            // of stopping, in this plan
   std::set<unit_ref> preempted_;                                // in this plan
+  std::map<std::string, urgent_headroom> headroom_;             // by service
   std::set<std::string> guaranteed_;  // jobs that are within their organisation's guarantee
 };
 
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -33,6 +33,7 @@
   millis since{0};  // of the phase
   millis began{0};  // when it was first seen running; 0: not yet
   std::string saved;
+  bool timed = false;  // placed by this planner with all its work before it
   std::string ticket;  // from the advice that the queue's policy demands
 };
 
@@ -47,6 +48,7 @@
   int64_t report_sequence = 0;
   millis reported{0};
   millis lease_end{0};  // no run outlives this; planner's clock
+  millis leaves_at{0};  // a draining worker stays until then at least; 0: not known
   int64_t ends_applied = 0;
   int64_t ends_stored = 0;
   std::map<run_ref, run_record> runs;
--- /dev/null
+++ b/src/kernel/batch/worker_speeds.cc
@@ -0,0 +1,82 @@
+#include "kernel/batch/worker_speeds.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include "kernel/base/log_event.h"
+
+namespace eelgrass {
+namespace {
+
+/** How far one end moves what is known; tasks of one step differ by some 30%, so ten are needed. */
+constexpr double kRate = 0.15;
+
+/** The estimate counts as much as this many ends of the same step. */
+constexpr double kEstimateWeight = 1;
+
+/** A worker is only judged after this many ends. */
+constexpr int kEndsToJudge = 2;
+
+/** A tenth longer than most is slow: less than that is how much means of a few tasks differ. */
+const double kSlowFactor = std::log(1.1);
+
+/** Twice as long as most: something is wrong with the worker. */
+const double kCrawlingFactor = std::log(2.0);
+
+constexpr double kPercent = 100;
+
+/** Logarithm of how many times longer than its estimate something took. */
+double Excess(millis estimate, millis took) {
+  const auto least = static_cast<double>(std::max<int64_t>(1, estimate.count()));
+  return std::log(static_cast<double>(std::max<int64_t>(1, took.count())) / least);
+}
+
+}  // namespace
+
+void worker_speeds::Learn(std::string_view worker, step_state& step, millis estimate, millis took) {
+  record& known = workers_[std::string(worker)];
+  const double excess = Excess(estimate, took);
+  const double expected = step.excess_sum / (step.timed_ends + kEstimateWeight);
+  step.excess_sum += excess - known.factor;
+  ++step.timed_ends;
+  // A worker is taken to be like the others until its own ends outweigh that.
+  const double rate = std::max(kRate, 1.0 / (known.ends + 2));
+  known.factor += rate * (excess - expected - known.factor);
+  ++known.ends;
+}
+
+void worker_speeds::Refresh() {
+  std::vector<double> factors;
+  for (const auto& [id, known] : workers_) {
+    if (known.ends >= kEndsToJudge) factors.push_back(known.factor);
+  }
+  if (factors.empty()) return;
+  const auto middle = factors.begin() + static_cast<std::ptrdiff_t>(factors.size() / 2);
+  std::nth_element(factors.begin(), middle, factors.end());
+  usual_ = *middle;
+  for (auto& [id, known] : workers_) {
+    const worker_pace pace = Judge(known);
+    if (pace == known.pace) continue;
+    known.pace = pace;
+    log_event("worker-pace")
+        .With("worker", id)
+        .With("pace", static_cast<int64_t>(pace))
+        .With("percent", static_cast<int64_t>(kPercent * std::exp(known.factor - usual_)))
+        .With("ends", known.ends);
+  }
+}
+
+worker_pace worker_speeds::Pace(std::string_view worker) const {
+  const auto found = workers_.find(worker);
+  return found == workers_.end() ? worker_pace::kUsual : found->second.pace;
+}
+
+worker_pace worker_speeds::Judge(const record& known) const {
+  if (known.ends < kEndsToJudge) return worker_pace::kUsual;
+  const double over = known.factor - usual_;
+  if (over > kCrawlingFactor) return worker_pace::kCrawling;
+  return over > kSlowFactor ? worker_pace::kSlow : worker_pace::kUsual;
+}
+
+}  // namespace eelgrass
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -426,6 +426,10 @@
   report.listed =
       confirmed_term_ != 0 && !refused_connection_ && now - last_answer_ < kAnsweringFor;
   report.worker = profile_;
+  if (profile_.remaining_ms >= 0) {
+    report.worker.remaining_ms =
+        std::max<int64_t>(0, profile_.remaining_ms - (now - last_beat_).count());
+  }
   report.running = running_;
   report.ended = ended_;
   for (const auto& [ref, reason] : refused_) report.refused.push_back({ref.task, ref.run, reason});
--- a/src/kernel/model/amounts.h
+++ b/src/kernel/model/amounts.h
@@ -41,6 +41,16 @@
   return value.cpu_milli + kCpuMilliPerAccelerator * value.accelerators;
 }
 
+/** The largest share that an amount is of any part of a capacity: what it takes of a worker. */
+inline double LargestShare(const amounts& value, const amounts& capacity) {
+  const auto share = [](int64_t part, int64_t whole) {
+    return whole <= 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
+  };
+  return std::max({share(value.cpu_milli, capacity.cpu_milli),
+                   share(value.memory_mb, capacity.memory_mb),
+                   share(value.accelerators, capacity.accelerators)});
+}
+
 /** How many times `each` fits into `room`, at most `most`. */
 inline int64_t CountFitting(const amounts& each, const amounts& room, int64_t most) {
   int64_t count = most;
--- a/standins/standin_runner.cc
+++ b/standins/standin_runner.cc
@@ -14,6 +14,8 @@
 /** Where a worker's clock begins: not zero, so that a missing clock shows. */
 constexpr int64_t kClockOrigin = 100000;
 
+constexpr int64_t kPercent = 100;
+
 task_behavior BehaviorOf(std::string_view task, std::string_view spec) {
   task_ref ref;
   const auto tree = nlohmann::json::parse(spec.begin(), spec.end(), nullptr, false);
@@ -82,6 +84,7 @@
     auto& gang = gangs_.Get(ref.task, ref.run);
     if (gang.first_at == millis(0)) gang.first_at = now;
     gang.present.insert(ref.task);
+    gang.time_percent = std::max(gang.time_percent, options_.time_percent);
     if (static_cast<int>(gang.present.size()) == run.behavior.gang) gang.complete_since = now;
   } else {
     run.working = true;
@@ -140,10 +143,10 @@
 
 int64_t standin_runner::WorkDone(const run_state& run, millis now) const {
   const bool member = run.behavior.gang > 0;
-  if (!member) return run.done_ms + (now - run.began).count();
+  if (!member) return run.done_ms + (now - run.began).count() * kPercent / options_.time_percent;
   const auto& gang = gangs_.Get(run.task, run.run);
   if (gang.complete_since == millis(0)) return run.done_ms;
-  return run.done_ms + (now - gang.complete_since).count();
+  return run.done_ms + (now - gang.complete_since).count() * kPercent / gang.time_percent;
 }
 
 void standin_runner::AdvanceRun(const run_ref& ref, run_state& run, millis now,
--- a/standins/standin_runner.h
+++ b/standins/standin_runner.h
@@ -48,6 +48,7 @@
     std::set<std::string> present;
     millis complete_since{0};  // 0: not yet
     millis first_at{0};
+    int time_percent = 0;  // of the slowest member's worker
     bool broken = false;
     bool done = false;
   };
@@ -67,6 +68,7 @@
   millis stop_time{300};
   millis gang_timeout{3000};
   millis checkpoint{500};
+  int time_percent = 100;  // what work takes here of the time that it takes at a usual worker
 };
 
 /** One life of a worker. */
--- a/tests/stories/batch_policy_story.cc
+++ b/tests/stories/batch_policy_story.cc
@@ -64,7 +64,8 @@
   book.Release(millis(0), millis(0));
   const std::set<std::string> evacuated;
   advice_desk desk;
-  const planning_view view{book, pool, config, evacuated, &desk, millis(0)};
+  const worker_speeds speeds;
+  const planning_view view{book, pool, config, evacuated, speeds, &desk, millis(0)};
   const unit_ref unit{job.id, 0, 0, 0};
   const auto order = std::move(unit_order_registry::Instance().Create("arrival").value());
   start_planner planner(*order);
@@ -94,7 +95,7 @@
   }
   SUBCASE("a call that was turned away is made again") {
     desk.On({request->step, request->workers, false, {}, millis(0)}, millis(0));
-    const planning_view later{book, pool, config, evacuated, &desk, millis(1000)};
+    const planning_view later{book, pool, config, evacuated, speeds, &desk, millis(1000)};
     CHECK(desk.Next(later).has_value());
   }
 }
--- a/tests/stories/run_tracker_story.cc
+++ b/tests/stories/run_tracker_story.cc
@@ -9,7 +9,8 @@
 TEST_CASE("a new planner counts the failures that nobody has stored yet") {
   job_book book(millis(250));
   worker_pool pool;
-  run_tracker tracker({}, book, pool);
+  worker_speeds speeds;
+  run_tracker tracker({}, book, pool, speeds);
   batch_config config;
   batch_queue queue;
   queue.name = "usual";
--- /dev/null
+++ b/tests/stories/worker_speeds_story.cc
@@ -0,0 +1,91 @@
+#include <doctest/doctest.h>
+
+#include "kernel/batch/urgent_headroom.h"
+#include "kernel/batch/worker_speeds.h"
+#include "kernel/batch/worker_steward.h"
+
+namespace eelgrass {
+namespace {
+
+TEST_CASE("the speed of workers is learned from the ends of their tasks") {
+  worker_speeds speeds;
+  step_state step;
+  const millis estimate(1000);
+  const auto end = [&](std::string_view worker, int64_t took) {
+    speeds.Learn(worker, step, estimate, millis(took));
+    speeds.Refresh();
+  };
+  const auto rounds = [&](int count, int64_t usual, int64_t slow) {
+    for (int i = 0; i < count; ++i) {
+      for (const char* worker : {"w1", "w2", "w3"}) end(worker, usual);
+      end("w4", slow);
+    }
+  };
+
+  SUBCASE("nothing is known: all are taken to be usual") {
+    CHECK(speeds.Pace("w1") == worker_pace::kUsual);
+    SUBCASE("and one slow end is no proof") {
+      rounds(1, 1000, 3000);
+      CHECK(speeds.Pace("w4") == worker_pace::kUsual);
+    }
+  }
+  SUBCASE("a worker that takes a third longer is slow after a few ends") {
+    rounds(4, 1000, 1300);
+    CHECK(speeds.Pace("w4") == worker_pace::kSlow);
+    for (const char* worker : {"w1", "w2", "w3"}) CHECK(speeds.Pace(worker) == worker_pace::kUsual);
+    SUBCASE("and usual again when it has become as fast as the others") {
+      rounds(12, 1000, 1000);
+      CHECK(speeds.Pace("w4") == worker_pace::kUsual);
+    }
+    SUBCASE("and crawling when something is wrong with it") {
+      rounds(12, 1000, 5000);
+      CHECK(speeds.Pace("w4") == worker_pace::kCrawling);
+    }
+  }
+  SUBCASE("an estimate that is off for a whole step says nothing of the workers") {
+    rounds(6, 2000, 2000);
+    for (const char* worker : {"w1", "w2", "w3", "w4"}) {
+      CHECK(speeds.Pace(worker) == worker_pace::kUsual);
+    }
+  }
+}
+
+TEST_CASE("room is kept free for urgent work by its recent peaks") {
+  urgent_headroom headroom;
+  const double capacity = 100;
+
+  SUBCASE("none before there was any") { CHECK(headroom.Kept(0, capacity) == 0); }
+  SUBCASE("after a peak as much as that needed, less what urgent work has now") {
+    headroom.Learn(20, millis(1000));
+    CHECK(headroom.Kept(20, capacity) == 0);
+    CHECK(headroom.Kept(5, capacity) == doctest::Approx(15));
+    SUBCASE("and ever less as time passes") {
+      headroom.Learn(0, millis(11000));
+      CHECK(headroom.Kept(0, capacity) == doctest::Approx(10));
+      headroom.Learn(0, millis(111000));
+      CHECK(headroom.Kept(0, capacity) < 0.02);
+    }
+  }
+  SUBCASE("but never more than a quarter of the capacity") {
+    headroom.Learn(90, millis(1000));
+    CHECK(headroom.Kept(0, capacity) == doctest::Approx(25));
+  }
+}
+
+TEST_CASE("a worker's notice grows old with its agent's knowledge") {
+  worker_beat beat;
+  beat.worker.self = {"w1", 17};
+  beat.sequence = 1;
+  worker_steward steward(beat, millis(0));
+  CHECK(steward.Report(1, millis(100)).worker.remaining_ms == -1);
+  beat.sequence = 2;
+  beat.worker.draining = true;
+  beat.worker.remaining_ms = 2000;
+  REQUIRE(steward.On(beat, millis(1000)));
+  CHECK(steward.Report(2, millis(1000)).worker.remaining_ms == 2000);
+  CHECK(steward.Report(3, millis(1700)).worker.remaining_ms == 1300);
+  CHECK(steward.Report(4, millis(9000)).worker.remaining_ms == 0);
+}
+
+}  // namespace
+}  // namespace eelgrass
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -171,9 +171,13 @@
   vm.born_ms = kWallOrigin + now().count();
   vm.sequence = 0;
   vm.draining = false;
+  vm.leaves_at = millis(0);
+  runner_options options = options_.worker;
+  const auto percent = options_.time_percent.find(vm.index);
+  if (percent != options_.time_percent.end()) options.time_percent = percent->second;
   const std::string id = "worker-" + std::to_string(vm.index) + "-" + std::to_string(vm.born_ms);
   vm.runner = std::make_unique<standin_runner>(
-      worker_identity{id, vm.born_ms}, options_.worker, gangs_,
+      worker_identity{id, vm.born_ms}, options, gangs_,
       [this](const runner_event& event) { check_.OnRunner(event); }, now());
   Beat(vm);
 }
@@ -191,6 +195,7 @@
     beat.worker.capacity = options_.worker.capacity;
     beat.worker.labels = {"a", beat.worker.rack};
     beat.worker.draining = vm.draining;
+    if (vm.leaves_at > millis(0)) beat.worker.remaining_ms = (vm.leaves_at - now()).count();
     beat.sequence = ++vm.sequence;
     beat.clock_ms = vm.runner->ClockAt(now());
     ToAgent(vm, beat);
@@ -643,6 +648,13 @@
   Beat(vm);
 }
 
+void batch_world::TakeAway(int worker, millis notice) {
+  machine& vm = *machines_.at(worker);
+  vm.leaves_at = now() + notice;
+  DrainWorker(worker);
+  events_.After(notice, [this, worker] { CrashWorker(worker, millis(60000)); });
+}
+
 void batch_world::PowerOffAll(millis down) {
   for (int i = 0; i < options_.entries; ++i) KillEntry(i, down);
   for (int i = 0; i < options_.workers; ++i) {
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -29,6 +29,7 @@
   int entries = 3;
   int workers = 6;
   runner_options worker;
+  std::map<int, int> time_percent;  // of work at single workers; 100 at the others
   std::string order = "deadline";
   uint64_t seed = 1;
 };
@@ -65,6 +66,9 @@
   void CutAgent(int worker, bool cut) { SetCut(AgentId(worker), cut); }
   void CrashWorker(int worker, millis down);
   void DrainWorker(int worker);
+
+  /** A worker says that it leaves, and is gone after this time. */
+  void TakeAway(int worker, millis notice);
   void SetSick(int worker, bool sick) { machines_[worker]->runner->SetSick(sick); }
   void PowerOffAll(millis down);
 
@@ -111,6 +115,7 @@
     int64_t born_ms = 0;
     int64_t sequence = 0;
     bool draining = false;
+    millis leaves_at{0};  // 0: not said
   };
   struct caller_try {
     batch_job job;
