--- a/src/kernel/batch/advice_desk.cc
+++ b/src/kernel/batch/advice_desk.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "kernel/base/log_event.h"
+#include "kernel/batch/room_map.h"
 
 namespace eelgrass {
 namespace {
@@ -65,7 +66,7 @@
         for (const auto& [name, worker] : view.pool.all()) {
           const worker_profile& profile = worker.profile;
           const std::string& label = job.job.steps[s].required_label;
-          if (profile.service != queue->service || !start_planner::Usable(worker, view)) continue;
+          if (profile.service != queue->service || !room_map::Usable(worker, view)) continue;
           if (!label.empty() && !worker.HasLabel(label)) continue;
           if (Known(request.step, profile.self, view.now)) continue;
           if (request.workers.size() == kWorkersAtOnce) break;
--- a/src/kernel/batch/advice_desk.h
+++ b/src/kernel/batch/advice_desk.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "kernel/batch/start_planner.h"
+#include "kernel/batch/planning_view.h"
 
 namespace eelgrass {
 
--- /dev/null
+++ b/src/kernel/batch/order_writer.cc
@@ -0,0 +1,50 @@
+#include "kernel/batch/order_writer.h"
+
+namespace eelgrass {
+
+order_writer::order_writer(millis grant, const job_book& book, worker_pool& pool)
+    : grant_(grant), book_(book), pool_(pool) {}
+
+/** What the agent needs to pace a run; false when the run takes no part in that. */
+bool order_writer::AddPacing(const run_record& record, wanted_run& wanted) const {
+  const batch_step* step = book_.StepOf(record.unit);
+  if (step == nullptr) return false;
+  wanted.target_ms = step->long_running ? step->latency_target.count() : 0;
+  wanted.fills = step->fills;
+  return wanted.fills || wanted.target_ms > 0;
+}
+
+void order_writer::Take(int64_t term, bool trusted, std::vector<send_to_peer>& orders) {
+  for (auto& [id, worker] : pool_.all()) {
+    if (!worker.order_due || !worker.linked) continue;
+    worker.order_due = false;
+    worker_order order;
+    order.term = term;
+    order.sequence = ++sent_;
+    order.worker = worker.profile.self;
+    for (const auto& [ref, record] : worker.runs) {
+      if (record.phase == run_phase::kStopping) order.stops.push_back(ref);
+      if (record.phase == run_phase::kRunning) {
+        // An agent that has started again paces by what it is told here.
+        wanted_run running{ref.task, ref.run, "", ""};
+        running.confirmed = true;
+        if (AddPacing(record, running)) order.starts.push_back(std::move(running));
+      }
+      if (record.phase != run_phase::kOrdered || !trusted) continue;
+      const tracked_job* job = book_.Find(record.unit.job);
+      if (job == nullptr) continue;
+      wanted_run wanted{ref.task, ref.run, job->job.spec, record.saved};
+      wanted.ticket = record.ticket;
+      AddPacing(record, wanted);
+      order.starts.push_back(std::move(wanted));
+    }
+    order.forget = std::move(worker.forget);
+    worker.forget.clear();
+    order.seen_upto = worker.ends_stored;
+    order.grant_sequence = worker.report_sequence;
+    order.grant_ms = trusted ? grant_.count() : 0;
+    orders.push_back({worker.agent, std::move(order)});
+  }
+}
+
+}  // namespace eelgrass
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -46,6 +46,7 @@
       book_(std::make_unique<job_book>(options_.early)),
       journal_(codec, term_),
       tracker_(std::make_unique<run_tracker>(options_.tracking, *book_, pool_, speeds_)),
+      orders_(std::make_unique<order_writer>(options_.tracking.grant, *book_, pool_)),
       starts_(order) {}
 
 void planner_core::Decide(std::span<planner_event> events, millis now, millis wall_now,
@@ -65,7 +66,7 @@
     WatchDepartures(now);
     if (book_->TakeFinished()) journal_.Hurry();
     std::vector<send_to_peer> orders;
-    tracker_->TakeOrders(term_.Trusted(now), orders);
+    orders_->Take(term_.fence(), term_.Trusted(now), orders);
     for (auto& order : orders) out_->emplace_back(std::move(order));
     std::vector<store_request> calls;
     journal_.Next(*book_, pool_, now, calls);
@@ -181,6 +182,7 @@
   pool_ = worker_pool{};
   book_ = std::make_unique<job_book>(options_.early);
   tracker_ = std::make_unique<run_tracker>(options_.tracking, *book_, pool_, speeds_);
+  orders_ = std::make_unique<order_writer>(options_.tracking.grant, *book_, pool_);
   tracker_->Begin(term_.fence());
   early_reports_.clear();
   reported_.clear();
@@ -195,6 +197,7 @@
   pool_ = worker_pool{};
   book_ = std::make_unique<job_book>(options_.early);
   tracker_ = std::make_unique<run_tracker>(options_.tracking, *book_, pool_, speeds_);
+  orders_ = std::make_unique<order_writer>(options_.tracking.grant, *book_, pool_);
   for (const auto& [job, askers] : cancels_) {
     for (const auto& [asker, id] : askers) Reply(asker, {id, inquiry_outcome::kNotPlanner});
   }
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -13,6 +13,7 @@
 
 #include "kernel/batch/advice_desk.h"
 #include "kernel/batch/departure_watch.h"
+#include "kernel/batch/order_writer.h"
 #include "kernel/batch/planner_journal.h"
 #include "kernel/batch/run_tracker.h"
 #include "kernel/batch/start_planner.h"
@@ -124,6 +125,7 @@
   worker_speeds speeds_;  // kept over terms: workers do not change with the planner
   planner_journal journal_;
   std::unique_ptr<run_tracker> tracker_;
+  std::unique_ptr<order_writer> orders_;
   start_planner starts_;
   operator_state operators_;
   millis operators_confirmed_{INT64_MIN / 4};
--- /dev/null
+++ b/src/kernel/batch/planning_view.h
@@ -0,0 +1,35 @@
+/** \file
+ * What a plan is made from.
+ */
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "kernel/batch/job_book.h"
+#include "kernel/batch/worker_pool.h"
+#include "kernel/batch/worker_speeds.h"
+#include "kernel/model/batch_config.h"
+
+namespace eelgrass {
+
+class advice_desk;
+
+/** What the planner looks at. */
+struct planning_view {
+  const job_book& book;
+  const worker_pool& pool;
+  const batch_config& config;
+  const std::set<std::string>& evacuated;
+  const worker_speeds& speeds;
+  const advice_desk* advice = nullptr;  // for queues whose policy demands it
+  millis now{0};
+  int64_t least_term = 0;  // only jobs accepted under this term or a later one may start
+
+  /** The queue of a job; nullptr when either is not known. */
+  const batch_queue* QueueOf(const tracked_job* job) const {
+    return job == nullptr ? nullptr : config.FindQueueByName(job->job.queue);
+  }
+};
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/room_maker.cc
@@ -0,0 +1,246 @@
+#include "kernel/batch/room_maker.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "kernel/batch/unit_order.h"
+
+namespace eelgrass {
+namespace {
+
+/** What a slow worker takes longer than others, as a share of the work. */
+constexpr double kSlowShare = 0.3;
+
+/**
+ * Stopping urgent work counts this many times: it is short, its callers wait for it, and it would
+ * stop less urgent work in its turn.
+ */
+constexpr double kUrgentLoss = 8;
+
+}  // namespace
+
+room_maker::room_maker(room_map& rooms) : rooms_(rooms) {}
+
+void room_maker::Begin(const planning_view& view) {
+  preempted_.clear();
+  costs_.clear();
+  ReadGuarantees(view);
+}
+
+/**
+ * An organisation's open jobs of the first priority are guaranteed in the order of their arrival,
+ * as long as all of them together need no more than its guarantee.
+ */
+void room_maker::ReadGuarantees(const planning_view& view) {
+  guaranteed_.clear();
+  std::map<std::string, std::vector<const tracked_job*>> by_owner;
+  for (const auto& id : view.book.open()) {
+    const tracked_job* job = view.book.Find(id);
+    const batch_queue* queue = view.config.FindQueueByName(job->job.queue);
+    if (queue != nullptr && queue->priority == 0) by_owner[job->job.organisation].push_back(job);
+  }
+  for (auto& [name, jobs] : by_owner) {
+    const batch_organisation* owner = view.config.FindOrganisation(name);
+    if (owner == nullptr) continue;
+    std::stable_sort(jobs.begin(), jobs.end(),
+                     [](const auto* a, const auto* b) { return a->accepted < b->accepted; });
+    int64_t left = owner->guaranteed_accelerators;
+    for (const auto* job : jobs) {
+      int64_t need = 0;
+      for (const auto& step : job->job.steps) {
+        need = std::max(need, step.each.accelerators * step.count);
+      }
+      left -= need;
+      if (left < 0) break;
+      guaranteed_.insert(job->job.id);
+    }
+  }
+}
+
+bool room_maker::Stopping(const run_record& record) const {
+  return record.phase == run_phase::kStopping || preempted_.contains(record.unit);
+}
+
+bool room_maker::Allowed(const ready_unit& unit, const planning_view& view) const {
+  if (guaranteed_.contains(unit.unit.job)) return true;
+  if (unit.queue->priority != 0 || unit.step->long_running) return false;
+  const millis objective = Objective(*unit.job, *unit.queue);
+  return view.now + unit.step->estimate < unit.job->accepted + objective * kLateFactor;
+}
+
+bool room_maker::IsLessUrgent(const unit_ref& victim, const ready_unit& by,
+                              const planning_view& view) {
+  const batch_queue* queue = view.QueueOf(view.book.Find(victim.job));
+  return queue != nullptr && queue->priority > by.queue->priority;
+}
+
+bool room_maker::MayPreempt(const unit_ref& victim, const ready_unit& by,
+                            const planning_view& view) const {
+  if (victim.job == by.unit.job || guaranteed_.contains(victim.job)) return false;
+  if (!guaranteed_.contains(by.unit.job) && !IsLessUrgent(victim, by, view)) return false;
+  const batch_step* step = view.book.StepOf(victim);
+  if (step == nullptr || !step->long_running) return step != nullptr;
+  // Of tasks that last only so many may be away at once.
+  int away = 0;
+  for (int unit = 0; unit < (step->gang ? 1 : step->count); ++unit) {
+    const unit_ref fellow{victim.job, victim.occurrence, victim.step, unit};
+    if (!AtWork(fellow)) ++away;
+  }
+  return away < step->may_miss;
+}
+
+bool room_maker::AtWork(const unit_ref& unit) const {
+  const auto runs = rooms_.RunsOf(unit);
+  return std::any_of(runs.begin(), runs.end(), [this](const run_record* record) {
+    return record->phase == run_phase::kRunning && !Stopping(*record);
+  });
+}
+
+/** All the work of a unit, in thousandths of a core times milliseconds. */
+double room_maker::WorkOf(const batch_step& step) {
+  return static_cast<double>(Weight(step.each) * UnitSize(step) * step.estimate.count());
+}
+
+/**
+ * What it costs to stop a unit now: the work that is lost, and all of its work if its job can no
+ * longer be in time after that. In thousandths of a core times milliseconds.
+ */
+double room_maker::CostOf(const unit_ref& unit, const planning_view& view) {
+  const auto known = costs_.find(unit);
+  if (known != costs_.end()) return known->second;
+  return costs_.emplace(unit, NewCostOf(unit, view)).first->second;
+}
+
+double room_maker::NewCostOf(const unit_ref& unit, const planning_view& view) const {
+  const double loss = LossOf(unit, view);
+  const tracked_job* job = view.book.Find(unit.job);
+  const batch_step* step = view.book.StepOf(unit);
+  const batch_queue* queue = view.QueueOf(job);
+  if (queue == nullptr || step == nullptr || job->job.occurrences > 0) return loss;
+  const millis until = job->accepted + Objective(*job, *queue);
+  const bool was_in_time = view.now < until;
+  const bool late_then = view.now + step->estimate > until;
+  if (IsUrgent(*queue)) return (loss + WorkOf(*step)) * kUrgentLoss;
+  return was_in_time && late_then ? loss + WorkOf(*step) : loss;
+}
+
+/** Work that is lost when a unit is stopped now, in thousandths of a core times milliseconds. */
+double room_maker::LossOf(const unit_ref& unit, const planning_view& view) const {
+  const batch_step* step = view.book.StepOf(unit);
+  if (step == nullptr) return 0;
+  double loss = 0;
+  for (const auto* record : rooms_.RunsOf(unit)) {
+    if (record->phase != run_phase::kRunning) continue;
+    // A run that saves its progress does so once more when it is stopped.
+    const millis since = step->checkpoints ? view.now : record->began;
+    loss += static_cast<double>((view.now - since).count() * Weight(step->each));
+    loss += static_cast<double>(Weight(step->each));
+  }
+  return loss;
+}
+
+/** The loss of making room for one more member at a worker; infinite when it cannot be made. */
+double room_maker::CostOfMember(const ready_unit& unit, const plan_room& target,
+                                const planning_view& view, const std::set<unit_ref>& chosen,
+                                std::set<unit_ref>& victims) {
+  amounts free = target.future;
+  for (const auto& [ref, record] : target.worker->runs) {
+    if (!Stopping(record) && chosen.contains(record.unit)) free += record.each;
+  }
+  if (unit.each.Fits(free)) return 0;
+  std::vector<std::pair<double, const run_record*>> choices;
+  for (const auto& [ref, record] : target.worker->runs) {
+    if (Stopping(record) || chosen.contains(record.unit)) continue;
+    if (!MayPreempt(record.unit, unit, view)) continue;
+    const auto gain = static_cast<double>(std::max<int64_t>(1, Weight(record.each)));
+    choices.emplace_back(CostOf(record.unit, view) / gain, &record);
+  }
+  std::sort(choices.begin(), choices.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  double cost = 0;
+  for (const auto& [loss, record] : choices) {
+    if (unit.each.Fits(free)) break;
+    if (!victims.contains(record->unit)) cost += CostOf(record->unit, view);
+    victims.insert(record->unit);
+    free += record->each;
+  }
+  return unit.each.Fits(free) ? cost : std::numeric_limits<double>::infinity();
+}
+
+/** What a worker's pace costs a unit: one slow member slows the whole gang. */
+double room_maker::SlowCost(const ready_unit& unit, const plan_room& target,
+                            std::span<plan_room* const> place) const {
+  const auto slow = [](const plan_room* entry) { return entry->pace != worker_pace::kUsual; };
+  if (!slow(&target) || std::any_of(place.begin(), place.end(), slow)) return 0;
+  return kSlowShare * WorkOf(*unit.step);
+}
+
+/** Makes room for one more member where that is cheapest. */
+bool room_maker::AddMember(const ready_unit& unit, std::span<plan_room* const> rooms,
+                           const planning_view& view, offer& made) {
+  plan_room* cheapest = nullptr;
+  std::set<unit_ref> cheapest_victims;
+  double least = std::numeric_limits<double>::infinity();
+  double least_cost = 0;
+  for (auto* entry : rooms) {
+    std::set<unit_ref> more;
+    const double cost = CostOfMember(unit, *entry, view, made.room.victims, more);
+    const double badness = cost + SlowCost(unit, *entry, made.room.place);
+    if (badness >= least) continue;
+    least = badness;
+    least_cost = cost;
+    cheapest = entry;
+    cheapest_victims = std::move(more);
+  }
+  if (cheapest == nullptr) return false;
+  made.room.victims.merge(cheapest_victims);
+  made.cost += least_cost;
+  made.slow_cost += least - least_cost;
+  cheapest->future -= unit.each;
+  made.room.place.push_back(cheapest);
+  return true;
+}
+
+std::optional<room_maker::offer> room_maker::MakeIn(const ready_unit& unit,
+                                                    std::span<plan_room* const> rooms,
+                                                    const planning_view& view) {
+  // Urgent work beyond the guarantee may cost others no more than it is itself.
+  const double most = guaranteed_.contains(unit.unit.job) ? std::numeric_limits<double>::infinity()
+                                                          : WorkOf(*unit.step);
+  std::vector<amounts> before;
+  for (const auto* entry : rooms) before.push_back(entry->future);
+  offer made;
+  bool complete = true;
+  for (int member = 0; member < unit.members && complete; ++member) {
+    complete = AddMember(unit, rooms, view, made);
+  }
+  for (size_t i = 0; i < rooms.size(); ++i) rooms[i]->future = before[i];
+  if (!complete || made.cost > most) return std::nullopt;
+  return made;
+}
+
+std::optional<made_room> room_maker::Make(const ready_unit& unit, const planning_view& view) {
+  std::map<std::string, std::vector<plan_room*>> groups;
+  for (auto* entry : rooms_.For(unit, view)) {
+    const bool one_rack = unit.step->same_rack && unit.members > 1;
+    groups[one_rack ? entry->worker->profile.rack : std::string()].push_back(entry);
+  }
+  std::optional<offer> best;
+  for (const auto& [rack, rooms] : groups) {
+    auto made = MakeIn(unit, rooms, view);
+    if (!made) continue;
+    const bool better = !best || made->cost + made->slow_cost < best->cost + best->slow_cost;
+    if (better) best = std::move(made);
+  }
+  if (!best) return std::nullopt;
+  for (auto& entry : rooms_.all()) {
+    for (const auto& [ref, record] : entry.worker->runs) {
+      const bool victim = best->room.victims.contains(record.unit);
+      if (victim && !Stopping(record)) entry.future += record.each;
+    }
+  }
+  preempted_.insert(best->room.victims.begin(), best->room.victims.end());
+  return std::move(best->room);
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/room_maker.h
@@ -0,0 +1,76 @@
+/** \file
+ * Which runs are stopped to make room for more pressing work.
+ */
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "kernel/batch/room_map.h"
+
+namespace eelgrass {
+
+/** Room for a unit: a worker for each member, once these units have stopped. */
+struct made_room {
+  std::vector<plan_room*> place;
+  std::set<unit_ref> victims;
+};
+
+/**
+ * Chooses what has to stop. Jobs of the first priority within their organisation's guarantee may
+ * stop anything that is not guaranteed itself: whatever loses the least work. Other jobs of the
+ * first priority may stop what is less urgent, as long as that costs others no more work than they
+ * have themselves; this answers bursts of short urgent gangs on a cluster that longer work has
+ * filled.
+ */
+class room_maker {
+ public:
+  explicit room_maker(room_map& rooms);
+
+  /** A new plan begins. */
+  void Begin(const planning_view& view);
+
+  /** Whether others may be stopped for a unit: guaranteed, or urgent and still able to be in time.
+   */
+  bool Allowed(const ready_unit& unit, const planning_view& view) const;
+
+  /** The cheapest way to make room; its victims' room counts as free from now on. */
+  std::optional<made_room> Make(const ready_unit& unit, const planning_view& view);
+
+ private:
+  /** Room in some workers with what making it costs. */
+  struct offer {
+    made_room room;
+    double cost = 0;       // to those that are stopped
+    double slow_cost = 0;  // to the unit itself, on slow workers
+  };
+
+  void ReadGuarantees(const planning_view& view);
+  std::optional<offer> MakeIn(const ready_unit& unit, std::span<plan_room* const> rooms,
+                              const planning_view& view);
+  bool AddMember(const ready_unit& unit, std::span<plan_room* const> rooms,
+                 const planning_view& view, offer& made);
+  double CostOfMember(const ready_unit& unit, const plan_room& target, const planning_view& view,
+                      const std::set<unit_ref>& chosen, std::set<unit_ref>& victims);
+  double SlowCost(const ready_unit& unit, const plan_room& target,
+                  std::span<plan_room* const> place) const;
+  double CostOf(const unit_ref& unit, const planning_view& view);
+  double NewCostOf(const unit_ref& unit, const planning_view& view) const;
+  double LossOf(const unit_ref& unit, const planning_view& view) const;
+  static double WorkOf(const batch_step& step);
+  static bool IsLessUrgent(const unit_ref& victim, const ready_unit& by, const planning_view& view);
+  bool MayPreempt(const unit_ref& victim, const ready_unit& by, const planning_view& view) const;
+  bool Stopping(const run_record& record) const;
+  bool AtWork(const unit_ref& unit) const;
+
+  room_map& rooms_;
+  std::map<unit_ref, double> costs_;  // of stopping, in this plan
+  std::set<unit_ref> preempted_;      // in this plan
+  std::set<std::string> guaranteed_;  // jobs that are within their organisation's guarantee
+};
+
+}  // namespace eelgrass
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -8,10 +8,10 @@
 #include <vector>
 
 #include "kernel/batch/job_book.h"
-#include "kernel/batch/start_planner.h"
+#include "kernel/batch/start_plan.h"
 #include "kernel/batch/worker_pool.h"
 #include "kernel/batch/worker_speeds.h"
-#include "kernel/model/link_events.h"
+#include "kernel/model/batch_config.h"
 
 namespace eelgrass {
 
@@ -23,9 +23,9 @@
 millis LeaseBound(millis grant);
 
 /**
- * Takes agents' reports, applies them to the book and the pool, and writes the orders that bring
- * the workers to what is wanted. A run counts as over only when its worker lists its end, has
- * certainly barred it, is another life, or when its lease has surely lapsed.
+ * Takes agents' reports, applies them to the book and the pool, and carries out plans there. A run
+ * counts as over only when its worker lists its end, has certainly barred it, is another life, or
+ * when its lease has surely lapsed.
  */
 class run_tracker {
  public:
@@ -51,9 +51,6 @@
   /** Stops what runs for jobs that have ended, releases held runs, ends what has lapsed. */
   void Tick(millis now);
 
-  /** The orders that are due. Without trust in the term they start nothing and grant nothing. */
-  void TakeOrders(bool trusted, std::vector<send_to_peer>& orders);
-
   /** Rises whenever something may have become startable. */
   int64_t changes() const { return changes_; }
 
@@ -74,7 +71,6 @@
   void ReleaseHeld(millis now);
   void StopOverdue(millis now);
   int64_t NextRun();
-  bool AddPacing(const run_record& record, wanted_run& wanted) const;
   void Note(pool_worker& worker, bool good, millis now);
 
   const tracker_options options_;
@@ -83,7 +79,6 @@
   worker_speeds& speeds_;
   int64_t term_ = 0;
   int64_t runs_begun_ = 0;
-  int64_t orders_sent_ = 0;
   int64_t changes_ = 0;
 };
 
--- /dev/null
+++ b/src/kernel/batch/unit_order.cc
@@ -0,0 +1,25 @@
+#include "kernel/batch/unit_order.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace eelgrass {
+
+millis LongestChain(const batch_job& job) {
+  std::vector<millis> ends;
+  millis longest{0};
+  for (const auto& step : job.steps) {
+    millis begin{0};
+    for (int earlier : step.after) begin = std::max(begin, ends[static_cast<size_t>(earlier)]);
+    ends.push_back(begin + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+millis Objective(const tracked_job& job, const batch_queue& queue) {
+  const auto chain = static_cast<double>(LongestChain(job.job).count());
+  return millis(static_cast<int64_t>(queue.stretch * chain)) + queue.target_latency;
+}
+
+}  // namespace eelgrass
--- a/src/plugins/unit_order/arrival/arrival_order.cc
+++ b/src/plugins/unit_order/arrival/arrival_order.cc
@@ -1,7 +1,7 @@
 /** \file
  * Ready units by the arrival of their jobs: the baseline.
  */
-#include "kernel/batch/start_planner.h"
+#include "kernel/batch/unit_order.h"
 
 namespace eelgrass {
 namespace {
--- a/src/plugins/unit_order/deadline/deadline_order.cc
+++ b/src/plugins/unit_order/deadline/deadline_order.cc
@@ -1,7 +1,7 @@
 /** \file
  * Ready units by the time until which their job earns its full worth.
  */
-#include "kernel/batch/start_planner.h"
+#include "kernel/batch/unit_order.h"
 
 namespace eelgrass {
 namespace {
