Only a worker whose lists are known earns a lease

Nine workers were mute: they carried out calls and answered none. Their agents went on to report them, without lists, and the planner's orders still granted a lease for each report; the agents' holds brought it to the workers. The planner counted the end of the lease from the last report with lists, took it for lapsed after 4.4 s and started the tasks elsewhere.

Change: the lease is granted and its end noted in one place, order_writer, for workers with lists only.

--- a/src/kernel/batch/order_writer.cc
+++ b/src/kernel/batch/order_writer.cc
@@ -1,7 +1,17 @@
 #include "kernel/batch/order_writer.h"
 
+#include <algorithm>
+
 namespace eelgrass {
 
+millis LeaseBound(millis grant) {
+  // A worker's clock may be slow by 2%, by the platform's bound; this covers it with some slack.
+  constexpr int64_t kSlowClockPermille = 25;
+  constexpr int64_t kPermille = 1000;
+  constexpr millis kSlack{300};
+  return grant + grant * kSlowClockPermille / kPermille + kSlack;
+}
+
 order_writer::order_writer(millis grant, const job_book& book, worker_pool& pool)
     : grant_(grant), book_(book), pool_(pool) {}
 
@@ -14,6 +24,17 @@
   return wanted.fills || wanted.target_ms > 0;
 }
 
+/**
+ * Grants the lease that the latest report has earned. A worker whose lists are not known earns
+ * none: it may carry out calls without answering them, and would keep a lease that nobody knows of.
+ */
+void order_writer::Grant(bool trusted, pool_worker& worker, worker_order& order) const {
+  order.grant_sequence = worker.report_sequence;
+  if (!trusted || !worker.listing) return;
+  order.grant_ms = grant_.count();
+  worker.lease_end = std::max(worker.lease_end, worker.reported + LeaseBound(grant_));
+}
+
 void order_writer::Take(int64_t term, bool trusted, std::vector<send_to_peer>& orders) {
   for (auto& [id, worker] : pool_.all()) {
     if (!worker.order_due || !worker.linked) continue;
@@ -41,8 +62,7 @@
     order.forget = std::move(worker.forget);
     worker.forget.clear();
     order.seen_upto = worker.ends_stored;
-    order.grant_sequence = worker.report_sequence;
-    order.grant_ms = trusted ? grant_.count() : 0;
+    Grant(trusted, worker, order);
     orders.push_back({worker.agent, std::move(order)});
   }
 }
--- a/src/kernel/batch/order_writer.h
+++ b/src/kernel/batch/order_writer.h
@@ -12,6 +12,9 @@
 
 namespace eelgrass {
 
+/** The longest that a run may go on after its worker last reported for a grant. */
+millis LeaseBound(millis grant);
+
 /**
  * Writes for each worker that something is due for one order that brings it to what the pool says:
  * all starts that are still wanted, all stops, and the lease that the worker's latest report has
@@ -26,6 +29,7 @@
   void Take(int64_t term, bool trusted, std::vector<send_to_peer>& orders);
 
  private:
+  void Grant(bool trusted, pool_worker& worker, worker_order& order) const;
   bool AddPacing(const run_record& record, wanted_run& wanted) const;
 
   const millis grant_;
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -214,7 +214,7 @@
   }
   static const batch_config kNoConfig;
   const batch_config& config = operators_.config == nullptr ? kNoConfig : *operators_.config;
-  tracker_->On(agent, report, config, term_.Trusted(now), now);
+  tracker_->On(agent, report, config, now);
   const pool_worker* worker = pool_.Find(report.worker.self.id);
   if (worker != nullptr && worker->listing) {
     journal_.Heard(report.worker.self.id);
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "kernel/base/log_event.h"
+#include "kernel/batch/order_writer.h"
 #include "kernel/batch/term_keeper.h"
 
 namespace eelgrass {
@@ -26,14 +27,6 @@
 
 }  // namespace
 
-millis LeaseBound(millis grant) {
-  // A worker's clock may be slow by 2%, by the platform's bound; this covers it with some slack.
-  constexpr int64_t kSlowClockPermille = 25;
-  constexpr int64_t kPermille = 1000;
-  constexpr millis kSlack{300};
-  return grant + grant * kSlowClockPermille / kPermille + kSlack;
-}
-
 run_tracker::run_tracker(tracker_options options, job_book& book, worker_pool& pool,
                          worker_speeds& speeds)
     : options_(options), book_(book), pool_(pool), speeds_(speeds) {}
@@ -46,7 +39,7 @@
 int64_t run_tracker::NextRun() { return term_ * kRunsPerTerm + ++runs_begun_; }
 
 void run_tracker::On(std::string_view agent, const worker_report& report,
-                     const batch_config& config, bool trusted, millis now) {
+                     const batch_config& config, millis now) {
   const worker_identity& self = report.worker.self;
   if (report.term > term_) return;
   pool_worker* known = pool_.Find(self.id);
@@ -78,9 +71,6 @@
   worker.listing = report.listed && report.term == term_;
   worker.order_due = true;
   if (!worker.listing) return;
-  if (trusted) {
-    worker.lease_end = std::max(worker.lease_end, now + LeaseBound(options_.grant));
-  }
   if (!was_usable) ++changes_;
   TakeEnds(worker, report, config, now);
   TakeRunning(worker, report, now);
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -19,9 +19,6 @@
   millis grant{4000};  // lease that one report earns a worker
 };
 
-/** The longest that a run may go on after its worker was last granted a lease. */
-millis LeaseBound(millis grant);
-
 /**
  * Takes agents' reports, applies them to the book and the pool, and carries out plans there. A run
  * counts as over only when its worker lists its end, has certainly barred it, is another life, or
@@ -36,7 +33,7 @@
 
   /** Takes a report. The configuration gives the attempts that a queue allows. */
   void On(std::string_view agent, const worker_report& report, const batch_config& config,
-          bool trusted, millis now);
+          millis now);
   void OnAgentLost(std::string_view agent);
 
   /** A worker is gone for good: ends its runs and forgets it. */
--- a/tests/stories/batch_hunt_story.cc
+++ b/tests/stories/batch_hunt_story.cc
@@ -36,7 +36,7 @@
       world.Submit(job);
       world.Watch(job.id);
     }
-    switch (pick(14)) {
+    switch (pick(16)) {
       case 0:
         world.KillEntry(pick(world.entries()), millis(500 + pick(3000)));
         break;
@@ -85,6 +85,16 @@
       case 11:
         world.ForgetHistory();
         break;
+      case 12: {
+        const int worker = pick(world.workers());
+        world.SetMute(worker, true);
+        world.events().After(millis(1000 + pick(9000)),
+                             [&, worker] { world.SetMute(worker, false); });
+        break;
+      }
+      case 13:
+        world.TakeAway(pick(world.workers()), millis(500 + pick(4000)), millis(1000 + pick(5000)));
+        break;
       default:
         break;
     }
--- a/tests/stories/batch_recovery_story.cc
+++ b/tests/stories/batch_recovery_story.cc
@@ -210,5 +210,44 @@
   RequireKept(world);
 }
 
+TEST_CASE("a worker carries out calls and answers none") {
+  batch_world world;
+  world.RunFor(millis(5000));
+  const batch_job job = MakeBatchJob("f9", "usual", 5, millis(20000), 8);
+  world.Submit(job);
+  world.Watch(job.id);
+  world.RunFor(millis(2000));
+  REQUIRE(world.check().starts() == 5);
+  int mute = 0;
+  while (world.worker(mute).running() == 0) ++mute;
+  world.SetMute(mute, true);
+
+  SUBCASE("for longer than a lease: its lease lapses before its task starts elsewhere") {
+    world.RunFor(millis(9000));
+    CHECK(world.check().ends(run_end::kLapsed) == 1);
+    world.SetMute(mute, false);
+    world.RunFor(millis(40000));
+    CHECK(world.check().completed(job.id).has_value());
+    RequireKept(world);
+  }
+  SUBCASE("and the planner changes meanwhile") {
+    world.RunFor(millis(2500));
+    world.KillEntry(world.Planner(), millis(3000));
+    world.RunFor(millis(9000));
+    world.SetMute(mute, false);
+    world.RunFor(millis(40000));
+    CHECK(world.check().completed(job.id).has_value());
+    RequireKept(world);
+  }
+  SUBCASE("for a moment: its task goes on") {
+    world.RunFor(millis(1200));
+    world.SetMute(mute, false);
+    world.RunFor(millis(25000));
+    CHECK(world.check().starts() == 5);
+    CHECK(world.check().completed(job.id).has_value());
+    RequireKept(world);
+  }
+}
+
 }  // namespace
 }  // namespace eelgrass
--- a/tests/stories/run_tracker_story.cc
+++ b/tests/stories/run_tracker_story.cc
@@ -30,7 +30,7 @@
     said.worker.self = {std::string(worker), 1};
     said.running = std::move(running);
     said.ended = std::move(ended);
-    tracker.On("agent-" + std::string(worker), said, config, true, millis(10));
+    tracker.On("agent-" + std::string(worker), said, config, millis(10));
   };
 
   SUBCASE("also when the next run is seen before the failure of the one before") {
--- a/tests/stories/uneven_workers_story.cc
+++ b/tests/stories/uneven_workers_story.cc
@@ -91,7 +91,7 @@
       if (world.worker(i).running() > 0) member = i;
     }
     REQUIRE(member >= 0);
-    world.TakeAway(member, millis(2500));
+    world.TakeAway(member, millis(2500), millis(60000));
     world.RunFor(millis(2400));
     CHECK(world.check().starts() == 4);
     CHECK(world.check().ends(run_end::kStopped) == 2);
@@ -109,7 +109,7 @@
     world.Watch(job.id);
     world.RunFor(millis(1500));
     for (int i = 0; i < world.workers(); ++i) {
-      if (world.worker(i).running() > 0) world.TakeAway(i, millis(2500));
+      if (world.worker(i).running() > 0) world.TakeAway(i, millis(2500), millis(60000));
     }
     world.RunFor(millis(3000));
     CHECK(world.check().starts() == 1);
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -550,7 +550,8 @@
     return;
   }
   if (there && answer.outcome == call_outcome::kDone) vm.runner->Lists(now(), answer);
-  const millis at = std::max(now() + kWorkerTime, vm.frozen_until);
+  if (vm.mute) answer.outcome = call_outcome::kNoAnswer;
+  const millis at = std::max(now() + (vm.mute ? kOrderTimeout : kWorkerTime), vm.frozen_until);
   events_.At(at, [this, index = vm.index, life, answer] {
     machine& same = *machines_.at(index);
     if (same.alive && same.life == life) ToAgent(same, answer);
@@ -568,6 +569,10 @@
     delay = kOrderTimeout;
   } else {
     carry(answer);
+    if (vm.mute) {
+      answer.outcome = call_outcome::kNoAnswer;
+      delay = kOrderTimeout;
+    }
   }
   const millis at = std::max(now() + delay, vm.frozen_until);
   events_.At(at, [this, index = vm.index, life = vm.life, answer] {
@@ -648,11 +653,11 @@
   Beat(vm);
 }
 
-void batch_world::TakeAway(int worker, millis notice) {
+void batch_world::TakeAway(int worker, millis notice, millis away) {
   machine& vm = *machines_.at(worker);
   vm.leaves_at = now() + notice;
   DrainWorker(worker);
-  events_.After(notice, [this, worker] { CrashWorker(worker, millis(60000)); });
+  events_.After(notice, [this, worker, away] { CrashWorker(worker, away); });
 }
 
 void batch_world::PowerOffAll(millis down) {
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -67,8 +67,10 @@
   void CrashWorker(int worker, millis down);
   void DrainWorker(int worker);
 
-  /** A worker says that it leaves, and is gone after this time. */
-  void TakeAway(int worker, millis notice);
+  /** A worker says that it leaves, is gone after the notice, and comes anew later. */
+  void TakeAway(int worker, millis notice, millis away);
+  /** A worker carries out all calls and answers none. */
+  void SetMute(int worker, bool mute) { machines_[worker]->mute = mute; }
   void SetSick(int worker, bool sick) { machines_[worker]->runner->SetSick(sick); }
   void PowerOffAll(millis down);
 
@@ -116,6 +118,7 @@
     int64_t sequence = 0;
     bool draining = false;
     millis leaves_at{0};  // 0: not said
+    bool mute = false;
   };
   struct caller_try {
     batch_job job;
