A feed does not wait after a failed call

The store was away from 17 to 22.2 s; the planner's writes went through again at 22.3 s, but the entries confirmed their configuration only at 24.2 s and refused keyed calls until then: the feeds that met the returned store waited there for 2 s, as nothing had changed.

Ruled out: retries of the entries' calls (150 ms apart), the connections (writes used the same ones).

Change: after a failed call a feed asks without waiting (feed_pace, for both followers).

Stories "once it is back entries serve again" for a store that refuses and one that is silent: failed, pass.

--- a/src/kernel/batch/operator_follower.cc
+++ b/src/kernel/batch/operator_follower.cc
@@ -3,12 +3,6 @@
 #include "kernel/base/log_event.h"
 
 namespace eelgrass {
-namespace {
-
-/** A feed answers at least this often, which bounds the age of what is known. */
-constexpr millis kFeedWait{2000};
-
-}  // namespace
 
 std::optional<store_request> operator_follower::Next(millis now) {
   if (waiting_ || now < next_) return std::nullopt;
@@ -16,8 +10,9 @@
   sent_ = now;
   store_request request;
   if (revision_) {
-    request.call = row_feed{std::string(source_.table()), *revision_, kFeedWait};
-    request.timeout = kFeedWait + kStoreTimeout;
+    const millis wait = pace_.Begin();
+    request.call = row_feed{std::string(source_.table()), *revision_, wait};
+    request.timeout = wait + kStoreTimeout;
   } else {
     if (continue_at_.empty()) fresh_ = operator_state{};
     request.call = row_range{std::string(source_.table()), "", continue_at_};
@@ -29,6 +24,7 @@
 void operator_follower::On(const rows_result& answer, millis now) {
   waiting_ = false;
   next_ = now;
+  pace_.End(answer.outcome == row_outcome::kDone);
   if (answer.outcome == row_outcome::kHistoryGone) {
     log_event("operator-feed-history-gone").With("after", revision_.value_or(0));
     revision_.reset();
@@ -43,7 +39,7 @@
     for (const auto& change : answer.rows) Apply(change, now);
     *revision_ = std::max(*revision_, answer.revision);
     // Without changes the store has waited the whole time before it answered.
-    confirmed_ = std::max(confirmed_, answer.rows.empty() ? sent_ + kFeedWait : sent_);
+    confirmed_ = std::max(confirmed_, answer.rows.empty() ? pace_.Confirmed(sent_) : sent_);
     return;
   }
   for (const auto& found : answer.rows) {
--- a/src/kernel/batch/operator_follower.h
+++ b/src/kernel/batch/operator_follower.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "kernel/batch/feed_pace.h"
 #include "kernel/batch/operator_source.h"
 #include "kernel/batch/store_exchange.h"
 
@@ -45,6 +46,7 @@
   std::optional<int64_t> revision_;  // none: read the whole table first
   operator_state fresh_;             // being read
   std::string continue_at_;
+  feed_pace pace_;
   bool waiting_ = false;
   millis sent_{0};
   millis next_{0};
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -7,12 +7,6 @@
 namespace eelgrass {
 namespace {
 
-/**
- * The feed of new jobs answers at least this often, so that a silent connection is noticed and the
- * list of jobs is known to be complete up to a time that callers can rely on.
- */
-constexpr millis kFeedWait{2000};
-
 /** Progress that nobody waits for is written together within this time. */
 constexpr millis kGroupTime{400};
 
@@ -58,8 +52,9 @@
   read_token_ = ++last_token_;
   read_sent_ = now;
   if (stage_ == stage::kFollowing) {
-    return store_request{read_token_, row_feed{std::string(kJobsTable), revision_, kFeedWait},
-                         kFeedWait + kStoreTimeout};
+    const millis wait = pace_.Begin();
+    return store_request{read_token_, row_feed{std::string(kJobsTable), revision_, wait},
+                         wait + kStoreTimeout};
   }
   std::string_view table = kJobsTable;
   if (stage_ == stage::kProgress) table = kProgressTable;
@@ -217,6 +212,7 @@
 }
 
 void planner_journal::OnFeed(const rows_result& answer, job_book& book, millis now) {
+  pace_.End(answer.outcome == row_outcome::kDone);
   if (answer.outcome == row_outcome::kHistoryGone) {
     // Jobs that are known already are not added again.
     stage_ = stage::kJobs;
@@ -228,7 +224,7 @@
   }
   for (const auto& found : answer.rows) TakeRow(found, book, now);
   revision_ = std::max(revision_, answer.revision);
-  followed_ = std::max(followed_, answer.rows.empty() ? read_sent_ + kFeedWait : read_sent_);
+  followed_ = std::max(followed_, answer.rows.empty() ? pace_.Confirmed(read_sent_) : read_sent_);
 }
 
 void planner_journal::OnWritten(const transaction_result& answer, millis now) {
--- a/src/kernel/batch/planner_journal.h
+++ b/src/kernel/batch/planner_journal.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "kernel/batch/feed_pace.h"
 #include "kernel/batch/job_book.h"
 #include "kernel/batch/term_keeper.h"
 #include "kernel/batch/worker_pool.h"
@@ -89,6 +90,7 @@
   int64_t write_token_ = 0;
   int64_t last_token_ = 0;
   int64_t revision_ = 0;  // jobs are known up to here
+  feed_pace pace_;
   millis read_sent_{0};
   millis next_read_{0};
   millis followed_{INT64_MIN / 4};
--- a/src/kernel/batch/store_exchange.h
+++ b/src/kernel/batch/store_exchange.h
@@ -27,6 +27,9 @@
 /** Longest time that one call may take; the store answers within 0.4 s when it is slow. */
 inline constexpr millis kStoreTimeout{900};
 
+/** Longest wait of a feed: what is known is at most this and one call's time old. */
+inline constexpr millis kFeedWait{2000};
+
 /** Between two tries of a call that the store refused or left unanswered. */
 inline constexpr millis kStoreRetryPause{150};
 
--- a/tests/stories/batch_recovery_story.cc
+++ b/tests/stories/batch_recovery_story.cc
@@ -83,12 +83,21 @@
     HandIn(world, 4, "f");
     world.SetStore(store_fault::kNone);
     CHECK(world.check().ends(run_end::kLapsed) == 0);
+    SUBCASE("and once it is back entries serve again at once") {
+      // One pause between two tries and a call.
+      world.RunFor(millis(300));
+      for (int entry = 0; entry < world.entries(); ++entry) CHECK(world.Ready(entry));
+    }
   }
   SUBCASE("it is silent") {
     world.SetStore(store_fault::kSilent);
     HandIn(world, 4, "f");
     world.RunFor(millis(5000));
     world.SetStore(store_fault::kNone);
+    SUBCASE("and once it is back entries serve again after one call's time") {
+      world.RunFor(kStoreTimeout + millis(300));
+      for (int entry = 0; entry < world.entries(); ++entry) CHECK(world.Ready(entry));
+    }
   }
   SUBCASE("it loses answers to writes that were done") {
     world.SetStore(store_fault::kLosesAnswers);
