--- a/src/kernel/batch/room_maker.cc
+++ b/src/kernel/batch/room_maker.cc
@@ -37,7 +37,7 @@
   for (const auto& id : view.book.open()) {
     const tracked_job* job = view.book.Find(id);
     const batch_queue* queue = view.config.FindQueueByName(job->job.queue);
-    if (queue != nullptr && queue->priority == 0) by_owner[job->job.organisation].push_back(job);
+    if (queue != nullptr && IsUrgent(*queue)) by_owner[job->job.organisation].push_back(job);
   }
   for (auto& [name, jobs] : by_owner) {
     const batch_organisation* owner = view.config.FindOrganisation(name);
@@ -63,7 +63,7 @@
 
 bool room_maker::Allowed(const ready_unit& unit, const planning_view& view) const {
   if (guaranteed_.contains(unit.unit.job)) return true;
-  if (unit.queue->priority != 0 || unit.step->long_running) return false;
+  if (!IsUrgent(*unit.queue) || unit.step->long_running) return false;
   const millis objective = Objective(*unit.job, *unit.queue);
   return view.now + unit.step->estimate < unit.job->accepted + objective * kLateFactor;
 }
--- a/src/kernel/batch/room_map.cc
+++ b/src/kernel/batch/room_map.cc
@@ -8,8 +8,7 @@
 namespace eelgrass {
 namespace {
 
-/** A start is only ordered with this much of the worker's lease left: the order's way and a retry.
- */
+/** Lease that a worker has to have left for a start: the order's way and a retry. */
 constexpr millis kLeastLease{1000};
 
 /** A worker that was not heard of for this long gets no new starts; it reports every second. */
@@ -110,8 +109,7 @@
   }
 }
 
-/** Whether a unit may use room that is kept for urgent work: it had to stop already, or is pressed
- * for time. */
+/** Whether a unit may use room that is kept: it is urgent, had to stop before, or lacks time. */
 bool room_map::Pressed(const ready_unit& unit, const planning_view& view) {
   if (IsUrgent(*unit.queue) || unit.step->long_running || !unit.state->saved.empty()) return true;
   const millis slack = Objective(*unit.job, *unit.queue) - LongestChain(unit.job->job);
@@ -136,7 +134,7 @@
   }
   // A worker on which the unit has failed comes last; then the tightest place first. Urgent work
   // takes the fast workers and leaves the slow ones to work that has time.
-  const bool urgent = unit.queue->priority == 0 && !unit.step->long_running;
+  const bool urgent = IsUrgent(*unit.queue) && !unit.step->long_running;
   const auto pace_rank = [urgent](worker_pace pace) {
     if (pace == worker_pace::kCrawling) return 2;
     return (pace == worker_pace::kSlow) == urgent ? 1 : 0;
--- a/src/kernel/batch/start_planner.cc
+++ b/src/kernel/batch/start_planner.cc
@@ -49,8 +49,7 @@
   return std::move(made->place);
 }
 
-/** Gives up runs that their worker's notice leaves no time for: elsewhere they can begin at once.
- */
+/** Gives up runs that their worker's notice leaves no time for; they can begin elsewhere. */
 void start_planner::LeaveInTime(const planning_view& view, start_plan& plan) const {
   std::set<unit_ref> moved;
   for (const auto& [id, worker] : view.pool.all()) {
