A request whose kept connection was reset counts as sent

An entry's insertion reached the store just before all its connections were reset and its network cut. The HTTP library sends a request again on a new connection when a kept one ends without an answer; the new connection failed, and that failure was taken to mean that the request had never been sent.

Ruled out: the settling of doubtful insertions (never reached: no try counted as doubtful), the store.

Change: the client notes when a request is about to be sent on any connection; "never sent" needs that this has not happened. Workers' calls and upstreams use the same client.

Before and after: story "a call of which the connection is reset" with a real server: kUnavailable, then kUnknown.

--- a/src/plugins/store/curl/curl_client.cc
+++ b/src/plugins/store/curl/curl_client.cc
@@ -26,8 +26,15 @@
   CURL* handle = nullptr;
   curl_slist* headers = nullptr;
   http_response response;
+  bool sent = false;  // some of the request may have reached the server
 };
 
+/** Called each time before a request is sent on a connection. */
+int NoteSent(void* user, char*, char*, int, int) {
+  static_cast<transfer*>(user)->sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 size_t TakeBody(char* data, size_t size, size_t count, void* user) {
   static_cast<transfer*>(user)->response.body.data.append(data, size * count);
   return size * count;
@@ -142,6 +149,8 @@
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, item.get());
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &TakeHeader);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, item.get());
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &NoteSent);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, item.get());
     curl_multi_add_handle(multi_, handle);
     active_.emplace(handle, std::move(item));
   }
@@ -167,7 +176,10 @@
       item->done(std::move(item->response));
       return;
     }
-    const error_kind kind = NeverSent(code) ? error_kind::kUnavailable : error_kind::kUnknown;
+    // The library sends a request again if a kept connection ends without an answer. That the new
+    // connection failed says nothing of the request on the old one.
+    const bool never = NeverSent(code) && !item->sent;
+    const error_kind kind = never ? error_kind::kUnavailable : error_kind::kUnknown;
     item->done(Fail(kind, "http-call", item->call.url, curl_easy_strerror(code)));
   }
 
