--- /dev/null
+++ b/tests/processes/listed_packages.sh
@@ -0,0 +1,72 @@
+#!/usr/bin/env bash
+# The check of the deployment's packages, given records of builds: what is listed or comes with what
+# is listed passes; a file of another package, of no package, and a package without use are reported.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+WORK="$(mktemp -d)"
+trap 'rm -rf "$WORK"' EXIT
+
+listed() { # PACKAGE...
+  printf 'build = "true"\npackages = [' >"$WORK/system.toml"
+  printf '"%s",' "$@" >>"$WORK/system.toml"
+  echo ']' >>"$WORK/system.toml"
+}
+read_files() { printf '%s\n' "$@" >"$WORK/record"; }
+check() { scripts/check-packages --deploy "$WORK/system.toml" --record "$WORK/record" 2>&1; }
+passes() {
+  local said
+  if ! said="$(check)"; then echo "unexpected: $said"; exit 1; fi
+}
+reports() { # TEXT...
+  local said text
+  if said="$(check)"; then echo "nothing was reported, expected: $*"; exit 1; fi
+  for text in "$@"; do
+    if ! grep -qF -- "$text" <<<"$said"; then echo "not reported: $text; but: $said"; exit 1; fi
+  done
+}
+
+echo "== files of listed packages"
+listed ninja-build nlohmann-json3-dev
+read_files "named /usr/bin/ninja" "named /usr/include/nlohmann/json.hpp" "read /usr/bin/env"
+passes
+
+echo "== one package is taken out"
+listed nlohmann-json3-dev
+reports "/usr/bin/ninja: is in ninja-build" "add it to packages in deploy/system.toml"
+
+echo "== a header of a package that only the command line needs"
+listed ninja-build nlohmann-json3-dev
+read_files "named /usr/bin/ninja" "named /usr/include/nlohmann/json.hpp" \
+  "named /usr/include/valijson/schema.hpp"
+reports "/usr/include/valijson/schema.hpp: is in libvalijson-dev"
+
+echo "== a compiler cache that happens to be installed"
+read_files "named /usr/bin/ninja" "named /usr/include/nlohmann/json.hpp" "named /usr/bin/ccache"
+reports "/usr/bin/ccache: is in ccache"
+
+echo "== a file that no package owns"
+touch "$WORK/local.h"
+read_files "named /usr/bin/ninja" "named /usr/include/nlohmann/json.hpp" "read $WORK/local.h"
+reports "$WORK/local.h: belongs to no package"
+
+echo "== what comes with a listed package may be read, but is listed where it is named"
+listed librestinio-dev
+read_files "named /usr/include/restinio/all.hpp" "read /usr/include/fmt/core.h"
+passes
+read_files "named /usr/include/restinio/all.hpp" "named /usr/include/fmt/core.h"
+reports "/usr/include/fmt/core.h: is in libfmt-dev, which comes with another package only"
+
+echo "== a metapackage stands for what it depends on, and a link for where it leads"
+listed pkg-config libboost-dev g++
+read_files "named /usr/bin/pkg-config" "named /usr/include/boost/version.hpp" \
+  "compiler /usr/bin/c++" "named /usr/include/c++/12/vector" "named /usr/include/poll.h"
+passes
+listed pkg-config libboost-program-options-dev g++
+reports "/usr/include/boost/version.hpp: is in libboost1.74-dev"
+
+echo "== packages without use, and packages that are not there"
+listed ninja-build libssl-dev
+read_files "named /usr/bin/ninja"
+reports "libssl-dev: the build uses nothing of it"
+listed ninja-build libno-such-package-dev
+reports "listed, but not installed here: libno-such-package-dev"
