Speeds of workers that have left are forgotten

Callers saw urgent gangs take three times their time: once most of the slow workers of a service had left, a slow one among those that stayed was still taken for a usual one.

The unit story plays the same on the class.

Why it works: before each plan the planner keeps the speeds of those workers only that its pool holds; this begins once it has heard of all workers of the term before, so that a takeover forgets nobody too early.

--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -393,6 +393,7 @@
   if (changes == planned_changes_ && now < next_plan_) return;
   planned_changes_ = changes;
   next_plan_ = now + kPlanInterval;
+  if (recovered) speeds_.Retain(pool_);
   const planning_view view{
       *book_,   pool_, *operators_.config,           operators_.evacuated, speeds_,
       &advice_, now,   recovered ? 0 : term_.fence()};
--- a/src/kernel/batch/worker_speeds.cc
+++ b/src/kernel/batch/worker_speeds.cc
@@ -74,6 +74,11 @@
   return found == workers_.end() ? worker_pace::kUsual : found->second.pace;
 }
 
+void worker_speeds::Retain(const worker_pool& pool) {
+  const auto gone = [&](const auto& known) { return !pool.all().contains(known.first); };
+  if (std::erase_if(workers_, gone) != 0) JudgeAll();
+}
+
 worker_pace worker_speeds::Judge(const record& known) const {
   if (known.ends < kEndsToJudge) return worker_pace::kUsual;
   const double over = known.factor - usual_;
--- a/src/kernel/batch/worker_speeds.h
+++ b/src/kernel/batch/worker_speeds.h
@@ -9,6 +9,7 @@
 
 #include "kernel/base/millis.h"
 #include "kernel/batch/job_book.h"
+#include "kernel/batch/worker_pool.h"
 
 namespace eelgrass {
 
@@ -28,6 +29,9 @@
 
   worker_pace Pace(std::string_view worker) const;
 
+  /** Forgets workers that are not in the pool: the others are no longer compared with them. */
+  void Retain(const worker_pool& pool);
+
  private:
   struct record {
     double factor = 0;  // logarithm of the time that it takes against the expected one
--- a/tests/stories/uneven_workers_story.cc
+++ b/tests/stories/uneven_workers_story.cc
@@ -75,6 +75,31 @@
   RequireKept(stream.world);
 }
 
+TEST_CASE("most workers are slow, and most of the slow ones leave for good") {
+  constexpr int kWorkers = 11;
+  constexpr int kSlow = 7;
+  batch_world_options options;
+  options.workers = kWorkers;
+  for (int i = 0; i < kSlow; ++i) options.time_percent[i] = 300;
+  urgent_stream stream(options);
+  for (const char* id : {"b1", "b2", "b3"}) {
+    stream.HandInBatch(id);
+    stream.world.RunFor(millis(12000));
+  }
+  for (int i = 0; i + 1 < kSlow; ++i) stream.world.TakeAway(i, millis(1000), millis(600000));
+  stream.world.RunFor(millis(30000));
+  SUBCASE("urgent gangs run on the usual workers, not on the slow one that is left") {
+    for (int i = 0; i < 3; ++i) {
+      const batch_job job = MakeBatchJob("e" + std::to_string(i), "urgent", 4, kGangWork, 8, true);
+      stream.gangs.emplace_back(job.id, stream.world.now());
+      stream.HandIn(job);
+      stream.world.RunFor(millis(12000));
+    }
+    CHECK(stream.InTime(0) == 3);
+  }
+  RequireKept(stream.world);
+}
+
 TEST_CASE("a worker is taken away at short notice") {
   batch_world world;
   world.RunFor(millis(5000));
--- a/tests/stories/worker_speeds_story.cc
+++ b/tests/stories/worker_speeds_story.cc
@@ -41,6 +41,27 @@
       CHECK(speeds.Pace("w4") == worker_pace::kCrawling);
     }
   }
+  SUBCASE("most workers are slow, so that they are the usual ones") {
+    for (int i = 0; i < 8; ++i) {
+      for (const char* worker : {"w5", "w6", "w7", "w8", "w9"}) end(worker, 3000);
+      for (const char* worker : {"w1", "w2", "w3"}) end(worker, 1000);
+      end("w4", 3000);
+    }
+    REQUIRE(speeds.Pace("w4") == worker_pace::kUsual);
+    SUBCASE("and when they have left, a slow one stands out among those that stay") {
+      worker_pool pool;
+      for (const char* worker : {"w1", "w2", "w3", "w4"}) pool.Get(worker);
+      speeds.Retain(pool);
+      CHECK(speeds.Pace("w4") == worker_pace::kCrawling);
+      CHECK(speeds.Pace("w1") == worker_pace::kUsual);
+    }
+    SUBCASE("and one that comes back is taken to be usual until it has shown its speed") {
+      speeds.Retain(worker_pool{});
+      rounds(4, 1000, 1300);
+      CHECK(speeds.Pace("w4") == worker_pace::kSlow);
+      CHECK(speeds.Pace("w9") == worker_pace::kUsual);
+    }
+  }
   SUBCASE("an estimate that is off for a whole step says nothing of the workers") {
     rounds(6, 2000, 2000);
     for (const char* worker : {"w1", "w2", "w3", "w4"}) {
