A job is not stored in a caller's last milliseconds

Callers got 504, outcome unknown, 13 ms after they had handed a job in, and may not try such a request again.

Cause: an insertion was begun however little time the caller had left. It took the rest of that time as its timeout and ended unanswered, so that what had certainly not been done before became unknown. The same happened to the last try of a job that the store had turned away until then.

Evidence: call-answered with tries=1 took_ms=13 and tries=1 took_ms=0, answer=outcome-unknown, while the entry's configuration was 0.3 s old.

Why it works: with less than 30 ms left nothing is sent, and the caller hears at once that nothing was done; a transaction takes 14 to 18 ms while the store is idle. An insertion that may have been done already is still settled to the end.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -26,6 +26,9 @@
 /** Keyed calls are refused this long before a withdrawn key would have to be: the answer's way. */
 constexpr millis kFreshMargin{800};
 
+/** An insertion is not begun with less time left; an idle store takes half of that. */
+constexpr millis kLeastInsertTime{30};
+
 /** A refused insertion is tried again for this long before the caller is told. */
 constexpr millis kInsertPatience{1500};
 
@@ -119,6 +122,9 @@
 }
 
 void gateway_core::Insert(int64_t token, open_call& call, millis now) {
+  const millis left = call.deadline - now;
+  // Begun too late, it would end with its outcome unknown, and the caller could not try again.
+  if (left < kLeastInsertTime && !call.doubtful) return GiveUp(call, now);
   if (call.value.empty() || call.term != newest_term_) {
     call.term = newest_term_;
     batch_job job = *call.call.job;
@@ -136,7 +142,6 @@
   change.writes.push_back({at, call.value});
   call.in_store = true;
   ++call.tries;
-  const millis left = call.deadline - now;
   out_->emplace_back(store_request{token, std::move(change), std::min(kStoreTimeout, left)});
 }
 
@@ -318,7 +323,13 @@
   caller_reply reply{call.call.id};
   reply.answer = unknown ? call_answer::kOutcomeUnknown : call_answer::kUnavailable;
   reply.retry_after = unknown ? millis(0) : kComeBack;
-  reply.detail = submitted ? "the store did not answer in time" : "nobody plans at the moment";
+  if (!submitted) {
+    reply.detail = "nobody plans at the moment";
+  } else if (call.tries == 0) {
+    reply.detail = "the caller's time is too short to store the job";
+  } else {
+    reply.detail = "the store did not answer in time";
+  }
   Answer(call, std::move(reply), now);
 }
 
