A caller does not wait for a store that has turned its entry away for long

Callers were held for 1.5 s, half of their time, before they heard that their job had not been taken, also when the store had turned this entry away for seconds already; at another entry, or a moment later, it would have been taken.

Cause: each call had its own 1.5 s of patience with a store that refuses, whatever the calls before it had met.

The story "the store turns away all that one entry asks of it" failed before.

Change: an entry keeps since when the store has turned away everything that it asked, its feed included. Once that is longer than 1.5 s, a call is tried once and refused as not done. A try without an answer is settled as before.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -29,7 +29,7 @@
 /** An insertion is not begun with less time left; an idle store takes half of that. */
 constexpr millis kLeastInsertTime{30};
 
-/** A refused insertion is tried again for this long before the caller is told. */
+/** The store may turn a caller, or this entry, away for this long before the caller is told. */
 constexpr millis kInsertPatience{1500};
 
 bool IsJobId(std::string_view text) {
@@ -146,6 +146,7 @@
 }
 
 void gateway_core::On(store_reply& reply, millis now) {
+  NoteStore(std::visit([](const auto& answer) { return answer.outcome; }, reply.answer), now);
   if (reply.token == follower_token_) {
     follower_token_ = 0;
     operators_.On(std::get<rows_result>(reply.answer), now);
@@ -158,6 +159,22 @@
   if (found->second.call.id == 0) calls_.erase(found);
 }
 
+/** Keeps since when the store has turned away all that this entry asked of it. */
+void gateway_core::NoteStore(row_outcome outcome, millis now) {
+  if (outcome == row_outcome::kUnknown) return;
+  if (outcome != row_outcome::kNotDone) {
+    turned_away_since_.reset();
+  } else if (!turned_away_since_) {
+    turned_away_since_ = now;
+  }
+}
+
+/** A caller that is refused early can still try another entry, which the store may serve. */
+bool gateway_core::Hopeless(const open_call& call, millis now) const {
+  const millis since = std::min(call.arrived, turned_away_since_.value_or(now));
+  return now - since > kInsertPatience;
+}
+
 void gateway_core::OnInserted(open_call& call, const transaction_result& result, millis now) {
   call.in_store = false;
   switch (result.outcome) {
@@ -175,7 +192,7 @@
       return;
     case row_outcome::kNotDone:
       call.next_try = now + kStoreRetryPause;
-      if (!call.doubtful && now - call.arrived > kInsertPatience) GiveUp(call, now);
+      if (!call.doubtful && Hopeless(call, now)) GiveUp(call, now);
       return;
   }
 }
@@ -328,7 +345,7 @@
   } else if (call.tries == 0) {
     reply.detail = "the caller's time is too short to store the job";
   } else {
-    reply.detail = "the store did not answer in time";
+    reply.detail = "the store did not take the job in time";
   }
   Answer(call, std::move(reply), now);
 }
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -102,6 +103,8 @@
   void Announce(const open_call& call, int64_t revision);
   template <typename Message>
   void TellPlanner(Message message);
+  void NoteStore(row_outcome outcome, millis now);
+  bool Hopeless(const open_call& call, millis now) const;
   void OnInserted(open_call& call, const transaction_result& result, millis now);
   bool SettleConflict(open_call& call, const transaction_result& result, millis now);
   void Ask(int64_t id, open_call& call, millis now);
@@ -127,6 +130,7 @@
   bool registered_ = false;  // this entry's row is written
   bool roster_read_ = false;
   millis roster_next_{0};
+  std::optional<millis> turned_away_since_;  // none: the store has served this entry last
   int64_t told_changes_ = 0;
   millis told_confirmed_{0};
   planner_notice planner_;
--- a/tests/stories/late_call_story.cc
+++ b/tests/stories/late_call_story.cc
@@ -42,13 +42,14 @@
       rows.outcome = row_outcome::kDone;
       rows.revision = 3;
       rows.rows.push_back({source_.config_row(), "", 3, false});
-      Decide({store_reply{request->token, rows}}, millis(1));
+      Take(Decide({store_reply{request->token, rows}}, millis(1)));
     }
   }
 
   void HandIn(millis now, millis wait) {
+    answer_.reset();
     caller_call call;
-    call.id = 1;
+    call.id = ++last_id_;
     call.kind = call_kind::kSubmit;
     call.host = "site";
     call.path = "/urgent/5c0e7a21d94b36f8";
@@ -61,6 +62,13 @@
     result.outcome = outcome;
     Take(Decide({store_reply{insertion_, result}}, now));
   }
+  /** The store answers the entry's standing call for changes of the configuration. */
+  void StoreTells(row_outcome outcome, millis now) {
+    rows_result rows;
+    rows.outcome = outcome;
+    rows.revision = 3;
+    Take(Decide({store_reply{feed_, rows}}, now));
+  }
   void Wait(millis now) { Take(Decide({}, now)); }
 
   int insertions() const { return insertions_; }
@@ -76,7 +84,9 @@
     for (const auto& action : actions) {
       if (const auto* reply = std::get_if<caller_reply>(&action)) answer_ = reply->answer;
       const auto* request = std::get_if<store_request>(&action);
-      if (request == nullptr || !std::holds_alternative<row_transaction>(request->call)) continue;
+      if (request == nullptr) continue;
+      if (std::holds_alternative<row_feed>(request->call)) feed_ = request->token;
+      if (!std::holds_alternative<row_transaction>(request->call)) continue;
       insertion_ = request->token;
       ++insertions_;
     }
@@ -86,6 +96,8 @@
   std::unique_ptr<batch_record_codec> codec_ =
       std::move(record_codec_registry::Instance().Create("json").value());
   gateway_core gateway_{gateway_options{"e1", "10.0.0.1:7000"}, source_, *codec_};
+  uint64_t last_id_ = 0;
+  int64_t feed_ = 0;
   int64_t insertion_ = 0;
   int insertions_ = 0;
   std::optional<call_answer> answer_;
@@ -128,5 +140,46 @@
   }
 }
 
+TEST_CASE("the store turns away all that one entry asks of it") {
+  constexpr millis kWait{3000};
+  lone_entry entry;
+  entry.HandIn(millis(100), kWait);
+  for (int64_t at = 110; at < 1600; at += 160) {
+    entry.StoreAnswers(row_outcome::kNotDone, millis(at));
+    entry.Wait(millis(at + 150));
+    REQUIRE_FALSE(entry.answer().has_value());
+  }
+  entry.StoreAnswers(row_outcome::kNotDone, millis(1720));
+  REQUIRE(entry.answer() == call_answer::kUnavailable);
+
+  const int before = entry.insertions();
+  const auto hand_in = [&] {
+    entry.HandIn(millis(1800), kWait);
+    REQUIRE(entry.insertions() == before + 1);
+  };
+  SUBCASE("further callers need not wait as long: they are sent elsewhere after one try") {
+    hand_in();
+    entry.StoreAnswers(row_outcome::kNotDone, millis(1810));
+    CHECK(entry.answer() == call_answer::kUnavailable);
+  }
+  SUBCASE("and are served if the store is back at that try") {
+    hand_in();
+    entry.StoreAnswers(row_outcome::kDone, millis(1810));
+    CHECK(entry.answer() == call_answer::kAccepted);
+  }
+  SUBCASE("once it has told changes again, a caller waits through a new refusal") {
+    entry.StoreTells(row_outcome::kDone, millis(1750));
+    hand_in();
+    entry.StoreAnswers(row_outcome::kNotDone, millis(1810));
+    CHECK_FALSE(entry.answer().has_value());
+  }
+  SUBCASE("a try without an answer is not a refusal: the next one has to settle it") {
+    hand_in();
+    entry.StoreAnswers(row_outcome::kUnknown, millis(1810));
+    entry.StoreAnswers(row_outcome::kNotDone, millis(1820));
+    CHECK_FALSE(entry.answer().has_value());
+  }
+}
+
 }  // namespace
 }  // namespace eelgrass
