--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -42,7 +42,11 @@
 
 gateway_core::gateway_core(gateway_options options, const operator_source& source,
                            const batch_record_codec& codec)
-    : options_(std::move(options)), source_(source), codec_(codec), operators_(source) {}
+    : options_(std::move(options)),
+      source_(source),
+      codec_(codec),
+      operators_(source),
+      roster_(options_.node, options_.peer_address) {}
 
 void gateway_core::Decide(std::span<gateway_event> events, millis now,
                           std::vector<gateway_action>& actions) {
@@ -152,7 +156,11 @@
     operators_.On(std::get<rows_result>(reply.answer), now);
     return;
   }
-  if (reply.token == roster_token_) return OnRoster(reply, now);
+  if (reply.token == roster_token_) {
+    roster_token_ = 0;
+    for (auto& address : roster_.On(reply, now)) out_->emplace_back(dial_peer{std::move(address)});
+    return;
+  }
   const auto found = calls_.find(reply.token);
   if (found == calls_.end()) return;
   OnInserted(found->second, std::get<transaction_result>(reply.answer), now);
@@ -389,33 +397,11 @@
   out_->emplace_back(operator_news{operators_.state(), operators_.confirmed()});
 }
 
-/** Registers this entry in the store and finds the others there, once after the start. */
 void gateway_core::KeepRoster(millis now) {
-  if (roster_token_ != 0 || roster_read_ || now < roster_next_) return;
-  roster_token_ = ++last_token_;
-  if (!registered_) {
-    row_transaction change;
-    change.writes.push_back(
-        {{std::string(kEntriesTable), "", options_.node}, options_.peer_address});
-    out_->emplace_back(store_request{roster_token_, std::move(change), kStoreTimeout});
-    return;
-  }
-  out_->emplace_back(
-      store_request{roster_token_, row_range{std::string(kEntriesTable), "", ""}, kStoreTimeout});
-}
-
-void gateway_core::OnRoster(const store_reply& reply, millis now) {
-  roster_token_ = 0;
-  if (const auto* written = std::get_if<transaction_result>(&reply.answer)) {
-    registered_ = written->outcome == row_outcome::kDone;
-    if (!registered_) roster_next_ = now + kStoreRetryPause;
-    return;
-  }
-  const auto& rows = std::get<rows_result>(reply.answer);
-  roster_read_ = rows.outcome == row_outcome::kDone;
-  if (!roster_read_) roster_next_ = now + kStoreRetryPause;
-  for (const auto& found : rows.rows) {
-    if (found.value != options_.peer_address) out_->emplace_back(dial_peer{found.value});
+  if (auto request = roster_.Next(now)) {
+    roster_token_ = ++last_token_;
+    request->token = roster_token_;
+    out_->emplace_back(std::move(*request));
   }
 }
 
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -14,6 +14,7 @@
 
 #include "kernel/batch/batch_records.h"
 #include "kernel/batch/caller_call.h"
+#include "kernel/batch/entry_roster.h"
 #include "kernel/batch/operator_follower.h"
 #include "kernel/model/link_events.h"
 
@@ -115,21 +116,18 @@
   void Answer(open_call& call, caller_reply reply, millis now);
   void FollowOperators(millis now);
   void KeepRoster(millis now);
-  void OnRoster(const store_reply& reply, millis now);
   bool Fresh(millis now) const;
 
   const gateway_options options_;
   const operator_source& source_;
   const batch_record_codec& codec_;
   operator_follower operators_;
+  entry_roster roster_;
   std::vector<gateway_action>* out_ = nullptr;
   std::map<int64_t, open_call> calls_;  // by token
   int64_t last_token_ = 0;
   int64_t follower_token_ = 0;
   int64_t roster_token_ = 0;
-  bool registered_ = false;  // this entry's row is written
-  bool roster_read_ = false;
-  millis roster_next_{0};
   std::optional<millis> turned_away_since_;  // none: the store has served this entry last
   int64_t told_changes_ = 0;
   millis told_confirmed_{0};
