--- a/tests/processes/listed_packages.sh
+++ b/tests/processes/listed_packages.sh
@@ -12,7 +12,8 @@
   echo ']' >>"$WORK/system.toml"
 }
 read_files() { printf '%s\n' "$@" >"$WORK/record"; }
-check() { scripts/check-packages --deploy "$WORK/system.toml" --record "$WORK/record" 2>&1; }
+RECORD=(--record "$WORK/record")
+check() { scripts/check-packages --deploy "$WORK/system.toml" "${RECORD[@]}" 2>&1; }
 passes() {
   local said
   if ! said="$(check)"; then echo "unexpected: $said"; exit 1; fi
@@ -70,3 +71,8 @@
 reports "libssl-dev: the build uses nothing of it"
 listed ninja-build libno-such-package-dev
 reports "listed, but not installed here: libno-such-package-dev"
+
+echo "== a build that fails"
+printf 'build = "echo no such header; exit 1"\npackages = ["g++"]\n' >"$WORK/system.toml"
+RECORD=()
+reports "no such header" "the build of deploy/system.toml failed"
