The check of packages sees what pkg-config reads, and prints its list

Nobody was harmed yet: the check did not see descriptions that CMake has pkg-config read, so that a package used for those only could have been missing from the deploy file without a word.

Why it works: CMake notes each module that it asks pkg-config for; what a module requires is followed.

Test: listed_packages.sh builds a small program, looks for the header and the description in the list, and takes each of its six packages out in turn; with the check as it was it failed.

--- a/tests/processes/listed_packages.sh
+++ b/tests/processes/listed_packages.sh
@@ -72,7 +72,34 @@
 listed ninja-build libno-such-package-dev
 reports "listed, but not installed here: libno-such-package-dev"
 
+echo "== a program that is built, with all of its packages listed"
+PROGRAM=(g++ cmake ninja-build pkg-config libgoogle-glog-dev liblua5.4-dev)
+builds() { # PACKAGE...
+  listed "$@"
+  sed -i 's|^build = .*|build = "cmake -S tests/processes/listed_packages -B target -G Ninja \&\& ninja -C target"|' \
+    "$WORK/system.toml"
+}
+RECORD=()
+builds "${PROGRAM[@]}"
+passes
+said="$(scripts/check-packages --deploy "$WORK/system.toml" --list)"
+for file in include/lua5.4/lua.h libglog.pc; do
+  if ! grep -qE "^lib(lua5.4|google-glog)-dev\s+listed\s.*/$file" <<<"$said"; then
+    echo "not in the list of files: $file; but: $said"
+    exit 1
+  fi
+done
+
+echo "== the same program, with one of its packages taken out of the list"
+for left_out in "${PROGRAM[@]}"; do
+  rest=()
+  for name in "${PROGRAM[@]}"; do [ "$name" = "$left_out" ] || rest+=("$name"); done
+  builds "${rest[@]}"
+  reports "add it to packages in deploy/system.toml"
+done
+builds g++ cmake ninja-build pkg-config libgoogle-glog-dev
+reports "lua5.4-deb-multiarch.h: is in liblua5.4-dev" "liblua5.4.so.0: is in liblua5.4-0"
+
 echo "== a build that fails"
 printf 'build = "echo no such header; exit 1"\npackages = ["g++"]\n' >"$WORK/system.toml"
-RECORD=()
 reports "no such header" "the build of deploy/system.toml failed"
