A new planner knows how long the runs have run that it takes over

Callers' work was thrown away after each change of the planner: runs that had been at work for many seconds were stopped for urgent work that is worth less than they had done, against the rule that the plan states itself.

Cause: a planner dated the runs that it adopted from the moment it adopted them, so that stopping them seemed to cost nothing.

In the new story (a full cluster, 20 s of work, a takeover, an urgent gang) 24 runs were stopped, none after the change.

Why it works: an agent says of each run how long it has seen it, and a planner dates it by that. An agent that was started anew says less, as before.

--- a/src/kernel/batch/room_maker.cc
+++ b/src/kernel/batch/room_maker.cc
@@ -132,7 +132,7 @@
   for (const auto* record : rooms_.RunsOf(unit)) {
     if (record->phase != run_phase::kRunning) continue;
     // A run that saves its progress does so once more when it is stopped.
-    const millis since = step->checkpoints ? view.now : record->began;
+    const millis since = step->checkpoints ? view.now : record->began.value_or(view.now);
     loss += static_cast<double>((view.now - since).count() * Weight(step->each));
     loss += static_cast<double>(Weight(step->each));
   }
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -140,7 +140,7 @@
       .With("how", RunEndName(end.how))
       .With("worker", worker.profile.self.id)
       .With("number", end.number)
-      .With("ran_ms", known ? (now - record->second.began).count() : -1)
+      .With("ran_ms", known ? (now - record->second.began.value_or(now)).count() : -1)
       .With("known", known ? 1 : 0);
   if (job == nullptr || static_cast<size_t>(task.step) >= job->job.steps.size()) {
     if (known) Close(worker, ref);
@@ -177,10 +177,10 @@
 void run_tracker::LearnSpeed(const pool_worker& worker, const run_record& record,
                              const batch_step& step, millis now) {
   const bool near = step.data_rack.empty() || step.data_rack == worker.profile.rack;
-  const bool comparable = record.timed && record.began > millis(0) && near && !step.fills;
+  const bool comparable = record.timed && record.began && near && !step.fills;
   step_state* state = book_.FindStep(record.unit);
   if (!comparable || step.gang || worker.profile.cold_ms > 0 || state == nullptr) return;
-  speeds_.Learn(worker.profile.self.id, *state, step.estimate, now - record.began);
+  speeds_.Learn(worker.profile.self.id, *state, step.estimate, now - *record.began);
 }
 
 /** Counts failures in a row, which tell a sick worker from a job that cannot run. */
@@ -203,8 +203,8 @@
       found = worker.runs.find(ref);
     }
     run_record& record = found->second;
-    if (record.began == millis(0)) {
-      record.began = now;
+    if (!record.began) {
+      record.began = now - millis(listed.ran_ms);
       book_.OnBegun(record.unit);
     }
     if (record.phase == run_phase::kOrdered) {
@@ -284,7 +284,7 @@
  */
 void run_tracker::DropUnlisted(pool_worker& worker, const worker_report& report, millis now) {
   for (auto& [ref, record] : worker.runs) {
-    if (record.began == millis(0) || record.phase == run_phase::kStopping) continue;
+    if (!record.began || record.phase == run_phase::kStopping) continue;
     if (Contains(report.running, ref)) continue;
     log_event("run-unlisted", log_level::kWarning)
         .With("task", ref.task)
--- a/src/kernel/batch/start_planner.cc
+++ b/src/kernel/batch/start_planner.cc
@@ -59,7 +59,7 @@
     for (const auto& [ref, record] : worker.runs) {
       const batch_step* step = view.book.StepOf(record.unit);
       if (step == nullptr || step->long_running || record.phase != run_phase::kRunning) continue;
-      const millis left = record.began + step->estimate - view.now;
+      const millis left = record.began.value_or(view.now) + step->estimate - view.now;
       const millis stay = worker.leaves_at - view.now;
       const bool hopeless = left > stay + stay / kNoticeDoubt;
       if (record.timed && hopeless) moved.insert(record.unit);
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -31,7 +32,7 @@
   amounts each;
   run_phase phase = run_phase::kHeld;
   millis since{0};  // of the phase
-  millis began{0};  // when it was first seen running; 0: not yet
+  std::optional<millis> began;  // none: it has not been seen running
   std::string saved;
   bool timed = false;  // placed by this planner with all its work before it
   std::string ticket;  // from the advice that the queue's policy demands
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -46,6 +46,7 @@
   clock_read_ = now;
   confirmed_term_ = 0;
   running_.clear();
+  running_since_.clear();
   ended_.clear();
   starts_.clear();
   fresh_starts_.clear();
@@ -404,6 +405,19 @@
   for (const auto& ref : barred) Refuse(ref, start_refusal::kBarred);
 }
 
+/** Says of each run how long it has been there: a later planner has not seen it begin. */
+void worker_steward::TimeRuns(std::span<listed_run> runs, millis now) {
+  std::map<run_ref, millis> since;
+  for (auto& run : runs) {
+    const run_ref ref{run.task, run.run};
+    const auto known = running_since_.find(ref);
+    const millis at = known == running_since_.end() ? now : known->second;
+    since.emplace(ref, at);
+    run.ran_ms = (now - at).count();
+  }
+  running_since_ = std::move(since);
+}
+
 worker_report worker_steward::Report(int64_t sequence, millis now) {
   changed_ = false;
   reports_.push_back({sequence, now});
@@ -421,6 +435,7 @@
         std::max<int64_t>(0, profile_.remaining_ms - (now - last_beat_).count());
   }
   report.running = running_;
+  TimeRuns(report.running, now);
   report.ended = ended_;
   for (const auto& [ref, reason] : refused_) report.refused.push_back({ref.task, ref.run, reason});
   return report;
--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -76,6 +77,7 @@
   void TakeLists(const hold_answer& answer, millis now);
   void SettleStops();
   void Pace(millis now);
+  void TimeRuns(std::span<listed_run> runs, millis now);
   millis NextHold(millis now) const;
   void Refuse(const run_ref& run, start_refusal reason);
   void DropUnwanted(const worker_order& order);
@@ -93,6 +95,7 @@
   int64_t order_sequence_ = 0;
   int64_t confirmed_term_ = 0;  // fence under which the lists were read
   std::vector<listed_run> running_;
+  std::map<run_ref, millis> running_since_;  // as far as reports have told of them
   std::vector<listed_end> ended_;
   std::map<run_ref, ordered_start> starts_;
   std::map<run_ref, int64_t> fresh_starts_;  // answered starts, with the holds begun until then
--- a/src/kernel/model/worker_messages.h
+++ b/src/kernel/model/worker_messages.h
@@ -42,6 +42,7 @@
   std::string saved;     // checkpoint; empty: none
   int64_t percent = -1;  // share at which it works; -1: not said
   int64_t load = 0;      // tail latency in ms of a serving task, else cores in use x 1000
+  int64_t ran_ms = 0;    // for how long its agent has seen it
 };
 
 /** How a run ended. */
--- a/tests/stories/urgent_load_story.cc
+++ b/tests/stories/urgent_load_story.cc
@@ -54,6 +54,20 @@
     story.Serve(job, millis(3000));
     CHECK(story.world.check().ends(run_end::kStopped) == stopped);
   }
+  SUBCASE("nor after another entry has taken over, which has not seen that work begin") {
+    story.Fill("batch", 48, millis(60000));
+    story.world.RunFor(millis(20000));
+    const int planner = story.world.Planner();
+    REQUIRE(planner >= 0);
+    story.world.KillEntry(planner, millis(2000));
+    story.world.RunFor(millis(5000));
+    REQUIRE(story.world.Planner() >= 0);
+    const int stopped = story.world.check().ends(run_end::kStopped);
+    const batch_job job = MakeBatchJob("e1", "urgent", 3, millis(8000), 8, true);
+    story.Serve(job, millis(3000));
+    CHECK(story.world.check().ends(run_end::kStopped) == stopped);
+    story.Finish();
+  }
   SUBCASE("they do not stop each other") {
     story.Fill("urgent", 48, millis(12000));
     const batch_job job = MakeBatchJob("e1", "urgent", 3, millis(3000), 8, true);
--- a/tests/stories/worker_steward_story.cc
+++ b/tests/stories/worker_steward_story.cc
@@ -46,6 +46,35 @@
       CHECK(steward.Report(2, millis(410)).term == 8);
     }
   }
+  SUBCASE("what runs is reported with its age, so that the new planner knows what stopping costs") {
+    const auto lists = [&](std::vector<listed_run> running, millis now) {
+      hold_answer said;
+      said.worker = {"w1", 17};
+      said.fence = 5;
+      said.outcome = call_outcome::kDone;
+      said.born_ms = 17;
+      said.clock_ms = 1000 + now.count();
+      said.running = std::move(running);
+      steward.On(said, now);
+    };
+    const listed_run first{"a.0.0.0", 1, "", 0, 0};
+    const listed_run second{"a.0.0.1", 2, "", 0, 0};
+    lists({first}, millis(10));
+    steward.Report(1, millis(10));
+    lists({first, second}, millis(700));
+    steward.Report(2, millis(700));
+    const auto report = steward.Report(3, millis(1700));
+    REQUIRE(report.running.size() == 2);
+    CHECK(report.running[0].ran_ms == 1690);
+    CHECK(report.running[1].ran_ms == 1000);
+    SUBCASE("which begins anew with the worker") {
+      worker_beat reborn = beat;
+      reborn.worker.self.born_ms = 18;
+      reborn.sequence = 1;
+      steward.On(reborn, millis(2000));
+      CHECK(steward.Report(4, millis(2000)).running.empty());
+    }
+  }
   SUBCASE("nobody listens at the worker's address: the planner hears of it at once") {
     answer(5, call_outcome::kDone, millis(10));
     CHECK(steward.Report(1, millis(10)).listed);
