--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -31,7 +31,7 @@
   int64_t run = 0;
   amounts each;
   run_phase phase = run_phase::kHeld;
-  millis since{0};  // of the phase
+  millis since{0};              // of the phase
   std::optional<millis> began;  // none: it has not been seen running
   std::string saved;
   bool timed = false;  // placed by this planner with all its work before it
