An entry that the store turns away leaves new callers to the other entries

Callers of one failure domain were refused again and again for three seconds and longer while entries elsewhere would have taken their jobs: the balancer went on to lead them to the one entry that the store turned away.

Cause: an entry stayed ready until its configuration was too old for keyed calls, 4.2 s after it had last been served, and the balancer takes two more seconds. It knew after 1.5 s that it would refuse.

The story "it is not ready, so that new callers are led to other entries" failed before.

Why it works: readiness now ends with the same 1.5 s after which callers are refused after one try, and comes back with the next call that the store serves, at most 0.15 s after its return.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -57,8 +57,8 @@
   Retry(now);
   FollowOperators(now);
   KeepRoster(now);
-  // An entry that would refuse keyed calls leaves new connections to others.
-  const bool ready = operators_.known() && Fresh(now) && !draining_;
+  // An entry that would refuse calls leaves new connections to others.
+  const bool ready = operators_.known() && Fresh(now) && !TurnedAway(now) && !draining_;
   if (ready != ready_) {
     ready_ = ready;
     out_->emplace_back(ready_change{ready});
@@ -177,10 +177,14 @@
   }
 }
 
+/** Whether the store has turned away all that this entry asked for longer than callers wait. */
+bool gateway_core::TurnedAway(millis now) const {
+  return turned_away_since_ && now - *turned_away_since_ > kInsertPatience;
+}
+
 /** A caller that is refused early can still try another entry, which the store may serve. */
 bool gateway_core::Hopeless(const open_call& call, millis now) const {
-  const millis since = std::min(call.arrived, turned_away_since_.value_or(now));
-  return now - since > kInsertPatience;
+  return TurnedAway(now) || now - call.arrived > kInsertPatience;
 }
 
 void gateway_core::OnInserted(open_call& call, const transaction_result& result, millis now) {
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -105,6 +105,7 @@
   template <typename Message>
   void TellPlanner(Message message);
   void NoteStore(row_outcome outcome, millis now);
+  bool TurnedAway(millis now) const;
   bool Hopeless(const open_call& call, millis now) const;
   void OnInserted(open_call& call, const transaction_result& result, millis now);
   bool SettleConflict(open_call& call, const transaction_result& result, millis now);
--- a/tests/stories/late_call_story.cc
+++ b/tests/stories/late_call_story.cc
@@ -71,6 +71,7 @@
   }
   void Wait(millis now) { Take(Decide({}, now)); }
 
+  bool ready() const { return ready_; }
   int insertions() const { return insertions_; }
   std::optional<call_answer> answer() const { return answer_; }
 
@@ -83,6 +84,7 @@
   void Take(const std::vector<gateway_action>& actions) {
     for (const auto& action : actions) {
       if (const auto* reply = std::get_if<caller_reply>(&action)) answer_ = reply->answer;
+      if (const auto* change = std::get_if<ready_change>(&action)) ready_ = change->ready;
       const auto* request = std::get_if<store_request>(&action);
       if (request == nullptr) continue;
       if (std::holds_alternative<row_feed>(request->call)) feed_ = request->token;
@@ -99,6 +101,7 @@
   uint64_t last_id_ = 0;
   int64_t feed_ = 0;
   int64_t insertion_ = 0;
+  bool ready_ = false;
   int insertions_ = 0;
   std::optional<call_answer> answer_;
 };
@@ -146,6 +149,7 @@
   entry.HandIn(millis(100), kWait);
   for (int64_t at = 110; at < 1600; at += 160) {
     entry.StoreAnswers(row_outcome::kNotDone, millis(at));
+    REQUIRE(entry.ready());
     entry.Wait(millis(at + 150));
     REQUIRE_FALSE(entry.answer().has_value());
   }
@@ -157,6 +161,13 @@
     entry.HandIn(millis(1800), kWait);
     REQUIRE(entry.insertions() == before + 1);
   };
+  SUBCASE("it is not ready, so that new callers are led to other entries") {
+    CHECK_FALSE(entry.ready());
+    SUBCASE("until the store serves it again") {
+      entry.StoreTells(row_outcome::kDone, millis(1750));
+      CHECK(entry.ready());
+    }
+  }
   SUBCASE("further callers need not wait as long: they are sent elsewhere after one try") {
     hand_in();
     entry.StoreAnswers(row_outcome::kNotDone, millis(1810));
