An entry without a configuration logs no age for it

Cause: the age was worked out from the value that stands for "never confirmed".

Test: "a job is handed in before the entry has a configuration" failed before. line_collector keeps what is logged during a story; glog's header stays out of the stories, since its CHECK would replace that of doctest.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -367,6 +367,7 @@
   const bool quiet = call.call.kind == call_kind::kState &&
                      (reply.answer == call_answer::kState || reply.answer == call_answer::kWaiting);
   if (!quiet) {
+    const millis config_age = now - operators_.confirmed();
     log_event("call-answered")
         .With("job", call.job)
         .With("queue", call.queue)
@@ -377,7 +378,7 @@
         .With("tries", call.tries)
         .With("took_ms", (now - call.arrived).count())
         .With("config_revision", operators_.state().config_revision)
-        .With("config_age_ms", (now - operators_.confirmed()).count())
+        .With("config_age_ms", operators_.known() ? config_age.count() : -1)
         .With("detail", reply.detail);
   }
   reply.took = now - call.arrived;
--- a/tests/stories/late_call_story.cc
+++ b/tests/stories/late_call_story.cc
@@ -1,10 +1,12 @@
 #include <doctest/doctest.h>
 
+#include <string>
 #include <vector>
 
 #include "kernel/batch/gateway_core.h"
 #include "kernel/batch/operator_source.h"
 #include "tests/world/batch_world.h"
+#include "tests/world/line_collector.h"
 
 namespace eelgrass {
 namespace {
@@ -28,11 +30,12 @@
   }
 };
 
-/** An entry that knows its configuration; the test plays its callers and the store. */
+/** An entry, which usually knows its configuration; the test plays its callers and the store. */
 class lone_entry {
  public:
-  lone_entry() {
+  explicit lone_entry(bool configured = true) {
     const auto reads = Decide({}, millis(0));
+    if (!configured) return;
     for (const auto& action : reads) {
       const auto* request = std::get_if<store_request>(&action);
       if (request == nullptr) continue;
@@ -106,6 +109,17 @@
   std::optional<call_answer> answer_;
 };
 
+TEST_CASE("a job is handed in before the entry has a configuration") {
+  const line_collector lines;
+  lone_entry entry(false);
+  entry.HandIn(millis(1), millis(3000));
+  CHECK(entry.answer() == call_answer::kUnavailable);
+  CHECK(entry.insertions() == 0);
+  SUBCASE("and the log says that there is none, instead of an age") {
+    CHECK(lines.text().find("config_age_ms=-1 ") != std::string::npos);
+  }
+}
+
 TEST_CASE("a job is handed in by a caller that will soon give up") {
   lone_entry entry;
 
