A worker that a planner knows stays on the store's list of workers

A task ran twice at once (TWICE): a planner started it elsewhere at once although it might still be at work on a worker that did not answer.

Cause: a new planner waits for the workers that the store lists until their leases have lapsed, and then has those removed from the list that have not told what they run. One whose agent reported it meanwhile, but which did not answer its agent yet, was removed although it was known and could get runs as soon as it answered; it counted as recorded and was not written again. The next planner did not wait for it.

The story failed before: the worker's row was gone, and four tasks ran twice after the second takeover.

Why it works: a group of writes no longer removes workers that the planner knows. Those that it forgets (gone, replaced, VM down) leave its pool first, so that their rows are removed as before.

--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -94,12 +94,13 @@
   for (auto& [id, worker] : pool.all()) {
     if (worker.recorded || worker.recording || room == 0) continue;
     worker.recording = true;
-    gone_.erase(id);  // it is back
     const worker_record record{id, worker.agent, worker.profile.address};
     change.writes.push_back({{std::string(kWorkersTable), "", id}, codec_.Encode(record)});
     group_.workers.push_back(id);
     --room;
   }
+  // Runs may be at a worker that is known (again): it stays recorded.
+  std::erase_if(gone_, [&](const std::string& id) { return pool.Find(id) != nullptr; });
   while (!gone_.empty() && room > 0) {
     change.removals.push_back(
         {std::string(kWorkersTable), "", gone_.extract(gone_.begin()).value()});
--- a/tests/stories/takeover_story.cc
+++ b/tests/stories/takeover_story.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "kernel/batch/term_keeper.h"
 #include "tests/world/batch_world.h"
 #include "tests/world/require_kept.h"
@@ -89,6 +91,43 @@
   RequireKept(world);
 }
 
+TEST_CASE("a worker answers nothing until a new planner no longer waits for it") {
+  constexpr int kWorker = 2;
+  batch_world world;
+  world.RunFor(millis(5000));
+  const std::string id = world.worker(kWorker).self().id;
+  const auto recorded = [&] {
+    const auto read = world.rows().Read(row_range{std::string(kWorkersTable), "", ""});
+    return std::any_of(read.rows.begin(), read.rows.end(),
+                       [&](const row& found) { return found.at.key == id && !found.deleted; });
+  };
+  REQUIRE(recorded());
+  world.SetMute(kWorker, true);
+  world.KillEntry(world.Planner(), millis(2000));
+  world.RunFor(millis(12000));
+  REQUIRE(world.Planner() >= 0);
+
+  SUBCASE("its agent reports it all the while: it stays recorded, since it may get runs again") {
+    CHECK(recorded());
+  }
+  SUBCASE(
+      "it answers again and gets runs: a later planner waits for it, as it may still have them") {
+    world.SetMute(kWorker, false);
+    world.RunFor(millis(3000));
+    const batch_job job = MakeBatchJob("c3", "usual", 44, millis(6000), 1);
+    world.Submit(job);
+    world.Watch(job.id);
+    world.RunFor(millis(1000));
+    REQUIRE(world.worker(kWorker).running() > 0);
+    world.CutAgent(kWorker, true);
+    world.KillEntry(world.Planner(), millis(2000));
+    world.RunFor(millis(15000));
+    world.CutAgent(kWorker, false);
+    world.RunFor(millis(20000));
+  }
+  RequireKept(world);
+}
+
 TEST_CASE("a job starts although the store's feed is behind") {
   batch_world world;
   world.RunFor(millis(5000));
