A job keeps its place in line when another entry plans

Callers who had waited for long were passed by later ones after each change of the planner, and a new planner took jobs to be in time that were late already.

Cause: a planner dated jobs from the moment it learned of them, which is the takeover for all that came before. The order by deadlines and guarantees, and what stopping a job costs, follow from that.

Change: the job's row says when it was handed in, by the store's clock, which all entries know from its answers (store_clock, taken out of term_keeper). A planner dates the job by that, and as before if the row does not say.

Evidence: the story of two jobs that wait for a full cluster failed before (the newer one began first under the new planner). The stand-in of the store in the stories has a clock now, an hour ahead of those of the VMs.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -133,6 +133,7 @@
     call.term = newest_term_;
     batch_job job = *call.call.job;
     job.accepted_term = call.term;
+    job.handed_in = clock_.StoreAt(call.arrived).value_or(millis(0));
     job.id = call.job;
     job.queue = call.queue;
     job.organisation = call.organisation;
@@ -151,6 +152,7 @@
 
 void gateway_core::On(store_reply& reply, millis now) {
   NoteStore(std::visit([](const auto& answer) { return answer.outcome; }, reply.answer), now);
+  clock_.Set(std::visit([](const auto& answer) { return answer.store_now; }, reply.answer), now);
   if (reply.token == follower_token_) {
     follower_token_ = 0;
     operators_.On(std::get<rows_result>(reply.answer), now);
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -16,6 +16,7 @@
 #include "kernel/batch/caller_call.h"
 #include "kernel/batch/entry_roster.h"
 #include "kernel/batch/operator_follower.h"
+#include "kernel/batch/store_clock.h"
 #include "kernel/model/link_events.h"
 
 namespace eelgrass {
@@ -124,6 +125,7 @@
   const batch_record_codec& codec_;
   operator_follower operators_;
   entry_roster roster_;
+  store_clock clock_;
   std::vector<gateway_action>* out_ = nullptr;
   std::map<int64_t, open_call> calls_;  // by token
   int64_t last_token_ = 0;
--- a/src/kernel/batch/job_book.cc
+++ b/src/kernel/batch/job_book.cc
@@ -29,11 +29,11 @@
 
 job_book::job_book(millis early) : early_(early) {}
 
-bool job_book::Add(const batch_job& job, millis now) {
+bool job_book::Add(const batch_job& job, millis accepted) {
   if (jobs_.contains(job.id)) return false;
   tracked_job tracked;
   tracked.job = job;
-  tracked.accepted = now;
+  tracked.accepted = accepted;
   const int occurrences = std::max(1, job.occurrences);
   for (int k = 0; k < occurrences; ++k) {
     occurrence_state occurrence;
--- a/src/kernel/batch/job_book.h
+++ b/src/kernel/batch/job_book.h
@@ -63,7 +63,7 @@
 struct tracked_job {
   batch_job job;
   batch_state state = batch_state::kPending;
-  millis accepted{0};  // when this planner learned of it, by its clock
+  millis accepted{0};  // when it was handed in, or as far back as this planner knows, by its clock
   std::vector<occurrence_state> occurrences;
   int done = 0;        // occurrences
   bool begun = false;  // some task has started
@@ -90,8 +90,8 @@
  public:
   explicit job_book(millis early);
 
-  /** Adds an accepted job; false when it is known already. */
-  bool Add(const batch_job& job, millis now);
+  /** Adds a job that was accepted at that time; false when it is known already. */
+  bool Add(const batch_job& job, millis accepted);
 
   /** Takes the stored progress of a job that was added. */
   void Restore(const job_progress& progress);
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -157,7 +157,10 @@
     // A later planner may have started it already.
     return term_.StepDown("a job was accepted under a later term", now);
   }
-  if (!book.Add(job.value(), now)) return;
+  // A job does not lose its place in line because another entry plans now.
+  const millis handed_in = job.value().handed_in;
+  const auto own = handed_in > millis(0) ? term_.clock().OwnAt(handed_in) : std::nullopt;
+  if (!book.Add(job.value(), std::min(own.value_or(now), now))) return;
   log_event("job-known")
       .With("job", found.at.key)
       .With("queue", job.value().queue)
--- a/src/kernel/batch/term_keeper.cc
+++ b/src/kernel/batch/term_keeper.cc
@@ -32,10 +32,6 @@
   return found == rows.end() ? nullptr : &*found;
 }
 
-void term_keeper::OnStoreClock(millis store_now, millis sent) {
-  if (store_now > millis(0)) store_offset_ = store_now - sent;
-}
-
 bool term_keeper::PlannerAlive() const {
   return holder_notified_ && linked_.contains(holder_) && !holder_lost_store_;
 }
@@ -85,7 +81,7 @@
     return;
   }
   OnStoreContact(sent_);
-  OnStoreClock(answer.store_now, sent_);
+  clock_.Set(answer.store_now, sent_);
   if (PlannerAlive()) {
     step_ = step::kWatching;
     return;
@@ -116,8 +112,8 @@
     observed_ = revision_;
     observed_at_ = sent_;
     // The holder says when it wrote, so that the row need not be watched for as long from now.
-    if (record.sent_ms > 0 && store_offset_) {
-      observed_at_ = std::min(sent_, millis(record.sent_ms) - *store_offset_);
+    if (record.sent_ms > 0) {
+      observed_at_ = std::min(sent_, clock_.OwnAt(millis(record.sent_ms)).value_or(sent_));
     }
     if (now - observed_at_ >= kObservation) {
       step_ = step::kTaking;
@@ -129,7 +125,7 @@
 }
 
 void term_keeper::OnTaken(const transaction_result& answer, millis now) {
-  OnStoreClock(answer.store_now, sent_);
+  clock_.Set(answer.store_now, sent_);
   if (answer.outcome == row_outcome::kDone) return Hold(answer.revision, now);
   if (answer.outcome != row_outcome::kConflict) {
     next_ = now + kStoreRetryPause;
@@ -210,7 +206,7 @@
 void term_keeper::Guard(row_transaction& change, bool hand_over, millis now) {
   ++writes_;
   change.conditions.push_back({Row(), revision_});
-  const int64_t sent_ms = store_offset_ ? (now + *store_offset_).count() : 0;
+  const int64_t sent_ms = clock_.StoreAt(now).value_or(millis(0)).count();
   const term_record record{hand_over ? std::string() : node_, nonce_, fence_, writes_, sent_ms};
   change.writes.push_back({Row(), codec_.Encode(record)});
 }
@@ -222,7 +218,7 @@
 }
 
 term_write term_keeper::OnWritten(const transaction_result& result, millis sent) {
-  OnStoreClock(result.store_now, sent);
+  clock_.Set(result.store_now, sent);
   if (result.outcome == row_outcome::kDone) {
     revision_ = result.revision;
     confirmed_ = std::max(confirmed_, sent);
--- a/src/kernel/batch/term_keeper.h
+++ b/src/kernel/batch/term_keeper.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "kernel/batch/batch_records.h"
+#include "kernel/batch/store_clock.h"
 #include "kernel/batch/store_exchange.h"
 #include "kernel/model/worker_messages.h"
 
@@ -60,6 +61,8 @@
   /** Whether another entry with contact to the store should take over. */
   bool store_lost(millis now) const;
 
+  const store_clock& clock() const { return clock_; }
+
   /** When the last write that is known to be done was sent. */
   millis confirmed() const { return confirmed_; }
 
@@ -81,7 +84,6 @@
   bool PlannerAlive() const;
   row_key Row() const;
   const row* FindRow(std::span<const row> rows) const;
-  void OnStoreClock(millis store_now, millis sent);
   void OnRead(const rows_result& answer, millis now);
   void OnTaken(const transaction_result& answer, millis now);
   void Hold(int64_t revision, millis now);
@@ -108,7 +110,7 @@
   millis sent_{0};
   millis confirmed_{INT64_MIN / 4};
   millis store_contact_{INT64_MIN / 4};
-  std::optional<millis> store_offset_;  // store's clock less this process's
+  store_clock clock_;
 };
 
 }  // namespace eelgrass
--- a/src/kernel/model/batch_job.h
+++ b/src/kernel/model/batch_job.h
@@ -47,6 +47,9 @@
 
   /** The newest term when it was accepted: no planner of an earlier term has started it. */
   int64_t accepted_term = 0;
+
+  /** When it was handed in, by the store's clock; 0: not known. */
+  millis handed_in{0};
 };
 
 /** Names one task of a job. */
--- a/src/plugins/records/json/json_records.cc
+++ b/src/plugins/records/json/json_records.cc
@@ -17,7 +17,8 @@
                                                 long_running, fills, required_label, data_rack,
                                                 max_per_worker, image, latency_target, may_miss)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(batch_job, id, queue, organisation, spec, steps,
-                                                occurrences, first_start, interval, accepted_term)
+                                                occurrences, first_start, interval, accepted_term,
+                                                handed_in)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task_progress, occurrence, step, index, done,
                                                 failed_runs, saved)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_progress, job, state, tasks)
--- a/tests/stories/takeover_story.cc
+++ b/tests/stories/takeover_story.cc
@@ -128,6 +128,43 @@
   RequireKept(world);
 }
 
+TEST_CASE("two jobs wait for a full cluster, the longer one for some time already") {
+  batch_world world;
+  world.RunFor(millis(5000));
+  const auto hand_in = [&](const batch_job& job) {
+    world.Submit(job);
+    world.Watch(job.id);
+  };
+  hand_in(MakeBatchJob("f1", "usual", 48, millis(16000), 1));
+  world.RunFor(millis(1000));
+  // Without waiting, the shorter one would be due first.
+  const batch_job older = MakeBatchJob("a1", "usual", 6, millis(6000), 8);
+  const batch_job newer = MakeBatchJob("b1", "usual", 6, millis(5000), 8);
+  hand_in(older);
+  world.RunFor(millis(8000));
+  hand_in(newer);
+  world.RunFor(millis(500));
+  REQUIRE_FALSE(world.check().began(older.id + ".0.0.0").has_value());
+  const auto began = [&](const batch_job& job) {
+    const auto at = world.check().began(job.id + ".0.0.0");
+    REQUIRE(at.has_value());
+    return *at;
+  };
+
+  SUBCASE("it starts first") {
+    world.RunFor(millis(30000));
+    CHECK(began(older) < began(newer));
+  }
+  SUBCASE("also under a new planner") {
+    const int planner = world.Planner();
+    REQUIRE(planner >= 0);
+    world.KillEntry(planner, millis(2000));
+    world.RunFor(millis(30000));
+    CHECK(began(older) < began(newer));
+  }
+  RequireKept(world);
+}
+
 TEST_CASE("a job starts although the store's feed is behind") {
   batch_world world;
   world.RunFor(millis(5000));
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -8,6 +8,7 @@
 constexpr millis kTick{50};
 constexpr millis kNetwork{1};
 constexpr millis kStoreTime{8};
+constexpr millis kStoreClockAhead{3600000};  // of the clocks of the VMs
 constexpr millis kWorkerTime{2};
 constexpr millis kSilence{700};  // until a connection that says nothing is given up
 constexpr millis kRedial{300};
@@ -510,6 +511,13 @@
 void batch_world::AnswerStore(const std::string& id, int64_t life, bool gateway, store_reply reply,
                               millis delay) {
   entry_process* entry = FindEntry(id);
+  std::visit(
+      [this](auto& answer) {
+        const bool answered =
+            answer.outcome == row_outcome::kDone || answer.outcome == row_outcome::kConflict;
+        if (answered) answer.store_now = now() + kStoreClockAhead;
+      },
+      reply.answer);
   const millis at = std::max(now() + delay, entry->frozen_until);
   events_.At(at, [this, id, life, gateway, reply = std::move(reply)]() mutable {
     entry_process* same = FindEntry(id);
