--- /dev/null
+++ b/tests/processes/carried_over_build.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# A build folder that was carried over: one from a machine of this kind is kept; one from another
+# kind, whose objects ninja takes for up to date, is made anew.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+WORK="$(mktemp -d)"
+trap 'rm -rf "$WORK"' EXIT
+FOLDER="$WORK/build"
+OBJECT=src/CMakeFiles/eelgrass_kernel.dir/kernel/base/settings.cc.o
+
+configure() { scripts/configure "$FOLDER" -DEELGRASS_DEPLOY=ON >"$WORK/said" 2>&1; }
+build_object() { ninja -C "$FOLDER" "$OBJECT" >/dev/null; }
+expect() { # WHAT TEST...
+  if ! "${@:2}"; then echo "not so: $1"; cat "$WORK/said"; exit 1; fi
+}
+says_anew() { grep -q "starting anew" "$WORK/said"; }
+says_nothing() { ! says_anew; }
+object_is_ours() { objdump -f "$FOLDER/$OBJECT" >/dev/null 2>&1; }
+
+echo "== a new folder"
+configure
+expect "nothing is removed" says_nothing
+build_object
+expect "the object is of this machine" object_is_ours
+
+echo "== the same folder again"
+touch "$FOLDER/kept"
+configure
+expect "nothing is removed" says_nothing
+expect "the folder is kept" test -e "$FOLDER/kept"
+
+echo "== a folder from another kind of machine"
+touch -r "$FOLDER/$OBJECT" "$WORK/time"
+echo "an object of another machine" >"$FOLDER/$OBJECT"
+touch -r "$WORK/time" "$FOLDER/$OBJECT"
+sed -i 's/^set(CMAKE_HOST_SYSTEM_PROCESSOR .*/set(CMAKE_HOST_SYSTEM_PROCESSOR "pdp11")/' \
+  "$FOLDER"/CMakeFiles/*/CMakeSystem.cmake
+configure
+expect "the kinds are named" grep -q "made on pdp11, this machine is $(uname -m)" "$WORK/said"
+expect "the folder is new" test ! -e "$FOLDER/kept"
+build_object
+expect "the object is of this machine" object_is_ours
