--- a/tests/processes/listed_packages.sh
+++ b/tests/processes/listed_packages.sh
@@ -74,9 +74,10 @@
 
 echo "== a program that is built, with all of its packages listed"
 PROGRAM=(g++ cmake ninja-build pkg-config libgoogle-glog-dev liblua5.4-dev)
+OPTION=""
 builds() { # PACKAGE...
   listed "$@"
-  sed -i 's|^build = .*|build = "cmake -S tests/processes/listed_packages -B target -G Ninja \&\& ninja -C target"|' \
+  sed -i "s|^build = .*|build = \"cmake -S tests/processes/listed_packages -B target -G Ninja $OPTION \&\& ninja -C target\"|" \
     "$WORK/system.toml"
 }
 RECORD=()
@@ -100,6 +101,13 @@
 builds g++ cmake ninja-build pkg-config libgoogle-glog-dev
 reports "lua5.4-deb-multiarch.h: is in liblua5.4-dev" "liblua5.4.so.0: is in liblua5.4-0"
 
+echo "== a pkg-config module that is in none of the system's folders"
+OPTION=-DMODULE_OF_ITS_OWN=ON
+builds "${PROGRAM[@]}"
+reports "the build has found the pkg-config module own, but it is in none of the system's folders"
+if grep -q Traceback <<<"$(check)"; then echo "not one line: $(check)"; exit 1; fi
+OPTION=""
+
 echo "== a build that fails"
 printf 'build = "echo no such header; exit 1"\npackages = ["g++"]\n' >"$WORK/system.toml"
 reports "no such header" "the build of deploy/system.toml failed"
