The check of packages sees programs that the build calls by name

What callers saw: nothing, which is the fault: a custom command, a script or CMake's execute_process that calls a program of an unlisted package passed the check, and would fail on a clean machine.

Cause: the check read CMake's cache and ninja's records; a program that is called by its name alone is in neither.

Evidence: listed_packages.sh builds a program whose custom command, or whose CMake file, calls ccache: before, nothing was reported; now ccache is named, and nothing is reported once it is listed.

--- a/tests/processes/listed_packages.sh
+++ b/tests/processes/listed_packages.sh
@@ -101,6 +101,14 @@
 builds g++ cmake ninja-build pkg-config libgoogle-glog-dev
 reports "lua5.4-deb-multiarch.h: is in liblua5.4-dev" "liblua5.4.so.0: is in liblua5.4-0"
 
+echo "== a program of another package is called by its name"
+for OPTION in -DRUN_BY_COMMAND=ccache -DRUN_BY_CMAKE=ccache; do
+  builds "${PROGRAM[@]}"
+  reports "/usr/bin/ccache: is in ccache; add it to packages in deploy/system.toml"
+  builds "${PROGRAM[@]}" ccache
+  passes
+done
+
 echo "== a pkg-config module that is in none of the system's folders"
 OPTION=-DMODULE_OF_ITS_OWN=ON
 builds "${PROGRAM[@]}"
