A call that is refused as it comes is answered once

What callers saw: nothing yet; the front drops an answer that belongs to no call.

Cause: an answered call stays in the list until the end of the round, and the round's tries went over it again: a job that came in its caller's last milliseconds was given up twice, the second time under the id 0, and logged twice.

Evidence: late_call_story.cc counts the answers: two before, one now.

Fix: tries pass over calls that have been answered.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -334,6 +334,7 @@
 
 void gateway_core::Retry(millis now) {
   for (auto& [token, call] : calls_) {
+    if (call.call.id == 0) continue;  // answered
     if (now >= call.deadline) {
       GiveUp(call, now);
     } else if (!call.in_store && now >= call.next_try) {
--- a/tests/stories/late_call_story.cc
+++ b/tests/stories/late_call_story.cc
@@ -51,6 +51,7 @@
 
   void HandIn(millis now, millis wait) {
     answer_.reset();
+    answers_ = 0;
     caller_call call;
     call.id = ++last_id_;
     call.kind = call_kind::kSubmit;
@@ -76,6 +77,9 @@
 
   bool ready() const { return ready_; }
   int insertions() const { return insertions_; }
+
+  /** Answers to the last call; callers are owed one. */
+  int answers() const { return answers_; }
   std::optional<call_answer> answer() const { return answer_; }
 
  private:
@@ -86,7 +90,10 @@
   }
   void Take(const std::vector<gateway_action>& actions) {
     for (const auto& action : actions) {
-      if (const auto* reply = std::get_if<caller_reply>(&action)) answer_ = reply->answer;
+      if (const auto* reply = std::get_if<caller_reply>(&action)) {
+        answer_ = reply->answer;
+        ++answers_;
+      }
       if (const auto* change = std::get_if<ready_change>(&action)) ready_ = change->ready;
       const auto* request = std::get_if<store_request>(&action);
       if (request == nullptr) continue;
@@ -106,6 +113,7 @@
   int64_t insertion_ = 0;
   bool ready_ = false;
   int insertions_ = 0;
+  int answers_ = 0;
   std::optional<call_answer> answer_;
 };
 
@@ -127,6 +135,7 @@
     entry.HandIn(millis(100), millis(30));
     CHECK(entry.insertions() == 0);
     CHECK(entry.answer() == call_answer::kUnavailable);
+    CHECK(entry.answers() == 1);
   }
   SUBCASE("there is time for one try: it is accepted") {
     entry.HandIn(millis(100), millis(120));
