A job is not sent to a store that is silent

What callers saw: jobs handed in while the store was away ended with an unknown outcome (504, or nothing where the entry went first), after up to 2.8 s. An unsafe request cannot be tried again after that, so the job was lost although it had never been stored.

Cause: an entry knew only of a store that turns it away. A store that resets or swallows calls was sent every new job, and each of these insertions may have been done.

Fix: once a call was left unanswered, new jobs wait until the store has served something: the feed of the operators' table asks every 150 ms, and a job that was sent before is tried again at once. They are refused as not done after 1.5 s, at once when nothing was served for 1.5 s; the entry is not ready then.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -29,7 +29,7 @@
 /** An insertion is not begun with less time left; an idle store takes half of that. */
 constexpr millis kLeastInsertTime{30};
 
-/** The store may turn a caller, or this entry, away for this long before the caller is told. */
+/** The store may leave a caller, or this entry, unserved for this long before callers are told. */
 constexpr millis kInsertPatience{1500};
 
 bool IsJobId(std::string_view text) {
@@ -58,7 +58,7 @@
   FollowOperators(now);
   KeepRoster(now);
   // An entry that would refuse calls leaves new connections to others.
-  const bool ready = operators_.known() && Fresh(now) && !TurnedAway(now) && !draining_;
+  const bool ready = operators_.known() && Fresh(now) && !Unserved(now) && !draining_;
   if (ready != ready_) {
     ready_ = ready;
     out_->emplace_back(ready_change{ready});
@@ -129,6 +129,7 @@
   const millis left = call.deadline - now;
   // Begun too late, it would end with its outcome unknown, and the caller could not try again.
   if (left < kLeastInsertTime && !call.doubtful) return GiveUp(call, now);
+  if (store_silent_ && !call.doubtful) return Hold(call, now);
   if (call.value.empty() || call.term != newest_term_) {
     call.term = newest_term_;
     batch_job job = *call.call.job;
@@ -169,24 +170,35 @@
   if (found->second.call.id == 0) calls_.erase(found);
 }
 
-/** Keeps since when the store has turned away all that this entry asked of it. */
+/** Keeps since when the store has served this entry nothing, and whether it is silent. */
 void gateway_core::NoteStore(row_outcome outcome, millis now) {
-  if (outcome == row_outcome::kUnknown) return;
-  if (outcome != row_outcome::kNotDone) {
-    turned_away_since_.reset();
-  } else if (!turned_away_since_) {
-    turned_away_since_ = now;
+  const bool unknown = outcome == row_outcome::kUnknown;
+  if (unknown || outcome == row_outcome::kNotDone) {
+    if (!unserved_since_) unserved_since_ = now;
+    store_silent_ = store_silent_ || unknown;
+    return;
   }
+  unserved_since_.reset();
+  store_silent_ = false;
 }
 
-/** Whether the store has turned away all that this entry asked for longer than callers wait. */
-bool gateway_core::TurnedAway(millis now) const {
-  return turned_away_since_ && now - *turned_away_since_ > kInsertPatience;
+/** Whether the store has served nothing that this entry asked for longer than callers wait. */
+bool gateway_core::Unserved(millis now) const {
+  return unserved_since_ && now - *unserved_since_ > kInsertPatience;
 }
 
 /** A caller that is refused early can still try another entry, which the store may serve. */
 bool gateway_core::Hopeless(const open_call& call, millis now) const {
-  return TurnedAway(now) || now - call.arrived > kInsertPatience;
+  return Unserved(now) || now - call.arrived > kInsertPatience;
+}
+
+/**
+ * Keeps a job back while the store is silent: as long as it has not been sent, its caller can be
+ * told truthfully that it was not done, and may hand it in again.
+ */
+void gateway_core::Hold(open_call& call, millis now) {
+  call.next_try = now;
+  if (Hopeless(call, now)) GiveUp(call, now);
 }
 
 void gateway_core::OnInserted(open_call& call, const transaction_result& result, millis now) {
@@ -357,6 +369,8 @@
   reply.retry_after = unknown ? millis(0) : kComeBack;
   if (!submitted) {
     reply.detail = "nobody plans at the moment";
+  } else if (call.tries == 0 && store_silent_) {
+    reply.detail = "the store does not answer";
   } else if (call.tries == 0) {
     reply.detail = "the caller's time is too short to store the job";
   } else {
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -106,8 +106,9 @@
   template <typename Message>
   void TellPlanner(Message message);
   void NoteStore(row_outcome outcome, millis now);
-  bool TurnedAway(millis now) const;
+  bool Unserved(millis now) const;
   bool Hopeless(const open_call& call, millis now) const;
+  void Hold(open_call& call, millis now);
   void OnInserted(open_call& call, const transaction_result& result, millis now);
   bool SettleConflict(open_call& call, const transaction_result& result, millis now);
   void Ask(int64_t id, open_call& call, millis now);
@@ -131,7 +132,8 @@
   int64_t last_token_ = 0;
   int64_t follower_token_ = 0;
   int64_t roster_token_ = 0;
-  std::optional<millis> turned_away_since_;  // none: the store has served this entry last
+  std::optional<millis> unserved_since_;  // none: the store has served this entry last
+  bool store_silent_ = false;             // a call was left unanswered, and none was served since
   int64_t told_changes_ = 0;
   millis told_confirmed_{0};
   planner_notice planner_;
--- a/tests/stories/late_call_story.cc
+++ b/tests/stories/late_call_story.cc
@@ -215,5 +215,60 @@
   }
 }
 
+TEST_CASE("the store stops to answer") {
+  constexpr millis kWait{3000};
+  lone_entry entry;
+  entry.StoreTells(row_outcome::kUnknown, millis(100));
+
+  SUBCASE("a job that comes then is not sent, since its outcome could not be told") {
+    entry.HandIn(millis(120), kWait);
+    CHECK(entry.insertions() == 0);
+    REQUIRE_FALSE(entry.answer().has_value());
+    SUBCASE("it is stored once the store answers again") {
+      entry.Wait(millis(260));
+      entry.StoreTells(row_outcome::kDone, millis(500));
+      REQUIRE(entry.insertions() == 1);
+      entry.StoreAnswers(row_outcome::kDone, millis(510));
+      CHECK(entry.answer() == call_answer::kAccepted);
+    }
+    SUBCASE("or refused as not done, long before its caller gives up") {
+      entry.Wait(millis(1500));
+      REQUIRE_FALSE(entry.answer().has_value());
+      entry.Wait(millis(1650));
+      CHECK(entry.answer() == call_answer::kUnavailable);
+      CHECK(entry.insertions() == 0);
+      CHECK_FALSE(entry.ready());
+    }
+  }
+  SUBCASE("a job that comes after long silence is refused at once") {
+    entry.Wait(millis(1700));
+    entry.HandIn(millis(1710), kWait);
+    CHECK(entry.answer() == call_answer::kUnavailable);
+    CHECK(entry.answers() == 1);
+    CHECK(entry.insertions() == 0);
+  }
+}
+
+TEST_CASE("the store leaves a job unanswered") {
+  constexpr millis kWait{3000};
+  lone_entry entry;
+  entry.HandIn(millis(100), kWait);
+  REQUIRE(entry.insertions() == 1);
+  entry.StoreAnswers(row_outcome::kUnknown, millis(200));
+
+  SUBCASE("it is sent again until that is settled, and its caller hears the truth") {
+    REQUIRE(entry.insertions() == 2);
+    entry.StoreAnswers(row_outcome::kUnknown, millis(2000));
+    entry.Wait(millis(2910));
+    CHECK(entry.answer() == call_answer::kOutcomeUnknown);
+  }
+  SUBCASE("an answer to its next try shows that the store serves others too") {
+    entry.StoreAnswers(row_outcome::kDone, millis(210));
+    REQUIRE(entry.answer() == call_answer::kAccepted);
+    entry.HandIn(millis(220), kWait);
+    CHECK(entry.insertions() == 3);
+  }
+}
+
 }  // namespace
 }  // namespace eelgrass
