A call that ends before it has a connection was never sent

What callers saw: 504 instead of 503 for jobs that came while a store did not answer new connections; the job could not be handed in again.

Cause: only a refused connection counted as never sent. One that is still being made when the call's time is over ends with the same code as a call whose answer is late.

Evidence: http_client_threads_story.cc calls a server whose queue of connections is full: the outcome was 'unknown', now it is 'unavailable'.

Fix: the library tells before each request that it sends it; a call that never got that far cannot have had an effect, whatever its code.

--- a/src/plugins/store/curl/curl_client.cc
+++ b/src/plugins/store/curl/curl_client.cc
@@ -53,19 +53,6 @@
   return line.size();
 }
 
-/** Whether the request cannot have reached the server. */
-bool NeverSent(CURLcode code) {
-  switch (code) {
-    case CURLE_COULDNT_CONNECT:
-    case CURLE_COULDNT_RESOLVE_HOST:
-    case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
-      return true;
-    default:
-      return false;
-  }
-}
-
 /** Runs all transfers on one thread, which sleeps in curl_multi_poll. */
 class curl_client : public http_client {
  public:
@@ -176,10 +163,9 @@
       item->done(std::move(item->response));
       return;
     }
-    // The library sends a request again if a kept connection ends without an answer. That the new
-    // connection failed says nothing of the request on the old one.
-    const bool never = NeverSent(code) && !item->sent;
-    const error_kind kind = never ? error_kind::kUnavailable : error_kind::kUnknown;
+    // The library sends a request again if a kept connection ends without an answer, so that the
+    // code of the last try says nothing of the ones before.
+    const error_kind kind = item->sent ? error_kind::kUnknown : error_kind::kUnavailable;
     item->done(Fail(kind, "http-call", item->call.url, curl_easy_strerror(code)));
   }
 
--- a/tests/stories/http_client_threads_story.cc
+++ b/tests/stories/http_client_threads_story.cc
@@ -1,8 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <array>
 #include <asio.hpp>
 #include <atomic>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -47,18 +49,64 @@
   std::thread thread_;
 };
 
-TEST_CASE("a call of which the connection is reset") {
-  const auto client = std::move(client_registry::Instance().Create("curl", {}).value());
-  const auto call = [&](const std::string& url) {
+/** A server on loopback whose queue of new connections is full: further ones hang. */
+class full_server {
+ public:
+  full_server() : acceptor_(io_) {
+    const tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
+    acceptor_.open(any.protocol());
+    acceptor_.bind(any);
+    acceptor_.listen(0);
+    for (auto& waiting : queue_) {
+      waiting.async_connect(acceptor_.local_endpoint(), [](asio::error_code) {});
+    }
+  }
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()) + "/";
+  }
+
+ private:
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::array<tcp::socket, 4> queue_{tcp::socket(io_), tcp::socket(io_), tcp::socket(io_),
+                                    tcp::socket(io_)};
+};
+
+/** Makes one call after the other, each with the same time. */
+class patient_caller {
+ public:
+  explicit patient_caller(millis timeout) : timeout_(timeout) {}
+  ~patient_caller() { client_->Stop(); }
+
+  result<http_response> Call(const std::string& url) {
     std::promise<result<http_response>> answer;
     http_call sent;
     sent.method = "POST";
     sent.url = url;
-    sent.timeout = millis(2000);
-    client->Start(std::move(sent),
-                  [&](result<http_response> got) { answer.set_value(std::move(got)); });
+    sent.timeout = timeout_;
+    client_->Start(std::move(sent),
+                   [&](result<http_response> got) { answer.set_value(std::move(got)); });
     return answer.get_future().get();
-  };
+  }
+
+ private:
+  const millis timeout_;
+  std::unique_ptr<http_client> client_ =
+      std::move(client_registry::Instance().Create("curl", {}).value());
+};
+
+TEST_CASE("a call that ends while it still waits for a connection") {
+  const full_server server;
+  patient_caller caller(millis(300));
+  const auto answer = caller.Call(server.url());
+  REQUIRE_FALSE(answer);
+  SUBCASE("was never sent") { CHECK(answer.error().kind == error_kind::kUnavailable); }
+}
+
+TEST_CASE("a call of which the connection is reset") {
+  patient_caller caller(millis(2000));
+  const auto call = [&](const std::string& url) { return caller.Call(url); };
   std::string url;
   {
     breaking_server server;
@@ -78,7 +126,6 @@
       CHECK(answer.error().kind == error_kind::kUnavailable);
     }
   }
-  client->Stop();
 }
 
 }  // namespace
