An entry says in its log when it loses the store

What callers saw: not theirs to see; engineers who traced refused jobs found no line on the store's absence, only its consequences.

Cause: what the entry believes of the store was kept without a word. A process owes a line for each dependency that it loses or regains.

Fix: store-lost after two calls in a row that were turned away or left unanswered, store-regained with the first that is served; one failed call alone is no loss, so that a store that loses answers does not fill the log.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -32,6 +32,9 @@
 /** The store may leave a caller, or this entry, unserved for this long before callers are told. */
 constexpr millis kInsertPatience{1500};
 
+/** The store counts as lost after this many calls in a row; a single one may fail on its own. */
+constexpr int kLostAfterCalls = 2;
+
 bool IsJobId(std::string_view text) {
   return text.size() == kJobIdLetters && std::all_of(text.begin(), text.end(), [](char c) {
            return std::isxdigit(static_cast<unsigned char>(c)) != 0;
@@ -176,9 +179,20 @@
   if (unknown || outcome == row_outcome::kNotDone) {
     if (!unserved_since_) unserved_since_ = now;
     store_silent_ = store_silent_ || unknown;
+    if (++unserved_calls_ == kLostAfterCalls) {
+      log_event("store-lost", log_level::kWarning)
+          .With("unserved_ms", (now - *unserved_since_).count())
+          .With("silent", store_silent_ ? 1 : 0);
+    }
     return;
   }
+  if (unserved_calls_ >= kLostAfterCalls) {
+    log_event("store-regained")
+        .With("unserved_ms", (now - *unserved_since_).count())
+        .With("unserved_calls", unserved_calls_);
+  }
   unserved_since_.reset();
+  unserved_calls_ = 0;
   store_silent_ = false;
 }
 
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -133,6 +133,7 @@
   int64_t follower_token_ = 0;
   int64_t roster_token_ = 0;
   std::optional<millis> unserved_since_;  // none: the store has served this entry last
+  int unserved_calls_ = 0;                // in a row
   bool store_silent_ = false;             // a call was left unanswered, and none was served since
   int64_t told_changes_ = 0;
   millis told_confirmed_{0};
--- a/tests/stories/late_call_story.cc
+++ b/tests/stories/late_call_story.cc
@@ -249,6 +249,29 @@
   }
 }
 
+TEST_CASE("an engineer reads the log of an entry") {
+  const line_collector lines;
+  const auto says = [&](std::string_view text) {
+    return lines.text().find(text) != std::string::npos;
+  };
+  lone_entry entry;
+  entry.StoreTells(row_outcome::kUnknown, millis(100));
+  entry.Wait(millis(260));
+
+  SUBCASE("one call that fails is no loss of the store") {
+    entry.StoreTells(row_outcome::kDone, millis(300));
+    CHECK_FALSE(says("store-lost"));
+    CHECK_FALSE(says("store-regained"));
+  }
+  SUBCASE("two in a row are, and it says for how long nothing was served") {
+    entry.StoreTells(row_outcome::kUnknown, millis(300));
+    CHECK(says("event=store-lost unserved_ms=200 silent=1"));
+    entry.Wait(millis(460));
+    entry.StoreTells(row_outcome::kDone, millis(500));
+    CHECK(says("event=store-regained unserved_ms=400 unserved_calls=2"));
+  }
+}
+
 TEST_CASE("the store leaves a job unanswered") {
   constexpr millis kWait{3000};
   lone_entry entry;
