What an entry believes of the store in a class of its own

gateway_core had a second job: it decided on calls and kept whether the store serves the entry. store_contact keeps that now, and logs it. No change of behaviour: the stories of late calls pass unchanged.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -32,9 +32,6 @@
 /** The store may leave a caller, or this entry, unserved for this long before callers are told. */
 constexpr millis kInsertPatience{1500};
 
-/** The store counts as lost after this many calls in a row; a single one may fail on its own. */
-constexpr int kLostAfterCalls = 2;
-
 bool IsJobId(std::string_view text) {
   return text.size() == kJobIdLetters && std::all_of(text.begin(), text.end(), [](char c) {
            return std::isxdigit(static_cast<unsigned char>(c)) != 0;
@@ -132,7 +129,7 @@
   const millis left = call.deadline - now;
   // Begun too late, it would end with its outcome unknown, and the caller could not try again.
   if (left < kLeastInsertTime && !call.doubtful) return GiveUp(call, now);
-  if (store_silent_ && !call.doubtful) return Hold(call, now);
+  if (store_.silent() && !call.doubtful) return Hold(call, now);
   if (call.value.empty() || call.term != newest_term_) {
     call.term = newest_term_;
     batch_job job = *call.call.job;
@@ -155,7 +152,7 @@
 }
 
 void gateway_core::On(store_reply& reply, millis now) {
-  NoteStore(std::visit([](const auto& answer) { return answer.outcome; }, reply.answer), now);
+  store_.Note(std::visit([](const auto& answer) { return answer.outcome; }, reply.answer), now);
   clock_.Set(std::visit([](const auto& answer) { return answer.store_now; }, reply.answer), now);
   if (reply.token == follower_token_) {
     follower_token_ = 0;
@@ -173,33 +170,8 @@
   if (found->second.call.id == 0) calls_.erase(found);
 }
 
-/** Keeps since when the store has served this entry nothing, and whether it is silent. */
-void gateway_core::NoteStore(row_outcome outcome, millis now) {
-  const bool unknown = outcome == row_outcome::kUnknown;
-  if (unknown || outcome == row_outcome::kNotDone) {
-    if (!unserved_since_) unserved_since_ = now;
-    store_silent_ = store_silent_ || unknown;
-    if (++unserved_calls_ == kLostAfterCalls) {
-      log_event("store-lost", log_level::kWarning)
-          .With("unserved_ms", (now - *unserved_since_).count())
-          .With("silent", store_silent_ ? 1 : 0);
-    }
-    return;
-  }
-  if (unserved_calls_ >= kLostAfterCalls) {
-    log_event("store-regained")
-        .With("unserved_ms", (now - *unserved_since_).count())
-        .With("unserved_calls", unserved_calls_);
-  }
-  unserved_since_.reset();
-  unserved_calls_ = 0;
-  store_silent_ = false;
-}
-
 /** Whether the store has served nothing that this entry asked for longer than callers wait. */
-bool gateway_core::Unserved(millis now) const {
-  return unserved_since_ && now - *unserved_since_ > kInsertPatience;
-}
+bool gateway_core::Unserved(millis now) const { return store_.Unserved(now) > kInsertPatience; }
 
 /** A caller that is refused early can still try another entry, which the store may serve. */
 bool gateway_core::Hopeless(const open_call& call, millis now) const {
@@ -383,7 +355,7 @@
   reply.retry_after = unknown ? millis(0) : kComeBack;
   if (!submitted) {
     reply.detail = "nobody plans at the moment";
-  } else if (call.tries == 0 && store_silent_) {
+  } else if (call.tries == 0 && store_.silent()) {
     reply.detail = "the store does not answer";
   } else if (call.tries == 0) {
     reply.detail = "the caller's time is too short to store the job";
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -5,7 +5,6 @@
 
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -17,6 +16,7 @@
 #include "kernel/batch/entry_roster.h"
 #include "kernel/batch/operator_follower.h"
 #include "kernel/batch/store_clock.h"
+#include "kernel/batch/store_contact.h"
 #include "kernel/model/link_events.h"
 
 namespace eelgrass {
@@ -105,7 +105,6 @@
   void Announce(const open_call& call, int64_t revision);
   template <typename Message>
   void TellPlanner(Message message);
-  void NoteStore(row_outcome outcome, millis now);
   bool Unserved(millis now) const;
   bool Hopeless(const open_call& call, millis now) const;
   void Hold(open_call& call, millis now);
@@ -127,14 +126,12 @@
   operator_follower operators_;
   entry_roster roster_;
   store_clock clock_;
+  store_contact store_;
   std::vector<gateway_action>* out_ = nullptr;
   std::map<int64_t, open_call> calls_;  // by token
   int64_t last_token_ = 0;
   int64_t follower_token_ = 0;
   int64_t roster_token_ = 0;
-  std::optional<millis> unserved_since_;  // none: the store has served this entry last
-  int unserved_calls_ = 0;                // in a row
-  bool store_silent_ = false;             // a call was left unanswered, and none was served since
   int64_t told_changes_ = 0;
   millis told_confirmed_{0};
   planner_notice planner_;
--- /dev/null
+++ b/src/kernel/batch/store_contact.cc
@@ -0,0 +1,37 @@
+#include "kernel/batch/store_contact.h"
+
+#include "kernel/base/log_event.h"
+
+namespace eelgrass {
+namespace {
+
+/** The store counts as lost after this many calls in a row; a single one may fail on its own. */
+constexpr int kLostAfterCalls = 2;
+
+}  // namespace
+
+void store_contact::Note(row_outcome outcome, millis now) {
+  const bool unknown = outcome == row_outcome::kUnknown;
+  if (unknown || outcome == row_outcome::kNotDone) return NoteUnserved(unknown, now);
+  if (unserved_calls_ >= kLostAfterCalls) {
+    log_event("store-regained")
+        .With("unserved_ms", Unserved(now).count())
+        .With("unserved_calls", unserved_calls_);
+  }
+  *this = store_contact{};
+}
+
+void store_contact::NoteUnserved(bool unknown, millis now) {
+  if (!unserved_since_) unserved_since_ = now;
+  silent_ = silent_ || unknown;
+  if (++unserved_calls_ != kLostAfterCalls) return;
+  log_event("store-lost", log_level::kWarning)
+      .With("unserved_ms", Unserved(now).count())
+      .With("silent", silent_ ? 1 : 0);
+}
+
+millis store_contact::Unserved(millis now) const {
+  return unserved_since_ ? now - *unserved_since_ : millis(0);
+}
+
+}  // namespace eelgrass
