Logs tell whose grants a given-up run had, and how old its planner's term was

Change: 'lease-over' (age of the last report and of the last write under the term), 'lease-granted' (an agent takes the first grant of a term, or one after a lapse), 'term-claimed' (from whom, and why), births in 'run-given-up', 'worker-gone', 'worker-left' and 'worker-known'; a counter of runs that were given up. The lines are bound to changes of the term, lapses and departures, so that their number does not grow with the load. No decision is changed.

--- a/src/kernel/batch/agent_core.cc
+++ b/src/kernel/batch/agent_core.cc
@@ -69,7 +69,10 @@
 void agent_core::On(const worker_left& left, millis) {
   const auto found = stewards_.find(left.id);
   if (found == stewards_.end()) return;
-  log_event("worker-left").With("worker", left.id);
+  log_event("worker-left")
+      .With("worker", left.id)
+      .With("born", found->second.self().born_ms)
+      .With("term", term_);
   ReportGone(found->second.self());
   stewards_.erase(found);
 }
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -175,6 +175,7 @@
 
 /** Forgets all that belongs to one term. */
 void planner_core::StartOver() {
+  if (tracker_ != nullptr) given_up_before_ += tracker_->given_up();
   planning_ = false;
   journal_.Reset();
   pool_ = worker_pool{};
@@ -321,6 +322,7 @@
 planner_load planner_core::stats() const {
   planner_load stats;
   stats.planning = planning_;
+  stats.runs_given_up = given_up_before_ + tracker_->given_up();
   if (!term_.holding()) return stats;
   stats.term = term_.fence();
   stats.open_jobs = static_cast<int64_t>(book_->open().size());
@@ -385,7 +387,7 @@
   const bool recovered = Recovered(now);
   if (!journal_.loaded() || operators_.config == nullptr) return;
   book_->Release(now, wall_now);
-  tracker_->Tick(now);
+  tracker_->Tick(now, term_.confirmed());
   ForgetGone(now);
   const bool informed = now - operators_confirmed_ < kOperatorsAge;
   if (!term_.Trusted(now) || !informed || journal_.handed_over()) return;
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -56,14 +56,15 @@
   millis early{250};  // an occurrence may start this much before its time
 };
 
-/** The planner's load, for metrics. All zero while another entry plans. */
+/** The planner's load, for metrics. Gauges are zero while another entry plans. */
 struct planner_load {
   bool planning = false;
   int64_t term = 0;
   int64_t open_jobs = 0;
   int64_t waiting_jobs = 0;  // open, and nothing of them has begun
   int64_t workers = 0;
-  int64_t runs = 0;  // placed, begun or stopping
+  int64_t runs = 0;           // placed, begun or stopping
+  int64_t runs_given_up = 0;  // by this process: taken for over without having heard their end
 };
 
 /**
@@ -134,6 +135,7 @@
   bool was_holding_ = false;
   bool planning_ = false;  // recovered: starts may be made
   millis term_began_{0};
+  int64_t given_up_before_ = 0;                      // runs, in earlier terms of this process
   std::map<std::string, std::string> entries_;       // linked entries: address by id
   std::map<std::string, std::string> lost_entries_;  // address by id
   advice_desk advice_;
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -49,6 +49,8 @@
       known->lease_end = std::min(known->lease_end, now + kLeaveTime);
       log_event("worker-gone")
           .With("worker", self.id)
+          .With("born", self.born_ms)
+          .With("term", term_)
           .With("runs", static_cast<int64_t>(known->runs.size()));
     }
     return;
@@ -80,6 +82,7 @@
 
 void run_tracker::BeginLife(pool_worker& worker, const worker_report& report,
                             std::string_view agent, millis now) {
+  const int64_t born_before = worker.profile.self.born_ms;
   if (!worker.profile.self.id.empty()) CloseAll(worker, "another life of the worker");
   const bool recorded = worker.recorded;
   const bool recording = worker.recording;
@@ -94,6 +97,8 @@
   log_event("worker-known")
       .With("worker", report.worker.self.id)
       .With("born", report.worker.self.born_ms)
+      .With("born_before", born_before)
+      .With("term", term_)
       .With("agent", agent)
       .With("domain", report.worker.domain)
       .With("rack", report.worker.rack)
@@ -314,7 +319,10 @@
         .With("task", ref.task)
         .With("run", ref.run)
         .With("worker", worker.profile.self.id)
+        .With("born", worker.profile.self.born_ms)
+        .With("term", term_)
         .With("reason", reason);
+    ++given_up_;
     if (unit_state* unit = book_.Find(worker.runs.at(ref).unit)) {
       unit->given_up_run = std::max(unit->given_up_run, ref.run);
     }
@@ -412,10 +420,25 @@
   for (const auto& unit : overdue) Stop(unit, "not begun in time", now);
 }
 
-void run_tracker::Tick(millis now) {
+/** Ends the runs on workers whose last possible lease is over. */
+void run_tracker::CloseLapsed(millis now, millis confirmed) {
+  for (auto& [id, worker] : pool_.all()) {
+    if (worker.runs.empty() || now <= worker.lease_end) continue;
+    log_event("lease-over")
+        .With("worker", id)
+        .With("term", term_)
+        .With("over_ms", (now - worker.lease_end).count())
+        .With("reported_ago_ms", (now - worker.reported).count())
+        .With("listing", worker.listing ? 1 : 0)
+        .With("term_confirmed_ago_ms", (now - confirmed).count());
+    CloseAll(worker, "the lease has lapsed");
+  }
+}
+
+void run_tracker::Tick(millis now, millis confirmed) {
+  CloseLapsed(now, confirmed);
   std::set<unit_ref> ended;
   for (auto& [id, worker] : pool_.all()) {
-    if (!worker.runs.empty() && now > worker.lease_end) CloseAll(worker, "the lease has lapsed");
     for (auto& [ref, record] : worker.runs) {
       const tracked_job* job = book_.Find(record.unit.job);
       const unit_state* unit = book_.Find(record.unit);
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -45,8 +45,14 @@
   /** Stops every run of a unit. */
   void Stop(const unit_ref& unit, std::string_view reason, millis now);
 
-  /** Stops what runs for jobs that have ended, releases held runs, ends what has lapsed. */
-  void Tick(millis now);
+  /**
+   * Stops what runs for jobs that have ended, releases held runs, ends what has lapsed. The term
+   * was certainly held at `confirmed`.
+   */
+  void Tick(millis now, millis confirmed);
+
+  /** Runs that were taken for over without a listed end or a bar, in this term. */
+  int64_t given_up() const { return given_up_; }
 
   /** Rises whenever something may have become startable. */
   int64_t changes() const { return changes_; }
@@ -65,6 +71,7 @@
                   millis now);
   void Close(pool_worker& worker, const run_ref& run);
   void CloseAll(pool_worker& worker, std::string_view reason);
+  void CloseLapsed(millis now, millis confirmed);
   void ReleaseHeld(millis now);
   void StopOverdue(millis now);
   int64_t NextRun();
@@ -77,6 +84,7 @@
   int64_t term_ = 0;
   int64_t runs_begun_ = 0;
   int64_t changes_ = 0;
+  int64_t given_up_ = 0;
 };
 
 }  // namespace eelgrass
--- a/src/kernel/batch/term_keeper.cc
+++ b/src/kernel/batch/term_keeper.cc
@@ -89,6 +89,17 @@
   Observe(FindRow(answer.rows), now);
 }
 
+void term_keeper::Claim(const term_record& record, std::string_view reason, millis now) {
+  step_ = step::kTaking;
+  const auto written = record.sent_ms > 0 ? clock_.OwnAt(millis(record.sent_ms)) : std::nullopt;
+  log_event("term-claimed")
+      .With("holder", record.holder)
+      .With("term", record.fence)
+      .With("revision", revision_)
+      .With("written_ago_ms", written ? (now - *written).count() : -1)
+      .With("reason", reason);
+}
+
 /** Decides from the row whether to take over, or to look again later. */
 void term_keeper::Observe(const row* found, millis now) {
   term_record record;
@@ -100,13 +111,9 @@
   const bool gone = holder_gone_ && record.holder == holder_;
   const bool abandoned =
       record.holder.empty() || record.holder == node_ || holder_lost_store_ || gone;
-  if (abandoned) {
-    step_ = step::kTaking;
-    return;
-  }
+  if (abandoned) return Claim(record, "it is abandoned", now);
   if (observed_ && *observed_ == revision_ && now - observed_at_ >= kObservation) {
-    step_ = step::kTaking;
-    return;
+    return Claim(record, "it was not rewritten", now);
   }
   if (!observed_ || *observed_ != revision_) {
     observed_ = revision_;
@@ -115,10 +122,7 @@
     if (record.sent_ms > 0) {
       observed_at_ = std::min(sent_, clock_.OwnAt(millis(record.sent_ms)).value_or(sent_));
     }
-    if (now - observed_at_ >= kObservation) {
-      step_ = step::kTaking;
-      return;
-    }
+    if (now - observed_at_ >= kObservation) return Claim(record, "it was not rewritten", now);
   }
   step_ = step::kObserving;
   next_ = observed_at_ + kObservation;
@@ -240,7 +244,10 @@
 
 void term_keeper::StepDown(std::string_view reason, millis now) {
   if (!holding_) return;
-  log_event("term-lost", log_level::kWarning).With("term", fence_).With("reason", reason);
+  log_event("term-lost", log_level::kWarning)
+      .With("term", fence_)
+      .With("confirmed_ago_ms", (now - confirmed_).count())
+      .With("reason", reason);
   holding_ = false;
   holder_.clear();
   holder_notified_ = false;
--- a/src/kernel/batch/term_keeper.h
+++ b/src/kernel/batch/term_keeper.h
@@ -88,6 +88,7 @@
   void OnTaken(const transaction_result& answer, millis now);
   void Hold(int64_t revision, millis now);
   void Observe(const row* found, millis now);
+  void Claim(const term_record& record, std::string_view reason, millis now);
 
   const std::string node_;
   const std::string nonce_;
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -58,6 +58,7 @@
   refused_connection_ = false;
   seen_upto_ = 0;
   lease_until_ = millis(0);
+  lease_term_ = 0;
   next_hold_ = now;
   last_answer_ = now;
   last_beat_ = now;
@@ -118,7 +119,18 @@
     const millis until = known.at + millis(order.grant_ms);
     if (until > lease_until_) {
       if (lease_until_ <= now) next_hold_ = now;
+      if (lease_until_ <= now || lease_term_ != order.term) {
+        log_event("lease-granted")
+            .With("worker", profile_.self.id)
+            .With("born", profile_.self.born_ms)
+            .With("term", order.term)
+            .With("term_before", lease_term_)
+            .With("left_before_ms", std::max<int64_t>(0, (lease_until_ - now).count()))
+            .With("left_ms", (until - now).count())
+            .With("runs", static_cast<int64_t>(running_.size()));
+      }
       lease_until_ = until;
+      lease_term_ = order.term;
     }
   }
   if (order.seen_upto > seen_upto_) {
--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -106,6 +106,7 @@
   std::vector<pace_change> pace_changes_;  // to be carried out
   int64_t seen_upto_ = 0;
   millis lease_until_{0};
+  int64_t lease_term_ = 0;  // under which the lease was last prolonged
   std::deque<sent_report> reports_;
   bool holding_ = false;
   bool refused_connection_ = false;  // nobody listens at the worker's address
