--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -17,6 +17,9 @@
 constexpr millis kOrderTimeout{500};
 constexpr int kMostTries = 40;
 constexpr int64_t kWallOrigin = 1700000000000;
+constexpr int kDomains = 3;
+
+int DomainOf(int index) { return index % kDomains; }
 
 /** The operators' rows of the world: the configuration itself stays with the world. */
 class world_source : public operator_source {
@@ -190,7 +193,7 @@
     worker_beat beat;
     beat.worker.self = vm.runner->self();
     beat.worker.service = "drying";
-    beat.worker.domain = "domain-" + std::to_string(vm.index % 3);
+    beat.worker.domain = "domain-" + std::to_string(DomainOf(vm.index));
     beat.worker.rack = "rack-" + std::to_string(vm.index / 3);
     beat.worker.address = vm.id + ":8000";
     beat.worker.capacity = options_.worker.capacity;
@@ -229,8 +232,24 @@
   events_.After(kTick, [this, id, life] { Tick(id, life); });
 }
 
-bool batch_world::Connected(std::string_view a, std::string_view b) const {
-  return !cut_.contains(std::string(a)) && !cut_.contains(std::string(b));
+bool batch_world::Connected(const process& a, const process& b) const {
+  if (cut_.contains(a.id) || cut_.contains(b.id)) return false;
+  const int domain = DomainOf(a.index);
+  if (domain == DomainOf(b.index)) return true;
+  return !cut_domains_.contains(domain) && !cut_domains_.contains(DomainOf(b.index));
+}
+
+bool batch_world::ReachesStore(const process& one) const {
+  return !cut_.contains(one.id) && !cut_domains_.contains(DomainOf(one.index));
+}
+
+void batch_world::CutDomain(int domain, bool cut) {
+  if (!cut) {
+    cut_domains_.erase(domain);
+    return;
+  }
+  cut_domains_.insert(domain);
+  Unlink([this](const process& a, const process& b) { return !Connected(a, b); }, kSilence);
 }
 
 void batch_world::SetCut(const std::string& id, bool cut) {
@@ -242,11 +261,16 @@
   Unlink(id, kSilence);
 }
 
-/** Both sides of a process's connections learn that they are gone. */
 void batch_world::Unlink(const std::string& id, millis delay) {
+  Unlink([&](const process& a, const process& b) { return a.id == id || b.id == id; }, delay);
+}
+
+/** Both sides of the connections that are gone learn of it. */
+void batch_world::Unlink(const std::function<bool(const process& a, const process& b)>& lost,
+                         millis delay) {
   std::vector<std::pair<std::string, std::string>> gone;
   for (const auto& link : links_) {
-    if (link.first == id || link.second == id) gone.push_back(link);
+    if (lost(*FindProcess(link.first), *FindProcess(link.second))) gone.push_back(link);
   }
   for (const auto& link : gone) links_.erase(link);
   for (const auto& [a, b] : gone) {
@@ -267,9 +291,9 @@
   process* a = FindProcess(from);
   process* b = FindProcess(to);
   if (a == nullptr || b == nullptr || a == b || !a->alive) return;
-  if (!b->alive && Connected(a->id, b->id)) return Deliver(a->id, peer_refused{Address(b->id)});
+  if (!b->alive && Connected(*a, *b)) return Deliver(a->id, peer_refused{Address(b->id)});
   if (!b->alive) return;
-  if (now() < a->frozen_until || now() < b->frozen_until || !Connected(a->id, b->id)) return;
+  if (now() < a->frozen_until || now() < b->frozen_until || !Connected(*a, *b)) return;
   if (!links_.insert({std::min(a->id, b->id), std::max(a->id, b->id)}).second) return;
   const auto greet = [&](const process& who) {
     hello greeting;
@@ -330,7 +354,8 @@
 void batch_world::Send(const std::string& from, const send_to_peer& message) {
   const std::pair<std::string, std::string> link{std::min(from, message.peer),
                                                  std::max(from, message.peer)};
-  if (!links_.contains(link) || !Connected(from, message.peer)) return;
+  if (!links_.contains(link)) return;
+  if (!Connected(*FindProcess(from), *FindProcess(message.peer))) return;
   Deliver(message.peer, peer_said{from, message.message});
 }
 
@@ -409,7 +434,7 @@
   ++vm_lists_;
   vm_listing listing;
   listing.requested = request.at;
-  listing.answered = vm_list_answers_ && !cut_.contains(entry.id);
+  listing.answered = vm_list_answers_ && ReachesStore(entry);
   for (const auto& [index, vm] : machines_) {
     if (!listing.answered) break;
     const bool up = vm->runner != nullptr;
@@ -444,7 +469,7 @@
   store_fault fault = store_fault_;
   const auto own = entry_faults_.find(entry.id);
   if (own != entry_faults_.end() && own->second != store_fault::kNone) fault = own->second;
-  if (cut_.contains(entry.id)) fault = store_fault::kSilent;
+  if (!ReachesStore(entry)) fault = store_fault::kSilent;
   const bool writes = std::holds_alternative<row_transaction>(request.call);
   store_reply reply{request.token, {}};
   const auto give = [&](row_outcome outcome, millis delay) {
@@ -492,7 +517,7 @@
   entry_process* entry = FindEntry(id);
   if (!entry->alive || entry->life != life) return;
   const auto& feed = std::get<row_feed>(request.call);
-  const bool unreachable = cut_.contains(id) || store_fault_ == store_fault::kSilent ||
+  const bool unreachable = !ReachesStore(*entry) || store_fault_ == store_fault::kSilent ||
                            store_fault_ == store_fault::kRefuses;
   if (unreachable) {
     rows_result answer;
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -64,6 +64,9 @@
   void CutEntry(int entry, bool cut) { SetCut(EntryId(entry), cut); }
   void KillAgent(int worker, millis down);
   void CutAgent(int worker, bool cut) { SetCut(AgentId(worker), cut); }
+
+  /** Cuts a failure domain (0 to 2) off from the others and the store; inside, all is reachable. */
+  void CutDomain(int domain, bool cut);
   void CrashWorker(int worker, millis down);
   void DrainWorker(int worker);
 
@@ -100,18 +103,17 @@
  private:
   struct process {
     std::string id;
+    int index = 0;
     bool alive = false;
     millis frozen_until{0};
     int64_t life = 0;  // counts starts; what was meant for an earlier one is dropped
     std::set<std::string> dialled;
   };
   struct entry_process : process {
-    int index = 0;
     std::unique_ptr<gateway_core> gateway;
     std::unique_ptr<planner_core> planner;
   };
   struct machine : process {
-    int index = 0;
     std::unique_ptr<agent_core> agent;
     std::unique_ptr<standin_runner> runner;
     int64_t born_ms = 0;
@@ -134,7 +136,8 @@
   entry_process* FindEntry(std::string_view id);
   machine* FindMachine(std::string_view id);
   void SetCut(const std::string& id, bool cut);
-  bool Connected(std::string_view a, std::string_view b) const;
+  bool Connected(const process& a, const process& b) const;
+  bool ReachesStore(const process& one) const;
 
   void StartEntry(entry_process& entry);
   void StartAgent(machine& vm);
@@ -144,6 +147,7 @@
   void Beat(machine& vm);
   void Link(std::string_view from, std::string_view to);
   void Unlink(const std::string& id, millis delay);
+  void Unlink(const std::function<bool(const process& a, const process& b)>& lost, millis delay);
   void Dial(process& from, std::string_view address);
   void Redial();
 
@@ -188,6 +192,7 @@
   std::map<int, std::unique_ptr<machine>> machines_;
   std::set<std::pair<std::string, std::string>> links_;
   std::set<std::string> cut_;
+  std::set<int> cut_domains_;
   store_fault store_fault_ = store_fault::kNone;
   std::map<std::string, store_fault, std::less<>> entry_faults_;
   double late_orders_ = 0;
