A planner gives up a lapsed run only while it certainly held the term

Cause: an entry counts as the holder of the term for 3.5 s after its last confirmed write; another takes over 1.25 s after that write and prolongs the leases of what runs. The earlier holder computed the end of a lease from its own grants, gave the runs up and started them again in its own domain. The class of fault: a lease that two may grant, judged by one.

Change: a lease counts as lapsed when a write that was sent after its end has been confirmed under the term. Until that write nobody else can have held the term, so that nobody can have prolonged the lease. A planner that cannot write gives nothing up.

--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -387,7 +387,7 @@
   const bool recovered = Recovered(now);
   if (!journal_.loaded() || operators_.config == nullptr) return;
   book_->Release(now, wall_now);
-  tracker_->Tick(now, term_.confirmed());
+  if (tracker_->Tick(now, term_.confirmed())) journal_.Hurry();
   ForgetGone(now);
   const bool informed = now - operators_confirmed_ < kOperatorsAge;
   if (!term_.Trusted(now) || !informed || journal_.handed_over()) return;
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -420,10 +420,15 @@
   for (const auto& unit : overdue) Stop(unit, "not begun in time", now);
 }
 
-/** Ends the runs on workers whose last possible lease is over. */
-void run_tracker::CloseLapsed(millis now, millis confirmed) {
+/** Ends the runs on workers whose lease ended before anybody else can have prolonged it. */
+bool run_tracker::CloseLapsed(millis now, millis confirmed) {
+  bool unsure = false;
   for (auto& [id, worker] : pool_.all()) {
     if (worker.runs.empty() || now <= worker.lease_end) continue;
+    if (confirmed <= worker.lease_end) {
+      unsure = true;
+      continue;
+    }
     log_event("lease-over")
         .With("worker", id)
         .With("term", term_)
@@ -433,10 +438,11 @@
         .With("term_confirmed_ago_ms", (now - confirmed).count());
     CloseAll(worker, "the lease has lapsed");
   }
+  return unsure;
 }
 
-void run_tracker::Tick(millis now, millis confirmed) {
-  CloseLapsed(now, confirmed);
+bool run_tracker::Tick(millis now, millis confirmed) {
+  const bool unsure = CloseLapsed(now, confirmed);
   std::set<unit_ref> ended;
   for (auto& [id, worker] : pool_.all()) {
     for (auto& [ref, record] : worker.runs) {
@@ -449,6 +455,7 @@
   for (const auto& unit : ended) Stop(unit, "its job or unit has ended", now);
   StopOverdue(now);
   ReleaseHeld(now);
+  return unsure;
 }
 
 }  // namespace eelgrass
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -22,7 +22,7 @@
 /**
  * Takes agents' reports, applies them to the book and the pool, and carries out plans there. A run
  * counts as over only when its worker lists its end, has certainly barred it, is another life, or
- * when its lease has surely lapsed.
+ * when its lease lapsed while this planner held the term.
  */
 class run_tracker {
  public:
@@ -47,9 +47,10 @@
 
   /**
    * Stops what runs for jobs that have ended, releases held runs, ends what has lapsed. The term
-   * was certainly held at `confirmed`.
+   * was certainly held at `confirmed`; after that another planner may prolong leases. Returns
+   * whether a lease seems over and a later confirmation is needed to know.
    */
-  void Tick(millis now, millis confirmed);
+  bool Tick(millis now, millis confirmed);
 
   /** Runs that were taken for over without a listed end or a bar, in this term. */
   int64_t given_up() const { return given_up_; }
@@ -71,7 +72,7 @@
                   millis now);
   void Close(pool_worker& worker, const run_ref& run);
   void CloseAll(pool_worker& worker, std::string_view reason);
-  void CloseLapsed(millis now, millis confirmed);
+  bool CloseLapsed(millis now, millis confirmed);
   void ReleaseHeld(millis now);
   void StopOverdue(millis now);
   int64_t NextRun();
