A planner that waits for earlier leases judges their end while it holds the term

After a takeover a planner starts nothing until the leases of earlier planners are over, 7.9 s after its term began by its own clock. If it is replaced meanwhile, its successor may prolong them. ForgetGone judged by the clock alone too, which takes a worker off the list that is waited for.

Evidence: the new story cuts a planner off 4.5, 4.6 and 4.7 s after it took over. Its successor adopts the runs ('lease-granted term=23 term_before=5'); before, the first one logged 'planning-begins term=15 after_ms=7934 unheard_workers=2' in each of the three. In the stories it started nothing, since its trust had just ended: no double run was seen on this way.

Change: both bounds compare with the time of the last confirmed write. A lease that seems over asks for one write that is sent after its end, and not for a second one while that is under way.

--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -249,7 +249,8 @@
   std::vector<std::string> gone;
   for (const auto& [id, worker] : pool_.all()) {
     const bool silent = !worker.linked || now - worker.reported > kUnreported;
-    if (silent && worker.runs.empty() && now > worker.lease_end) gone.push_back(id);
+    const bool over = term_.confirmed() > worker.lease_end;
+    if (silent && worker.runs.empty() && over) gone.push_back(id);
   }
   Forget(gone, "gone");
 }
@@ -361,6 +362,16 @@
   planned_changes_ = -1;
 }
 
+/**
+ * Whether the leases that earlier planners may have granted lapsed while this one held the term:
+ * a later one may prolong them.
+ */
+bool planner_core::EarlierLeasesOver(millis now) {
+  const millis over = term_began_ + kTermTrust + LeaseBound(options_.tracking.grant);
+  if (now > over) journal_.ConfirmAfter(over);
+  return term_.confirmed() > over;
+}
+
 /** Whether all runs of earlier terms are known or over. */
 bool planner_core::Recovered(millis now) {
   if (planning_) return true;
@@ -370,8 +381,7 @@
     early_reports_.clear();
     for (auto& [source, report] : reports) TakeReport(source.first, report, now);
   }
-  const bool lapsed = now - term_began_ > kTermTrust + LeaseBound(options_.tracking.grant);
-  if (!journal_.expected().empty() && !lapsed) return false;
+  if (!journal_.expected().empty() && !EarlierLeasesOver(now)) return false;
   planning_ = true;
   log_event("planning-begins")
       .With("term", term_.fence())
@@ -387,7 +397,7 @@
   const bool recovered = Recovered(now);
   if (!journal_.loaded() || operators_.config == nullptr) return;
   book_->Release(now, wall_now);
-  if (tracker_->Tick(now, term_.confirmed())) journal_.Hurry();
+  if (const auto end = tracker_->Tick(now, term_.confirmed())) journal_.ConfirmAfter(*end);
   ForgetGone(now);
   const bool informed = now - operators_confirmed_ < kOperatorsAge;
   if (!term_.Trusted(now) || !informed || journal_.handed_over()) return;
--- a/src/kernel/batch/planner_journal.h
+++ b/src/kernel/batch/planner_journal.h
@@ -70,6 +70,9 @@
   /** Something should be written now rather than with the next group. */
   void Hurry() { hurry_ = true; }
 
+  /** Has the term confirmed by a write that is sent after this time, which is past. */
+  void ConfirmAfter(millis at) { hurry_ = hurry_ || write_sent_ <= at; }
+
  private:
   enum class stage { kJobs, kProgress, kWorkers, kFollowing };
 
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -421,12 +421,12 @@
 }
 
 /** Ends the runs on workers whose lease ended before anybody else can have prolonged it. */
-bool run_tracker::CloseLapsed(millis now, millis confirmed) {
-  bool unsure = false;
+std::optional<millis> run_tracker::CloseLapsed(millis now, millis confirmed) {
+  std::optional<millis> unsure;
   for (auto& [id, worker] : pool_.all()) {
     if (worker.runs.empty() || now <= worker.lease_end) continue;
     if (confirmed <= worker.lease_end) {
-      unsure = true;
+      unsure = std::max(unsure.value_or(worker.lease_end), worker.lease_end);
       continue;
     }
     log_event("lease-over")
@@ -441,8 +441,8 @@
   return unsure;
 }
 
-bool run_tracker::Tick(millis now, millis confirmed) {
-  const bool unsure = CloseLapsed(now, confirmed);
+std::optional<millis> run_tracker::Tick(millis now, millis confirmed) {
+  const std::optional<millis> unsure = CloseLapsed(now, confirmed);
   std::set<unit_ref> ended;
   for (auto& [id, worker] : pool_.all()) {
     for (auto& [ref, record] : worker.runs) {
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -48,9 +49,9 @@
   /**
    * Stops what runs for jobs that have ended, releases held runs, ends what has lapsed. The term
    * was certainly held at `confirmed`; after that another planner may prolong leases. Returns
-   * whether a lease seems over and a later confirmation is needed to know.
+   * the end of the last lease that seems over and needs a later confirmation to be known so.
    */
-  bool Tick(millis now, millis confirmed);
+  std::optional<millis> Tick(millis now, millis confirmed);
 
   /** Runs that were taken for over without a listed end or a bar, in this term. */
   int64_t given_up() const { return given_up_; }
@@ -72,7 +73,7 @@
                   millis now);
   void Close(pool_worker& worker, const run_ref& run);
   void CloseAll(pool_worker& worker, std::string_view reason);
-  bool CloseLapsed(millis now, millis confirmed);
+  std::optional<millis> CloseLapsed(millis now, millis confirmed);
   void ReleaseHeld(millis now);
   void StopOverdue(millis now);
   int64_t NextRun();
--- a/tests/stories/two_planners_story.cc
+++ b/tests/stories/two_planners_story.cc
@@ -47,5 +47,34 @@
   RequireKept(world);
 }
 
+TEST_CASE("a planner that is cut off does not take a lease for over that its successor prolongs") {
+  constexpr int kWorker = 3;
+  batch_world world;
+  world.RunFor(millis(5000));
+  const int first = world.Planner();
+  REQUIRE(first == kWorker % 3);
+  const batch_job job = MakeBatchJob("e2", "usual", 30, millis(14000), 1);
+  world.Submit(job);
+  world.Watch(job.id);
+  world.RunFor(millis(1000));
+  REQUIRE(world.worker(kWorker).running() > 0);
+  const size_t runs = world.worker(kWorker).running();
+  world.CutDomain(first, true);
+  while (world.Holder() == first) world.RunFor(millis(10));
+  const int second = world.Holder();
+
+  SUBCASE("4.5 s after it took over") { world.RunFor(millis(4500)); }
+  SUBCASE("4.6 s after it took over") { world.RunFor(millis(4600)); }
+  SUBCASE("4.7 s after it took over") { world.RunFor(millis(4700)); }
+  world.CutDomain(first, false);
+  world.CutDomain(second, true);
+  world.RunFor(millis(3800));
+  CHECK(world.worker(kWorker).running() == runs);
+  CHECK_FALSE(world.Plans(second));
+  world.CutDomain(second, false);
+  world.RunFor(millis(30000));
+  RequireKept(world);
+}
+
 }  // namespace
 }  // namespace eelgrass
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -138,9 +138,24 @@
   return nullptr;
 }
 
+bool batch_world::Plans(int entry) const {
+  const entry_process& one = *entries_.at(static_cast<size_t>(entry));
+  return one.alive && one.planner->planning();
+}
+
 int batch_world::Planner() const {
   for (const auto& entry : entries_) {
-    if (entry->alive && entry->planner->planning()) return entry->index;
+    if (Plans(entry->index)) return entry->index;
+  }
+  return -1;
+}
+
+int batch_world::Holder() const {
+  const auto read = rows_.Read(row_range{std::string(kTermTable), "", std::string(kEpochKey)});
+  for (const auto& entry : entries_) {
+    for (const auto& found : read.rows) {
+      if (found.at == EpochRow() && found.value == entry->id) return entry->index;
+    }
   }
   return -1;
 }
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -93,6 +93,12 @@
 
   /** The entry that plans; -1: nobody does. */
   int Planner() const;
+
+  /** Whether an entry plans, or believes so. */
+  bool Plans(int entry) const;
+
+  /** The entry that took the term last, by the store. */
+  int Holder() const;
   bool Ready(int entry) const { return entries_.at(static_cast<size_t>(entry))->gateway->ready(); }
   const standin_rows& rows() const { return rows_; }
   int store_calls() const { return store_calls_; }
