--- a/tests/stories/batch_hunt_story.cc
+++ b/tests/stories/batch_hunt_story.cc
@@ -95,6 +95,14 @@
       case 13:
         world.TakeAway(pick(world.workers()), millis(500 + pick(4000)), millis(1000 + pick(5000)));
         break;
+      case 14: {
+        const int planner = world.Planner();
+        const int domain = planner >= 0 && pick(2) == 0 ? planner % 3 : pick(3);
+        world.CutDomain(domain, true);
+        world.events().After(millis(1000 + pick(6000)),
+                             [&, domain] { world.CutDomain(domain, false); });
+        break;
+      }
       default:
         break;
     }
