Stories and a fuzzer can share the fakes around the platform's plug-ins

Cause: the fake server, client and listeners of the platform's stories stood in one story's file. Change: they are in tests/world/platform_fakes.h, word for word. No check changes.

--- /dev/null
+++ b/tests/world/platform_fakes.h
@@ -0,0 +1,82 @@
+/** \file
+ * What the platform's plug-ins stand between, as stories need it: no sockets.
+ */
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "kernel/base/error.h"
+#include "kernel/io/http_client.h"
+#include "kernel/io/http_front.h"
+#include "kernel/io/job_front.h"
+
+namespace eelgrass {
+
+/** Keeps what is answered; nothing listens. */
+class fake_server : public http_front {
+ public:
+  result<void> Start(http_handler& handler) override {
+    handler_ = &handler;
+    return Ok();
+  }
+  int port() const override { return 0; }
+  void Respond(uint64_t, http_response response) override {
+    answers.push_back(std::move(response));
+  }
+  size_t open_requests() const override { return 0; }
+  void Stop() override {}
+
+  void Ask(std::string method, std::string target, std::string body) {
+    http_request request;
+    request.id = 1;
+    request.method = std::move(method);
+    request.target = std::move(target);
+    request.body.data = std::move(body);
+    request.headers = {{"Host", "nony.example:80"},
+                       {"Authorization", "Bearer k1"},
+                       {"X-Eelgrasshaven-Deadline-Ms", "2500"}};
+    handler_->Handle(std::move(request));
+  }
+
+  std::vector<http_response> answers;
+
+ private:
+  http_handler* handler_ = nullptr;
+};
+
+struct fake_callers : caller_listener {
+  bool OnCall(caller_call call) override {
+    calls.push_back(std::move(call));
+    return true;
+  }
+  std::vector<caller_call> calls;
+};
+
+struct fake_workers : beat_listener {
+  bool OnBeat(worker_beat beat) override {
+    beats.push_back(std::move(beat));
+    return true;
+  }
+  bool OnLeft(worker_left left) override {
+    gone.push_back(std::move(left));
+    return true;
+  }
+  std::vector<worker_beat> beats;
+  std::vector<worker_left> gone;
+};
+
+/** Remembers the call and answers it as told. */
+class fake_client : public http_client {
+ public:
+  void Start(http_call call, callback done) override {
+    calls.push_back(std::move(call));
+    done(answer);
+  }
+  void Stop() override {}
+  std::vector<http_call> calls;
+  result<http_response> answer = http_response{200, {}, {"{}"}, false};
+};
+
+}  // namespace eelgrass
