A deeply nested frame of a peer ends no process; records cannot throw while they are written

What was seen: a frame of 100,000 nested lists ended the process by SIGSEGV (the library reads CBOR with a call a level). Writing a worker's record whose id is not UTF-8 threw type_error 316, which nothing catches, so that the planner's duty would have ended the process, and the next planner's too. Records with numbers beyond 64 bits were read as other numbers (2^64 - 1 as -1). Cause: depth and numbers of what others wrote were left to the library; dump() is strict by default. JSON nested as deeply did not end the process before (the library reads and frees it without recursion); it was kept in memory.

--- a/src/plugins/peer/cbor/cbor_codec.cc
+++ b/src/plugins/peer/cbor/cbor_codec.cc
@@ -2,9 +2,11 @@
  * Peer messages as CBOR arrays [number of the message type, fields by name].
  */
 #include <array>
+#include <optional>
 #include <utility>
 
 #include "kernel/encoding/json_fields.h"
+#include "kernel/encoding/sound_json.h"
 #include "kernel/io/peer_codec.h"
 
 namespace eelgrass {
@@ -107,10 +109,11 @@
   }
 
   result<peer_message> Decode(std::string_view frame) const override {
+    const std::optional<json> tree = ReadSoundCbor(frame);
+    if (!tree) return Fail(error_kind::kInvalid, "decode-frame", "", "the frame cannot be read");
     try {
-      const json tree = json::from_cbor(frame.begin(), frame.end());
-      const auto index = tree.at(0).get<size_t>();
-      if (index < kDecoders.size()) return kDecoders[index](tree.at(1));
+      const auto index = tree->at(0).get<size_t>();
+      if (index < kDecoders.size()) return kDecoders[index](tree->at(1));
     } catch (const json::exception& problem) {
       return Fail(error_kind::kInvalid, "decode-frame", "", problem.what());
     }
--- a/src/plugins/records/json/json_records.cc
+++ b/src/plugins/records/json/json_records.cc
@@ -3,6 +3,7 @@
  */
 #include "kernel/batch/batch_records.h"
 #include "kernel/encoding/json_fields.h"
+#include "kernel/encoding/sound_json.h"
 
 namespace eelgrass {
 
@@ -29,13 +30,15 @@
 
 template <typename Record>
 std::string Write(const Record& record) {
-  return nlohmann::json(record).dump();
+  return WriteJson(record);
 }
 
 template <typename Record>
 result<Record> Read(std::string_view text) {
+  const auto body = ReadSoundJson(text);
+  if (!body) return Fail(error_kind::kInvalid, "read-record", "", "the text cannot be read");
   try {
-    return nlohmann::json::parse(text.begin(), text.end()).template get<Record>();
+    return body->template get<Record>();
   } catch (const nlohmann::json::exception& problem) {
     return Fail(error_kind::kInvalid, "read-record", "", problem.what());
   }
