A heartbeat whose address or numbers cannot be meant names no worker

What was seen: a heartbeat with the address "10.0.0.1", "host:0", "host:65536", "host:", "a/b:80" or "" was answered 200 and became a worker to start runs on, as did one with an id of bytes that are not UTF-8, with a Seq, born or Capacity of 1e300, beyond 64 bits, negative or with a fraction, with a Capacity that is no object, and with 100,000 nested lists in a further field. Cause: texts were taken as they came, and numbers by a cast from double, which is undefined beyond the target's range. A worker's id has to fit into a row's key (the store refuses longer ones, and with them the planner's whole write).

--- a/tests/stories/odd_entries_story.cc
+++ b/tests/stories/odd_entries_story.cc
@@ -16,6 +16,71 @@
 namespace eelgrass {
 namespace {
 
+TEST_CASE("another writer's heartbeat among those of the workers") {
+  fake_server server;
+  fake_workers workers;
+  auto front = std::move(beat_front_registry::Instance().Create("platform", server).value());
+  REQUIRE(front->Start(workers));
+  const std::string good =
+      R"({"Service":"s","Addr":"10.0.0.1:80","Zone":"z","State":"ready","Seq":4,"born":17,
+      "Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":8},"Labels":["a","r1-3"],"ClockMs":482113})";
+  const auto refused = [&](const std::string& body, const std::string& id = "i-2") {
+    const size_t known = workers.beats.size();
+    server.Ask("PUT", "/instances/" + id, body);
+    return server.answers.back().status == 400 && workers.beats.size() == known;
+  };
+
+  SUBCASE("names no worker if its address cannot be called") {
+    for (const auto* address :
+         {"10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999999999",
+          "10.0.0.1:-1", "10.0.0.1:80x", "10.0.0.1:+80", "10.0.0.1: 80", ":80", "[::1]", "::1:80",
+          "a/b:80", "a@b:80", "a b:80", "a\\u0000b:80", "\\u00e9:80", "a\\r\\nX: y:80", ""}) {
+      CAPTURE(std::string(address));
+      CHECK(refused(With(good, "10.0.0.1:80", address)));
+    }
+    CHECK(refused(With(good, "10.0.0.1:80", std::string(1'000'000, 'a') + ":80")));
+  }
+  SUBCASE("names no worker if its id is none") {
+    CHECK(refused(good, ""));
+    CHECK(refused(good, "i-\xff"));
+    CHECK(refused(good, "i/2"));
+    CHECK(refused(good, std::string(201, 'i')));
+  }
+  SUBCASE("names no worker if a number in it cannot be meant") {
+    for (const auto* number : {"1e999", "-1e999", "1e300", "9223372036854775808",
+                               "99999999999999999999999", "-1", "0.5", "NaN"}) {
+      CAPTURE(std::string(number));
+      CHECK(refused(With(good, "\"Seq\":4", "\"Seq\":" + std::string(number))));
+      CHECK(refused(With(good, "\"born\":17", "\"born\":" + std::string(number))));
+      CHECK(refused(With(good, "\"Gpu\":8", "\"Gpu\":" + std::string(number))));
+    }
+    for (const auto* number : {"1e999", "-1e300", "99999999999999999999999"}) {
+      CAPTURE(std::string(number));
+      CHECK(refused(With(good, "482113", number)));
+    }
+  }
+  SUBCASE("names no worker if it cannot be read") {
+    CHECK(refused(Nested()));
+    CHECK(refused(With(good, "\"Zone\"", "\"New\":" + Nested() + ",\"Zone\"")));
+    CHECK(refused(With(good, "\"Zone\":\"z\"", "\"Zone\":\"\xff\xfe\"")));
+    CHECK(refused(With(good, "\"Capacity\":{", "\"Capacity\":[{")));
+    CHECK(refused(With(good, "{\"Cpu\":16000,\"MemMb\":32768,\"Gpu\":8}", "7")));
+  }
+  SUBCASE("is taken by the last of a field that it has twice") {
+    server.Ask("PUT", "/instances/i-1", With(good, "\"Seq\":4", "\"Seq\":\"x\",\"Seq\":5"));
+    REQUIRE(workers.beats.size() == 1);
+    CHECK(workers.beats[0].sequence == 5);
+  }
+  SUBCASE("takes nothing from the usual forms of an address") {
+    for (const auto* address : {"host-1.example:1", "[::1]:8080", "10.0.0.1:65535"}) {
+      CAPTURE(std::string(address));
+      CHECK_FALSE(refused(With(good, "10.0.0.1:80", address)));
+    }
+  }
+  server.Ask("PUT", "/instances/i-9", good);
+  CHECK(server.answers.back().status == 200);
+}
+
 TEST_CASE("odd frames of peers are refused, and the hub lives on") {
   const auto codec = std::move(codec_registry::Instance().Create("cbor").value());
   const std::string head = "\x82\x02";  // a message of type 2, its fields to follow
