One odd entry in the list of VMs no longer makes the whole list useless

What was seen: an entry that is no object, has a field of another type, a number such as 1e999 or bytes that are not UTF-8 failed the page, and with it every listing for as long as the entry stood there: a VM that was down was known by its lease only. Cause: who is missing in the list is taken for gone, so that an unreadable entry had to fail it. Change: such an entry is left out and counted in vm_listing::unreadable and in one log line. The others are read. Where the page as a whole cannot be read, its unreadable entries are blanked and it is read again. departure_watch draws nothing from a listing with unreadable entries, so that nobody in one of them seems gone; this one line is to be replaced by judging from positive evidence only.

--- a/src/kernel/batch/departure_watch.cc
+++ b/src/kernel/batch/departure_watch.cc
@@ -34,7 +34,7 @@
   if (asked_at_ != listing.requested) return {};
   asked_at_.reset();
   next_ = listing.requested + kListPause;
-  if (!listing.answered) return {};
+  if (!listing.answered || listing.unreadable > 0) return {};
   std::set<std::string> gone = std::move(asked_);
   asked_.clear();
   for (const auto& record : listing.vms) {
--- a/src/kernel/model/vm_listing.h
+++ b/src/kernel/model/vm_listing.h
@@ -25,11 +25,15 @@
   millis at{0};  // of the asking process; comes back with the answer
 };
 
-/** All VMs at one time after the request, or that there was no whole answer. */
+/**
+ * All VMs at one time after the request, or that there was no whole answer. Entries that could not
+ * be read are only counted: who is missing may be in one of them.
+ */
 struct vm_listing {
   millis requested{0};  // when it was asked for
   bool answered = false;
   std::vector<vm_record> vms;
+  int unreadable = 0;
 };
 
 }  // namespace eelgrass
--- a/tests/stories/odd_entries_story.cc
+++ b/tests/stories/odd_entries_story.cc
@@ -81,6 +81,53 @@
   CHECK(server.answers.back().status == 200);
 }
 
+TEST_CASE("another writer's entry in the list of VMs") {
+  fake_client client;
+  const auto directory =
+      std::move(vm_directory_registry::Instance()
+                    .Create("platform", vm_directory_options{"10.0.0.9:80"}, client)
+                    .value());
+  const auto list = [&](const std::string& entry) {
+    client.answer = http_response{200,
+                                  {},
+                                  {R"({"Machines":[{"Machine":"m-1","State":"up","Id":"i-1"},)" +
+                                   entry + R"(,{"Machine":"m-3","State":"down","Id":"i-3"}]})"},
+                                  false};
+    vm_listing read;
+    directory->List({millis(7)}, [&](vm_listing listing) { read = std::move(listing); });
+    return read;
+  };
+  SUBCASE("is left out, the others hold, and who is missing is not taken for gone") {
+    const std::string deep = Nested();
+    for (const std::string& entry :
+         {std::string("7"), std::string("null"), std::string("\"m-2\""), std::string("[]"), deep,
+          R"({"Machine":"m-2","State":"up","Id":"i-2","Zone":)" + deep + "}",
+          std::string(R"({"Machine":"m-2","State":"up","Id":7})"),
+          std::string(R"({"Machine":"m-2","Id":"i-2"})"), std::string(R"({"State":"up"})"),
+          std::string(R"({"Machine":"m-2","State":"up","Id":"i-2","Capacity":{"Cpu":1e999}})"),
+          std::string("{\"Machine\":\"m-2\",\"State\":\"up\",\"Id\":\"\xff]\"}"),
+          std::string(R"({"Machine":"m-2\"]","State":up})")}) {
+      CAPTURE(entry.substr(0, 80));
+      departure_watch watch;
+      const std::vector<std::string> silent{"i-2"};
+      REQUIRE(watch.Next(silent, millis(7)));
+      const vm_listing read = list(entry);
+      CHECK(read.answered);
+      CHECK(read.unreadable == 1);
+      REQUIRE(read.vms.size() == 2);
+      CHECK(read.vms[0].worker == "i-1");
+      CHECK(read.vms[1].state == vm_state::kDown);
+      CHECK(watch.On(read).empty());
+    }
+  }
+  SUBCASE("is a VM in an unknown state if it names one that is not known") {
+    const vm_listing read = list(R"({"Machine":"m-2","State":"dreaming","Id":"i-2"})");
+    CHECK(read.unreadable == 0);
+    REQUIRE(read.vms.size() == 3);
+    CHECK(read.vms[1].state == vm_state::kUnknown);
+  }
+}
+
 TEST_CASE("odd frames of peers are refused, and the hub lives on") {
   const auto codec = std::move(codec_registry::Instance().Create("cbor").value());
   const std::string head = "\x82\x02";  // a message of type 2, its fields to follow
