Odd answers, rows and jobs' bodies are refused where they are read

What was seen: one row of the store with 1e999 or bytes that are not UTF-8 made the whole answer unreadable, so that its table could not be followed. A step of 2,000,000,000 tasks was accepted, for which each planner in turn would have allocated a state. A text in an answer, a key or a call that is not UTF-8 threw type_error 316 out of the plug-in. The key of a row that is not UTF-8 threw before, as did an answer to a caller. That a planner ends for lack of memory was read in job_book, not run.

--- a/tests/stories/odd_entries_story.cc
+++ b/tests/stories/odd_entries_story.cc
@@ -128,6 +128,151 @@
   }
 }
 
+TEST_CASE("odd answers of workers") {
+  fake_client client;
+  const auto control =
+      std::move(worker_control_registry::Instance().Create("platform", client).value());
+  hold_answer seen;
+  const auto hold = [&](const std::string& body) {
+    client.answer = http_response{200, {}, {body}, false};
+    hold_call call;
+    call.worker = {"i-1", 17};
+    call.address = "10.0.0.1:80";
+    control->Hold(call, millis(100), [&](hold_answer answer) { seen = std::move(answer); });
+  };
+  SUBCASE("a body that cannot be read is no answer") {
+    for (const std::string& body :
+         {Nested(), std::string("{\"ClockMs\":1e999}"), std::string("{\"ClockMs\":1e300}"),
+          std::string("{\"born\":99999999999999999999999}"), std::string("\xff")}) {
+      CAPTURE(body.substr(0, 80));
+      hold(body);
+      CHECK(seen.outcome == call_outcome::kNoAnswer);
+    }
+  }
+  SUBCASE("a row whose numbers cannot be meant is left out") {
+    hold(R"({"ClockMs":1,"Running":[["j.0.0.1",1e300,"",5],["j.0.0.2",2,"",5]],
+            "Ended":[[-1,"j.0.0.3",1,"done",""],[1,"j.0.0.4",0.5,"done",""],
+                     [2,"j.0.0.5",1,"done",""]]})");
+    CHECK(seen.outcome == call_outcome::kDone);
+    REQUIRE(seen.running.size() == 1);
+    CHECK(seen.running[0].task == "j.0.0.2");
+    REQUIRE(seen.ended.size() == 1);
+    CHECK(seen.ended[0].task == "j.0.0.5");
+  }
+  SUBCASE("a percent or a load that cannot be meant counts as not known") {
+    hold(R"({"ClockMs":1,"Running":[["j.0.0.2",2,"",1e300,-1e300]]})");
+    REQUIRE(seen.running.size() == 1);
+    CHECK(seen.running[0].percent == -1);
+    CHECK(seen.running[0].load == 0);
+  }
+  SUBCASE("what a call says that is not UTF-8 is sent all the same") {
+    stop_call call;
+    call.worker = {"i-1", 17};
+    call.address = "10.0.0.1:80";
+    call.run = {"j\xff", 1};
+    CHECK_NOTHROW(control->Stop(call, millis(100), [](const stop_answer&) {}));
+  }
+}
+
+TEST_CASE("odd bodies of callers") {
+  fake_server server;
+  fake_callers callers;
+  auto front = std::move(job_front_registry::Instance().Create("platform", server).value());
+  REQUIRE(front->Start(callers));
+  const std::string good = R"({"Spec":"x","Times":1,"Steps":[{"Count":2,"Cpu":500},
+                               {"Count":1,"After":[0]}]})";
+  const auto problem = [&](const std::string& body) {
+    server.Ask("POST", "/q/5c0e7a21d94b36f8", body);
+    return callers.calls.back().problem;
+  };
+  CHECK(problem(good).empty());
+  SUBCASE("are refused with the reason") {
+    for (const auto* number : {"1e999", "1e300", "99999999999999999999999", "4294967296"}) {
+      CAPTURE(std::string(number));
+      CHECK_FALSE(problem(With(good, "\"Count\":2", "\"Count\":" + std::string(number))).empty());
+      CHECK_FALSE(problem(With(good, "\"Times\":1", "\"Times\":" + std::string(number))).empty());
+      CHECK_FALSE(problem(With(good, "[0]", "[" + std::string(number) + "]")).empty());
+    }
+    CHECK_FALSE(problem(With(good, "500", "1e300")).empty());
+    CHECK_FALSE(problem(With(good, "\"Cpu\":500", "\"EstimateMs\":1e18")).empty());
+    CHECK_FALSE(problem(With(good, "\"x\"", Nested())).empty());
+    CHECK_FALSE(problem(With(good, "\"x\"", "\"\xff\"")).empty());
+  }
+  SUBCASE("are refused if no planner could hold their tasks") {
+    CHECK_FALSE(problem(With(good, "\"Count\":2", "\"Count\":2000000000")).empty());
+    CHECK_FALSE(problem(With(good, "\"Times\":1", "\"Times\":2000000000")).empty());
+  }
+  SUBCASE("are answered, whatever bytes the answer holds") {
+    caller_reply reply{1, call_answer::kMalformed};
+    reply.detail = "\xff";
+    CHECK_NOTHROW(front->Reply(reply));
+    CHECK(server.answers.back().status == 400);
+  }
+}
+
+TEST_CASE("odd rows in the store") {
+  fake_client client;
+  auto store = std::move(row_store_registry::Instance()
+                             .Create("platform", row_store_options{"10.0.0.9:1"}, client)
+                             .value());
+  rows_result seen;
+  const auto read = [&](const std::string& entry) {
+    client.answer =
+        http_response{200,
+                      {},
+                      {R"({"Ver":9,"NowMs":1,"rows":[)" + entry +
+                       R"(,{"Table":"jobs","part":"","Key":"b","Value":"dGV4dA==","Ver":7}]})"},
+                      false};
+    store->Read({"jobs", "", ""}, millis(100), [&](rows_result rows) { seen = std::move(rows); });
+  };
+  SUBCASE("name nothing, and the others hold") {
+    for (const std::string& entry :
+         {Nested(), std::string(R"({"Table":"jobs","Key":"a","Ver":1e999})"),
+          std::string(R"({"Table":"jobs","Key":"a","Ver":1e300})"),
+          std::string("{\"Table\":\"jobs\",\"Key\":\"\xff\",\"Ver\":1}"),
+          std::string(R"({"Table":"jobs","Key":"a","Value":"not base64!","Ver":1})")}) {
+      CAPTURE(entry.substr(0, 80));
+      read(entry);
+      CHECK(seen.outcome == row_outcome::kDone);
+      REQUIRE(seen.rows.size() == 1);
+      CHECK(seen.rows[0].value == "text");
+      CHECK_FALSE(seen.detail.empty());
+    }
+  }
+  SUBCASE("a key that is not UTF-8 ends nobody") {
+    row_transaction change;
+    change.writes.push_back({{"jobs", "", "\xff"}, "text"});
+    CHECK_NOTHROW(store->Transact(change, millis(100), [](const transaction_result&) {}));
+  }
+}
+
+TEST_CASE("odd rows of operators") {
+  auto source = std::move(operator_source_registry::Instance().Create("platform").value());
+  operator_state state;
+  const auto apply = [&](std::string key, std::string value) {
+    return source->Apply({{"op", "", std::move(key)}, std::move(value), 5, false}, millis(5),
+                         state);
+  };
+  for (const std::string& text :
+       {Nested(), std::string("{\"Version\":1e999}"), std::string("{\"Version\":1e300}"),
+        std::string("{\"Version\":1,\"New\":") + Nested() + "}",
+        std::string(R"({"Version":1,"Routes":[{"Name":"r","Attempts":1e300}]})"),
+        std::string(R"({"Version":1,"Routes":[{"Name":"r","TargetLatencyMs":1e300}]})"),
+        std::string(R"({"Version":1,"Tenants":[{"Name":"t","GuaranteedGpus":1e300}]})"),
+        std::string("{\"Version\":1,\"Tenants\":[{\"Name\":\"\xff\"}]}")}) {
+    CAPTURE(text.substr(0, 80));
+    CHECK_FALSE(apply("config", text));
+  }
+  for (const std::string& text :
+       {std::string(R"({"Wave":1e300})"), std::string(R"({"Wave":1,"WithinS":1e300})"),
+        std::string(R"({"Wave":1,"Cap":1e300})"), R"({"Wave":1,"Machines":)" + Nested() + "}"}) {
+    CAPTURE(text.substr(0, 80));
+    CHECK_FALSE(apply("wave/1", text));
+  }
+  CHECK(state.waves.empty());
+  CHECK(apply("config", R"({"Version":7})"));
+}
+
 TEST_CASE("odd frames of peers are refused, and the hub lives on") {
   const auto codec = std::move(codec_registry::Instance().Create("cbor").value());
   const std::string head = "\x82\x02";  // a message of type 2, its fields to follow
