A story for calls to what is no address: refused at once, and the client goes on

No fault found: ports 0, 65536 and, letters, a sign, missing hosts, an open bracket, spaces and control bytes each end the call as never sent, and the calls after it are made as usual.

--- a/tests/stories/http_client_threads_story.cc
+++ b/tests/stories/http_client_threads_story.cc
@@ -104,6 +104,25 @@
   SUBCASE("was never sent") { CHECK(answer.error().kind == error_kind::kUnavailable); }
 }
 
+TEST_CASE("a call to what is no address was never sent, and the next calls go on") {
+  patient_caller caller(millis(2000));
+  for (const std::string host :
+       {"127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999999999", "127.0.0.1:x", "127.0.0.1:-1",
+        ":80", "", "[::1", "127.0.0.1:1 :2", "127.0.0.1\x01:1", "127.0.0.1\r\nX: y:1"}) {
+    CAPTURE(host);
+    const auto answer = caller.Call("http://" + host + "/hold");
+    REQUIRE_FALSE(answer);
+    CHECK(answer.error().kind == error_kind::kUnavailable);
+  }
+  std::string url;
+  {
+    breaking_server server;
+    url = server.url();
+    CHECK(caller.Call(url));
+    CHECK_FALSE(caller.Call(url));
+  }
+}
+
 TEST_CASE("a call of which the connection is reset") {
   patient_caller caller(millis(2000));
   const auto call = [&](const std::string& url) { return caller.Call(url); };
