A node that cannot listen stops what it has started before it goes

Callers saw: eelgrass_entry on an address in use said "cannot start: step=listen" and then crashed (139 instead of 1). Beside four busy processes, two starts at a time: 25 of 300 with the peers' address in use, 31 of 300 with the callers' one.

Cause: Start() fails after the duties, and perhaps the hub, have begun, and the destructor was the default one. Members go in reverse: store and control duty go before the HTTP client, whose thread still hands them answers, and the links go before the hub, whose thread still tells them of connections. AddressSanitizer reports both as heap-use-after-free. upstream_agent and worker_agent had the same order and were safe only because their program always called Stop().

The destructors of entry_node, upstream_agent and worker_agent now stop what there is, in the order of Run(), while all members still exist. Stop() leaves out what a failed start has not made. batch_entry and batch_agent did so before.

--- a/src/daemons/node/agent_node.h
+++ b/src/daemons/node/agent_node.h
@@ -18,6 +18,8 @@
 
   /** How many requests or gangs would be cut by ending now. */
   virtual int open_work() const = 0;
+
+  /** Also after a start that failed, and more than once. */
   virtual void Stop() = 0;
 };
 
--- a/src/daemons/node/entry_node.cc
+++ b/src/daemons/node/entry_node.cc
@@ -44,7 +44,7 @@
 entry_node::entry_node(const settings& values, const clock& time)
     : settings_(values), clock_(time), started_(time.Now()) {}
 
-entry_node::~entry_node() = default;
+entry_node::~entry_node() { Stop(); }
 
 result<void> entry_node::Start() {
   BOOST_OUTCOME_TRY(Build());
@@ -123,17 +123,22 @@
     UpdateRings();
   }
   Drain(signals);
-  server_->Stop();
-  control_duty_->Stop();
-  router_duty_->Stop();
-  report_duty_->Stop();
-  client_->Stop();
-  hub_->Stop();
+  Stop();
   const bool whole = Finished();
   log_event("entry-stopped").With("cut", static_cast<int64_t>(server_->open_requests()));
   return whole ? 0 : 1;
 }
 
+/** Also after a start that failed midway. The client and the hub call members freed before them. */
+void entry_node::Stop() {
+  if (server_) server_->Stop();
+  if (control_duty_) control_duty_->Stop();
+  if (router_duty_) router_duty_->Stop();
+  if (report_duty_) report_duty_->Stop();
+  if (client_) client_->Stop();
+  if (hub_) hub_->Stop();
+}
+
 void entry_node::Drain(const process_signals& signals) {
   log_event("entry-draining").With("in_flight", router_handler_->in_flight());
   front_->SetReady(false);
--- a/src/daemons/node/entry_node.h
+++ b/src/daemons/node/entry_node.h
@@ -32,6 +32,7 @@
 
  private:
   result<void> Build();
+  void Stop();
   void UpdateRings();
   void Drain(const process_signals& signals);
   bool Finished() const;
--- a/src/daemons/node/upstream_agent.cc
+++ b/src/daemons/node/upstream_agent.cc
@@ -15,7 +15,7 @@
 upstream_agent::upstream_agent(const settings& values, const clock& time)
     : settings_(values), clock_(time) {}
 
-upstream_agent::~upstream_agent() = default;
+upstream_agent::~upstream_agent() { upstream_agent::Stop(); }
 
 result<void> upstream_agent::Start() {
   const hub_options hub = MakeHubOptions(settings_, peer_role::kUpstreamAgent, clock_);
@@ -102,9 +102,9 @@
 void upstream_agent::BeginDrain() { duty_->Deliver(drain_wanted{}); }
 
 void upstream_agent::Stop() {
-  duty_->Stop();
-  hub_->Stop();
-  client_->Stop();
+  if (duty_) duty_->Stop();
+  if (hub_) hub_->Stop();
+  if (client_) client_->Stop();
 }
 
 }  // namespace eelgrass
--- a/src/daemons/node/worker_agent.cc
+++ b/src/daemons/node/worker_agent.cc
@@ -17,7 +17,7 @@
 worker_agent::worker_agent(const settings& values, const clock& time)
     : settings_(values), clock_(time) {}
 
-worker_agent::~worker_agent() = default;
+worker_agent::~worker_agent() { worker_agent::Stop(); }
 
 result<void> worker_agent::Start() {
   const hub_options hub = MakeHubOptions(settings_, peer_role::kWorkerAgent, clock_);
@@ -94,9 +94,9 @@
 void worker_agent::BeginDrain() { duty_->Deliver(drain_wanted{}); }
 
 void worker_agent::Stop() {
-  duty_->Stop();
-  runtime_duty_->Stop();
-  hub_->Stop();
+  if (duty_) duty_->Stop();
+  if (runtime_duty_) runtime_duty_->Stop();
+  if (hub_) hub_->Stop();
 }
 
 }  // namespace eelgrass
