The HTTP front's last timer goes before the server that owns its context

Cause: the timer was a local of Stop() and belongs to the context of the server, which Stop() destroys before it returns. By reading, every stop of a front that was started does so, the regular one too.

The timer now ends with the block in which the thread is joined, before the server goes.

Test: "a batch process that cannot listen for its metrics" gets the section of an entry.

--- a/src/plugins/front/restinio/restinio_front.cc
+++ b/src/plugins/front/restinio/restinio_front.cc
@@ -93,10 +93,13 @@
 
   void Stop() override {
     if (!thread_.joinable()) return;
-    // Answers that were just given are still being written; the timer lets them go out.
-    asio::steady_timer flush(server_->io_context(), kFlushTime);
-    flush.async_wait([this](asio::error_code) { server_->io_context().stop(); });
-    thread_.join();
+    {
+      // Answers that were just given are still being written; the timer lets them go out. It has to
+      // be gone before the server, which owns the context that the timer belongs to.
+      asio::steady_timer flush(server_->io_context(), kFlushTime);
+      flush.async_wait([this](asio::error_code) { server_->io_context().stop(); });
+      thread_.join();
+    }
     open_.clear();
     server_.reset();
   }
--- a/tests/stories/node_threads_story.cc
+++ b/tests/stories/node_threads_story.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "daemons/node/batch_agent.h"
+#include "daemons/node/batch_entry.h"
 #include "daemons/node/common_settings.h"
 #include "daemons/node/entry_node.h"
 #include "daemons/node/upstream_agent.h"
@@ -209,6 +210,12 @@
   place.first_port = port(FreeAddress());
   place.last_port = port(taken.text());
 
+  SUBCASE("ends as an entry while its store still owes it an answer") {
+    auto node = std::make_unique<batch_entry>(place, time);
+    REQUIRE_FALSE(node->Start());
+    REQUIRE(store.WaitForRequest());
+    node.reset();
+  }
   SUBCASE("ends as an agent that has been dialling an entry") {
     place.seeds = {store.text()};
     auto node = std::make_unique<batch_agent>(place, time);
