--- /dev/null
+++ b/src/kernel/batch/lost_workers.cc
@@ -0,0 +1,75 @@
+#include "kernel/batch/lost_workers.h"
+
+namespace eelgrass {
+namespace {
+
+/** A worker that is not reported any more is gone; agents report every second. */
+constexpr millis kUnreported{5000};
+
+/**
+ * A worker with runs that was not reported for this long may be gone: two reports are missing, and
+ * a report's way takes a few milliseconds.
+ */
+constexpr millis kSilent{1300};
+
+/** After a takeover agents have this long to report before their workers are in question. */
+constexpr millis kReportTime{400};
+
+}  // namespace
+
+void lost_workers::Begin(millis now) {
+  term_began_ = now;
+  departures_.Reset();
+}
+
+std::vector<std::string> lost_workers::ReplacedBy(const worker_profile& newest) const {
+  std::vector<std::string> replaced;
+  for (const auto& [id, record] : journal_.expected()) {
+    if (id != newest.self.id && record.address == newest.address) replaced.push_back(id);
+  }
+  for (const auto& [id, worker] : pool_.all()) {
+    const bool same_place = worker.profile.address == newest.address;
+    if (same_place && worker.profile.self.born_ms < newest.self.born_ms) replaced.push_back(id);
+  }
+  return replaced;
+}
+
+std::vector<std::string> lost_workers::Unreported(millis now, millis confirmed) const {
+  std::vector<std::string> gone;
+  for (const auto& [id, worker] : pool_.all()) {
+    const bool silent = !worker.linked || now - worker.reported > kUnreported;
+    if (silent && worker.runs.empty() && confirmed > worker.lease_end) gone.push_back(id);
+  }
+  return gone;
+}
+
+/** Workers on which runs may be and of which nothing has been heard. */
+std::vector<std::string> lost_workers::Silent(millis now) const {
+  std::vector<std::string> silent;
+  if (!journal_.loaded()) return silent;
+  if (now - term_began_ > kReportTime) {
+    for (const auto& [id, record] : journal_.expected()) silent.push_back(id);
+  }
+  for (const auto& [id, worker] : pool_.all()) {
+    const bool silent_agent = now - worker.reported > kSilent;
+    if (!worker.runs.empty() && (silent_agent || !worker.listing)) silent.push_back(id);
+  }
+  return silent;
+}
+
+std::optional<vm_listing_request> lost_workers::Next(millis now) {
+  return departures_.Next(Silent(now), now);
+}
+
+std::vector<std::string> lost_workers::On(const vm_listing& listing) {
+  std::vector<std::string> gone = departures_.On(listing);
+  std::erase_if(gone, [&](const std::string& id) {
+    const auto found = pool_.all().find(id);
+    if (found == pool_.all().end()) return false;
+    return found->second.listing && found->second.reported >= listing.requested;
+  });
+  if (!journal_.loaded()) gone.clear();
+  return gone;
+}
+
+}  // namespace eelgrass
--- /dev/null
+++ b/src/kernel/batch/lost_workers.h
@@ -0,0 +1,53 @@
+/** \file
+ * Which workers a planner takes for lost.
+ */
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kernel/base/millis.h"
+#include "kernel/batch/departure_watch.h"
+#include "kernel/batch/planner_journal.h"
+#include "kernel/batch/worker_pool.h"
+
+namespace eelgrass {
+
+/**
+ * Judges from the pool, the stored workers and the platform's list of VMs which workers have
+ * certainly ended, so that nothing runs there any more. Whoever asks forgets them.
+ */
+class lost_workers {
+ public:
+  lost_workers(const worker_pool& pool, const planner_journal& journal)
+      : pool_(pool), journal_(journal) {}
+
+  /** A new term: nothing is known of earlier ones. */
+  void Begin(millis now);
+
+  /** No other worker can be alive at the address of one that has just listed what it runs. */
+  std::vector<std::string> ReplacedBy(const worker_profile& newest) const;
+
+  /**
+   * Workers that are not reported any more, and have nothing that could run. The term was certainly
+   * held at `confirmed`.
+   */
+  std::vector<std::string> Unreported(millis now, millis confirmed) const;
+
+  /** The list of VMs to ask for now, if a worker with runs is silent. */
+  std::optional<vm_listing_request> Next(millis now);
+
+  /** Workers that a list of VMs proves to be gone. */
+  std::vector<std::string> On(const vm_listing& listing);
+
+ private:
+  std::vector<std::string> Silent(millis now) const;
+
+  const worker_pool& pool_;
+  const planner_journal& journal_;
+  departure_watch departures_;
+  millis term_began_{0};
+};
+
+}  // namespace eelgrass
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -10,24 +10,12 @@
 /** Plans are made anew at least this often: timed occurrences, pauses and patience run out. */
 constexpr millis kPlanInterval{250};
 
-/** A worker that is not reported any more is gone; agents report every second. */
-constexpr millis kUnreported{5000};
-
 /** The notice is repeated at this pace to whoever may have missed it. */
 constexpr millis kRepeat{1000};
 
 /** An agent that has not reported for this long may not know who plans. */
 constexpr millis kHeardOf{2500};
 
-/**
- * A worker with runs that was not reported for this long may be gone: two reports are missing, and
- * a report's way takes a few milliseconds.
- */
-constexpr millis kSilent{1300};
-
-/** After a takeover agents have this long to report before their workers are in question. */
-constexpr millis kReportTime{400};
-
 /** Starts need to know what operators want at least this well. */
 constexpr millis kOperatorsAge{3500};
 
@@ -44,6 +32,7 @@
     : options_(std::move(options)),
       term_(options_.node, options_.nonce, codec),
       journal_(codec, term_),
+      lost_(pool_, journal_),
       starts_(order) {
   StartOver();
 }
@@ -62,7 +51,7 @@
   if (term_.holding()) {
     TakeWritten();
     Plan(now, wall_now);
-    WatchDepartures(now);
+    if (auto request = lost_.Next(now)) out_->emplace_back(*request);
     if (book_->TakeFinished()) journal_.Hurry();
     std::vector<send_to_peer> orders;
     orders_->Take(term_.fence(), term_.Trusted(now), orders);
@@ -143,12 +132,8 @@
 }
 
 void planner_core::On(vm_listing& event, millis) {
-  std::vector<std::string> gone = departures_.On(event);
-  std::erase_if(gone, [&](const std::string& id) {
-    const pool_worker* worker = pool_.Find(id);
-    return worker != nullptr && worker->listing && worker->reported >= event.requested;
-  });
-  if (term_.holding() && journal_.loaded()) Forget(gone, "its VM is down");
+  const std::vector<std::string> gone = lost_.On(event);
+  if (term_.holding()) Forget(gone, "its VM is down");
 }
 
 void planner_core::On(own_said& event, millis now) {
@@ -192,7 +177,7 @@
   early_reports_.clear();
   reported_.clear();
   advice_.Reset();
-  departures_.Reset();
+  lost_.Begin(now);
 }
 
 void planner_core::EndTerm() {
@@ -218,24 +203,11 @@
   const pool_worker* worker = pool_.Find(report.worker.self.id);
   if (worker != nullptr && worker->listing) {
     journal_.Heard(report.worker.self.id);
-    ForgetReplaced(report.worker);
+    Forget(lost_.ReplacedBy(report.worker), "another worker has its address");
   }
   if (worker != nullptr && !worker->recorded && !worker->recording) journal_.Hurry();
 }
 
-/** No other worker can be alive at the address of one that has just reported. */
-void planner_core::ForgetReplaced(const worker_profile& newest) {
-  std::vector<std::string> replaced;
-  for (const auto& [id, record] : journal_.expected()) {
-    if (id != newest.self.id && record.address == newest.address) replaced.push_back(id);
-  }
-  for (const auto& [id, worker] : pool_.all()) {
-    const bool same_place = worker.profile.address == newest.address;
-    if (same_place && worker.profile.self.born_ms < newest.self.born_ms) replaced.push_back(id);
-  }
-  Forget(replaced, "another worker has its address");
-}
-
 /** Nothing can run at these workers any more. */
 void planner_core::Forget(std::span<const std::string> workers, std::string_view reason) {
   for (const auto& id : workers) {
@@ -244,35 +216,6 @@
   }
 }
 
-/** Forgets workers that are gone, once nothing can run there any more. */
-void planner_core::ForgetGone(millis now) {
-  std::vector<std::string> gone;
-  for (const auto& [id, worker] : pool_.all()) {
-    const bool silent = !worker.linked || now - worker.reported > kUnreported;
-    const bool over = term_.confirmed() > worker.lease_end;
-    if (silent && worker.runs.empty() && over) gone.push_back(id);
-  }
-  Forget(gone, "gone");
-}
-
-/** Workers on which runs may be and of which nothing has been heard. */
-std::vector<std::string> planner_core::SilentWorkers(millis now) const {
-  std::vector<std::string> silent;
-  if (!journal_.loaded()) return silent;
-  if (now - term_began_ > kReportTime) {
-    for (const auto& [id, record] : journal_.expected()) silent.push_back(id);
-  }
-  for (const auto& [id, worker] : pool_.all()) {
-    const bool silent_agent = now - worker.reported > kSilent;
-    if (!worker.runs.empty() && (silent_agent || !worker.listing)) silent.push_back(id);
-  }
-  return silent;
-}
-
-void planner_core::WatchDepartures(millis now) {
-  if (auto request = departures_.Next(SilentWorkers(now), now)) out_->emplace_back(*request);
-}
-
 void planner_core::Answer(const std::string& asker, const job_inquiry& inquiry, millis now) {
   job_reply reply{inquiry.id};
   if (!term_.holding()) {
@@ -398,7 +341,7 @@
   if (!journal_.loaded() || operators_.config == nullptr) return;
   book_->Release(now, wall_now);
   if (const auto end = tracker_->Tick(now, term_.confirmed())) journal_.ConfirmAfter(*end);
-  ForgetGone(now);
+  Forget(lost_.Unreported(now, term_.confirmed()), "gone");
   const bool informed = now - operators_confirmed_ < kOperatorsAge;
   if (!term_.Trusted(now) || !informed || journal_.handed_over()) return;
   const int64_t changes = tracker_->changes() + static_cast<int64_t>(book_->all().size());
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "kernel/batch/advice_desk.h"
-#include "kernel/batch/departure_watch.h"
+#include "kernel/batch/lost_workers.h"
 #include "kernel/batch/order_writer.h"
 #include "kernel/batch/planner_journal.h"
 #include "kernel/batch/run_tracker.h"
@@ -104,10 +104,6 @@
   void EndTerm();
   void TakeReport(const std::string& agent, worker_report& report, millis now);
   void Answer(const std::string& asker, const job_inquiry& inquiry, millis now);
-  void ForgetReplaced(const worker_profile& newest);
-  void ForgetGone(millis now);
-  void WatchDepartures(millis now);
-  std::vector<std::string> SilentWorkers(millis now) const;
   void Forget(std::span<const std::string> workers, std::string_view reason);
   void Reply(const std::string& asker, const job_reply& reply);
   void TakeWritten();
@@ -127,6 +123,7 @@
   worker_pool pool_;
   worker_speeds speeds_;  // kept over terms: workers do not change with the planner
   planner_journal journal_;
+  lost_workers lost_;
   std::unique_ptr<run_tracker> tracker_;
   std::unique_ptr<order_writer> orders_;
   start_planner starts_;
@@ -140,7 +137,6 @@
   std::map<std::string, std::string> entries_;       // linked entries: address by id
   std::map<std::string, std::string> lost_entries_;  // address by id
   advice_desk advice_;
-  departure_watch departures_;
   std::set<std::string> agents_;  // linked agents
   std::map<std::pair<std::string, std::string>, worker_report> early_reports_;
   std::map<std::string, std::vector<std::pair<std::string, int64_t>>> cancels_;  // by job
