A stored worker is taken for replaced only at the address of the life that runs

Callers would see TWICE: a worker started again under its id on another VM, a new worker took its former address, the planner went, and its successor forgot the first one when the new worker reported, although it was running.

Cause: a row of the workers table was written once a term and kept over a new life, so that it named an address at which its worker lived no longer; and the successor compared nothing but addresses.

The row now holds the life (born). A new life, or another address, is recorded anew before it gets any run; a write that was under way for an earlier life does not count. So a row names the address of the life on which runs may be. An expected worker is forgotten for another one at its address only if its row names the life and nothing has been heard of that id elsewhere; rows without a life, as earlier releases wrote them, are left to the lease or to the list of VMs. stored-worker-replaced tells what was compared and whether it proved anything.

--- a/src/kernel/batch/batch_records.h
+++ b/src/kernel/batch/batch_records.h
@@ -39,11 +39,12 @@
   int64_t sent_ms = 0;  // when the holder sent this, by the store's clock; 0: not known
 };
 
-/** A worker on which runs may have been started. */
+/** A worker on which runs may have been started: one life of it, rewritten for each later one. */
 struct worker_record {
   std::string id;
   std::string agent;
   std::string address;
+  int64_t born_ms = 0;  // the life that the address belongs to; 0: not known
 };
 
 /** Writes and reads the records. Stateless. */
--- a/src/kernel/batch/lost_workers.cc
+++ b/src/kernel/batch/lost_workers.cc
@@ -1,5 +1,7 @@
 #include "kernel/batch/lost_workers.h"
 
+#include "kernel/base/log_event.h"
+
 namespace eelgrass {
 namespace {
 
@@ -22,10 +24,31 @@
   departures_.Reset();
 }
 
+/**
+ * Whether the life that the store names has ended, since another worker lists at its address after
+ * the takeover. Runs are only on a life whose row is written; a row that does not name the life may
+ * hold the address of an earlier one.
+ */
+bool lost_workers::Replaced(const worker_record& stored, const worker_profile& newest) const {
+  if (stored.id == newest.self.id || stored.address != newest.address) return false;
+  const auto known = pool_.all().find(stored.id);
+  const bool elsewhere =
+      known != pool_.all().end() && (known->second.profile.self.born_ms != stored.born_ms ||
+                                     known->second.profile.address != stored.address);
+  const bool proved = stored.born_ms != 0 && !elsewhere;
+  log_event("stored-worker-replaced")
+      .With("worker", stored.id)
+      .With("born", stored.born_ms)
+      .With("address", stored.address)
+      .With("by", newest.self.id)
+      .With("proved", proved ? 1 : 0);
+  return proved;
+}
+
 std::vector<std::string> lost_workers::ReplacedBy(const worker_profile& newest) const {
   std::vector<std::string> replaced;
   for (const auto& [id, record] : journal_.expected()) {
-    if (id != newest.self.id && record.address == newest.address) replaced.push_back(id);
+    if (Replaced(record, newest)) replaced.push_back(id);
   }
   for (const auto& [id, worker] : pool_.all()) {
     const bool same_place = worker.profile.address == newest.address;
--- a/src/kernel/batch/lost_workers.h
+++ b/src/kernel/batch/lost_workers.h
@@ -42,6 +42,7 @@
   std::vector<std::string> On(const vm_listing& listing);
 
  private:
+  bool Replaced(const worker_record& stored, const worker_profile& newest) const;
   std::vector<std::string> Silent(millis now) const;
 
   const worker_pool& pool_;
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -299,8 +299,12 @@
     worker->ends_stored = std::max(worker->ends_stored, number);
     worker->order_due = true;
   }
-  for (const auto& id : written->workers) {
-    if (pool_worker* worker = pool_.Find(id)) worker->recorded = true;
+  for (const auto& record : written->workers) {
+    pool_worker* worker = pool_.Find(record.id);
+    // A life that began, or an address that changed, while the row was written is not in it.
+    const bool same = worker != nullptr && worker->profile.self.born_ms == record.born_ms &&
+                      worker->profile.address == record.address;
+    if (same) worker->recorded = true;
   }
   planned_changes_ = -1;
 }
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -94,9 +94,9 @@
   for (auto& [id, worker] : pool.all()) {
     if (worker.recorded || worker.recording || room == 0) continue;
     worker.recording = true;
-    const worker_record record{id, worker.agent, worker.profile.address};
+    worker_record record{id, worker.agent, worker.profile.address, worker.profile.self.born_ms};
     change.writes.push_back({{std::string(kWorkersTable), "", id}, codec_.Encode(record)});
-    group_.workers.push_back(id);
+    group_.workers.push_back(std::move(record));
     --room;
   }
   // Runs may be at a worker that is known (again): it stays recorded.
--- a/src/kernel/batch/planner_journal.h
+++ b/src/kernel/batch/planner_journal.h
@@ -20,7 +20,7 @@
 struct journal_written {
   std::vector<std::pair<std::string, batch_state>> jobs;
   std::map<std::string, int64_t> ends;  // by worker: ends up to this number
-  std::vector<std::string> workers;     // recorded
+  std::vector<worker_record> workers;
   bool handed_over = false;
 };
 
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -67,6 +67,8 @@
   worker.linked = true;
   worker.report_sequence = report.sequence;
   worker.reported = now;
+  // The store names its address: whoever plans next judges by it who has taken its place.
+  if (worker.profile.address != report.worker.address) worker.recorded = worker.recording = false;
   worker.profile = report.worker;
   const bool leaving = report.worker.draining && report.worker.remaining_ms >= 0;
   worker.leaves_at = leaving ? now + millis(report.worker.remaining_ms) : millis(0);
@@ -84,11 +86,7 @@
                             std::string_view agent, millis now) {
   const int64_t born_before = worker.profile.self.born_ms;
   if (!worker.profile.self.id.empty()) CloseAll(worker, "another life of the worker");
-  const bool recorded = worker.recorded;
-  const bool recording = worker.recording;
   worker = pool_worker{};
-  worker.recorded = recorded;
-  worker.recording = recording;
   worker.profile = report.worker;
   worker.agent = agent;
   // An earlier planner may have granted a lease that this one knows nothing of.
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -44,7 +44,7 @@
   std::string agent;  // peer through which it is reached
   bool linked = false;
   bool listing = false;   // its latest report has lists under this term
-  bool recorded = false;  // the store knows that runs may be here
+  bool recorded = false;  // the store knows that runs of this life may be here, at its address
   bool recording = false;
   int64_t report_sequence = 0;
   millis reported{0};
--- a/tests/stories/takeover_story.cc
+++ b/tests/stories/takeover_story.cc
@@ -178,5 +178,46 @@
   CHECK(*began - handed_in < millis(500));
 }
 
+TEST_CASE("a worker starts again under its id on another VM, and another takes its place") {
+  batch_world world;
+  world.RunFor(millis(5000));
+  constexpr int kLeft = 3;
+  constexpr int kTaken = 4;
+  world.MoveWorker(kLeft, kTaken);
+  world.RunFor(millis(4000));
+  const batch_job job = MakeBatchJob("f1", "usual", 30, millis(9000), 1);
+  world.Submit(job);
+  world.Watch(job.id);
+  world.RunFor(millis(1500));
+  REQUIRE(world.worker(kTaken).running() > 0);
+
+  SUBCASE("it is cut off when a planner takes over that knows it from the store alone") {
+    world.CutAgent(kTaken, true);
+    world.KillEntry(world.Planner(), millis(20000));
+  }
+  world.RunFor(millis(3000));
+  CHECK(world.worker(kTaken).running() > 0);
+  world.CutAgent(kTaken, false);
+  world.RunFor(millis(40000));
+  RequireKept(world);
+  CHECK(world.check().completed(job.id).has_value());
+}
+
+TEST_CASE("the stored row of a worker") {
+  const auto codec = std::move(record_codec_registry::Instance().Create("json").value());
+  SUBCASE("names the life that it is about") {
+    const auto read = codec->DecodeWorker(codec->Encode(worker_record{"w1", "a1", "h:1", 77}));
+    REQUIRE(read);
+    CHECK(read.value().born_ms == 77);
+    CHECK(read.value().address == "h:1");
+  }
+  SUBCASE("of an earlier release is read, and its life is not known") {
+    const auto read = codec->DecodeWorker(R"({"id":"w1","agent":"a1","address":"h:1"})");
+    REQUIRE(read);
+    CHECK(read.value().id == "w1");
+    CHECK(read.value().born_ms == 0);
+  }
+}
+
 }  // namespace
 }  // namespace eelgrass
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -186,7 +186,7 @@
   Tick(vm.id, vm.life);
 }
 
-void batch_world::StartWorker(machine& vm) {
+void batch_world::StartWorker(machine& vm, std::string id) {
   vm.born_ms = kWallOrigin + now().count();
   vm.sequence = 0;
   vm.draining = false;
@@ -194,7 +194,9 @@
   runner_options options = options_.worker;
   const auto percent = options_.time_percent.find(vm.index);
   if (percent != options_.time_percent.end()) options.time_percent = percent->second;
-  const std::string id = "worker-" + std::to_string(vm.index) + "-" + std::to_string(vm.born_ms);
+  if (id.empty()) {
+    id = "worker-" + std::to_string(vm.index) + "-" + std::to_string(vm.born_ms);
+  }
   vm.runner = std::make_unique<standin_runner>(
       worker_identity{id, vm.born_ms}, options, gangs_,
       [this](const runner_event& event) { check_.OnRunner(event); }, now());
@@ -452,6 +454,11 @@
   listing.answered = vm_list_answers_ && ReachesStore(entry);
   for (const auto& [index, vm] : machines_) {
     if (!listing.answered) break;
+    if (const auto hidden = hidden_vms_.find(index);
+        hidden != hidden_vms_.end() && hidden->second > 0) {
+      --hidden->second;
+      continue;
+    }
     const bool up = vm->runner != nullptr;
     listing.vms.push_back({"vm-" + std::to_string(index), up ? vm_state::kUp : vm_state::kDown,
                            up ? vm->runner->self().id : std::string()});
@@ -695,6 +702,16 @@
   });
 }
 
+void batch_world::MoveWorker(int from, int to) {
+  machine& left = *machines_.at(from);
+  machine& taken = *machines_.at(to);
+  const std::string id = left.runner->self().id;
+  left.runner->Die(now());
+  taken.runner->Die(now());
+  StartWorker(taken, id);
+  StartWorker(left);
+}
+
 void batch_world::DrainWorker(int worker) {
   machine& vm = *machines_.at(worker);
   vm.draining = true;
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -70,6 +70,12 @@
   void CrashWorker(int worker, millis down);
   void DrainWorker(int worker);
 
+  /**
+   * A worker starts again under its id on another VM, whose worker is gone. A new worker starts on
+   * the VM that it leaves.
+   */
+  void MoveWorker(int from, int to);
+
   /** A worker says that it leaves, is gone after the notice, and comes anew later. */
   void TakeAway(int worker, millis notice, millis away);
   /** A worker carries out all calls and answers none. */
@@ -88,6 +94,9 @@
   void SetVmList(bool answers) { vm_list_answers_ = answers; }
   int vm_lists() const { return vm_lists_; }
 
+  /** The next so many lists do not hold a worker's VM: it changes its place between two pages. */
+  void HideVm(int worker, int lists) { hidden_vms_[worker] = lists; }
+
   /** Orders to workers get no answer and are carried out seconds later, with this probability. */
   void SetLateOrders(double share) { late_orders_ = share; }
 
@@ -147,7 +156,7 @@
 
   void StartEntry(entry_process& entry);
   void StartAgent(machine& vm);
-  void StartWorker(machine& vm);
+  void StartWorker(machine& vm, std::string id = {});
   void StopProcess(process& stopped);
   void Tick(const std::string& id, int64_t life);
   void Beat(machine& vm);
@@ -203,6 +212,7 @@
   std::map<std::string, store_fault, std::less<>> entry_faults_;
   double late_orders_ = 0;
   bool vm_list_answers_ = true;
+  std::map<int, int> hidden_vms_;  // lists to come, by worker
   millis feed_delay_{0};
   int vm_lists_ = 0;
   std::map<uint64_t, caller_try> callers_;
