The process test sends odd heartbeats to a real agent

Four bodies that cannot be meant (1e999, a negative and a too large number, lists nested 100,000 deep) and three ports that are none are each answered 400, and the rest of the test goes on beside them with the same worker.

--- a/tests/processes/batch_platform.sh
+++ b/tests/processes/batch_platform.sh
@@ -54,6 +54,14 @@
 head -c 300000 /dev/zero >"$WORK/large"
 [ "$(call POST 1 /q/00000000000000ff --data-binary "@$WORK/large")" = 413 ]
 [ "$(call DELETE 1 /q/00000000000000ff)" = 410 ]
+# Another writer's heartbeats beside a worker's own: refused one by one, and the worker's go on.
+beat() { # ADDRESS NUMBER
+  printf '{"Service":"drying","Addr":"%s","Zone":"z1","State":"ready","born":1,"Seq":%s}' "$1" "$2" |
+    curl -s -m 4 -o /dev/null -w '%{http_code}' -X PUT "http://127.77.2.1:27526/instances/odd" --data-binary @-
+}
+deep="$(head -c 100000 /dev/zero | tr '\0' '[')$(head -c 100000 /dev/zero | tr '\0' ']')"
+for number in 1e999 -1 99999999999999999999999 "$deep"; do [ "$(beat 127.77.2.1:27529 "$number")" = 400 ]; done
+for port in 0 65536 99999999999; do [ "$(beat "127.77.2.1:$port" 1)" = 400 ]; done
 page="$(curl -sf "http://127.77.1.1:27015/metrics")"
 grep -q eelgrass_ <<<"$page"
 
