A planner tells a worker's lives apart by lists, not by the time of day

Callers would see one task run twice at the same time, or a worker that gets nothing to do: run_tracker ordered the lives of a worker by their births. A report of a former life that was born "later" closed what the living one ran (given up as "another life of the worker"), and a life born "earlier" than the former one was ignored, so that the former one's runs stayed open until its lease was over.

The new story failed in all four sections on the code before: an announced life that had not answered and a report that had been overtaken each closed the running one (given_up 1 instead of 0), and a life born at 50 after one born at 100 was not taken (born 100 instead of 50).

A report now moves a worker to another life only if it is newer on its agent's link and has lists under this term: lists come from the life that answers. A worker that nobody knew is taken as before. worker-known tells how old the former life's last report was.

--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -56,11 +56,12 @@
     return;
   }
   pool_worker& worker = pool_.Get(self.id);
+  if (report.sequence <= worker.report_sequence && worker.agent == agent && worker.linked) return;
   if (!(worker.profile.self == self)) {
-    if (worker.profile.self.born_ms > self.born_ms) return;
+    // Births are times of day, which do not order lives. Lists come from a life that answers.
+    const bool lives = report.listed && report.term == term_;
+    if (!worker.profile.self.id.empty() && !lives) return;
     BeginLife(worker, report, agent, now);
-  } else if (report.sequence <= worker.report_sequence && worker.agent == agent && worker.linked) {
-    return;
   }
   const bool was_usable = worker.listing && !worker.profile.draining;
   worker.agent = agent;
@@ -85,6 +86,7 @@
 void run_tracker::BeginLife(pool_worker& worker, const worker_report& report,
                             std::string_view agent, millis now) {
   const int64_t born_before = worker.profile.self.born_ms;
+  const int64_t reported_ago = born_before == 0 ? -1 : (now - worker.reported).count();
   if (!worker.profile.self.id.empty()) CloseAll(worker, "another life of the worker");
   worker = pool_worker{};
   worker.profile = report.worker;
@@ -96,6 +98,8 @@
       .With("worker", report.worker.self.id)
       .With("born", report.worker.self.born_ms)
       .With("born_before", born_before)
+      .With("reported_ago_ms", reported_ago)
+      .With("listed", report.listed ? 1 : 0)
       .With("term", term_)
       .With("agent", agent)
       .With("domain", report.worker.domain)
--- a/tests/stories/run_tracker_story.cc
+++ b/tests/stories/run_tracker_story.cc
@@ -51,5 +51,60 @@
   }
 }
 
+TEST_CASE("a planner tells a worker's lives apart by its agent's reports, not by the time of day") {
+  constexpr int64_t kTerm = 7;
+  job_book book(millis(250));
+  worker_pool pool;
+  worker_speeds speeds;
+  run_tracker tracker({}, book, pool, speeds);
+  const batch_config config;
+  const batch_job job = MakeBatchJob("a1", "usual", 1, millis(1000), 1);
+  book.Add(job, millis(0));
+  tracker.Begin(kTerm);
+  const std::string task = job.id + ".0.0.0";
+  const auto report = [&](int64_t born, int64_t sequence, bool listed,
+                          std::vector<listed_run> running) {
+    worker_report said;
+    said.term = listed ? kTerm : 0;
+    said.sequence = sequence;
+    said.present = true;
+    said.listed = listed;
+    said.worker.self = {"w1", born};
+    said.running = std::move(running);
+    tracker.On("agent-1", said, config, millis(10 * sequence));
+  };
+  const auto born = [&] { return pool.Find("w1")->profile.self.born_ms; };
+  report(100, 2, true, {{task, 701, "", 100, 0}});
+  REQUIRE(pool.Find("w1")->runs.size() == 1);
+
+  SUBCASE("lists of a life whose clock was stepped back end what ran in the former one") {
+    report(50, 3, true, {});
+    CHECK(born() == 50);
+    CHECK(tracker.given_up() == 1);
+    CHECK(pool.Find("w1")->runs.empty());
+    SUBCASE("and a later one's, whichever way the clock went") {
+      report(200, 4, true, {});
+      CHECK(born() == 200);
+    }
+  }
+  SUBCASE("a life that is announced and has not answered ends nothing") {
+    report(200, 3, false, {});
+    CHECK(born() == 100);
+    CHECK(tracker.given_up() == 0);
+    report(100, 4, true, {{task, 701, "", 100, 0}});
+    CHECK(pool.Find("w1")->runs.size() == 1);
+  }
+  SUBCASE("nor do lists that its agent sent before the latest ones") {
+    report(200, 1, true, {});
+    CHECK(born() == 100);
+    CHECK(tracker.given_up() == 0);
+  }
+  SUBCASE("an agent that has started again counts its reports anew") {
+    tracker.OnAgentLost("agent-1");
+    report(50, 1, true, {});
+    CHECK(born() == 50);
+  }
+}
+
 }  // namespace
 }  // namespace eelgrass
