An announced life of a worker takes its place only once it has answered

A late heartbeat of a former life with a higher birth ended the living one's knowledge, one of another worker at the address reported the living one gone, and after a clock was stepped back the real new life was ignored ('heartbeat-outdated', 'heartbeat-of-a-replaced-worker').

worker_lives keeps a candidate for a life that a heartbeat announces in the place of another. It is asked by the hold that it would get anyway, and takes the place when it has answered a call that was sent after the present one's last answer was received (life_proof); when the two overlap it is asked again after 0.2 s. One for which another life answers, or which is not heard for 3 s, is dropped. A hold's answer carries when its call was sent, so that an answer to an earlier one proves nothing. worker_steward is one life now; agent_core passes on.

The section "which begins anew with the worker" of the steward's story spoke of a steward that changes its life. It now has worker_lives change it and also checks the age of what the new life lists. The world breaks the connection of a hold whose worker ends, and answers as another life under another id, as the protocol says.

--- a/src/kernel/batch/agent_core.cc
+++ b/src/kernel/batch/agent_core.cc
@@ -20,61 +20,30 @@
     std::visit([&](const auto& e) { On(e, now); }, event);
   }
   std::vector<worker_call> calls;
-  for (auto& [id, steward] : stewards_) steward.Tick(now, calls);
+  lives_.Tick(now, calls);
   for (auto& call : calls) {
     std::visit([&](auto& c) { out_->emplace_back(std::move(c)); }, call);
   }
+  ReportEnded();
   SendReports(now);
-  std::erase_if(stewards_, [&](const auto& entry) { return entry.second.gone(now); });
   out_ = nullptr;
 }
 
-worker_steward* agent_core::Find(std::string_view worker) {
-  const auto found = stewards_.find(worker);
-  return found == stewards_.end() ? nullptr : &found->second;
-}
-
-void agent_core::On(const worker_beat& beat, millis now) {
-  const std::string& id = beat.worker.self.id;
-  if (worker_steward* known = Find(id)) {
-    if (!known->On(beat, now)) {
-      log_event("heartbeat-outdated").With("worker", id).With("sequence", beat.sequence);
-    }
-    return;
-  }
-  for (const auto& [other, steward] : stewards_) {
-    const bool replaced = steward.address() == beat.worker.address &&
-                          steward.self().born_ms > beat.worker.self.born_ms;
-    if (!replaced) continue;
-    log_event("heartbeat-of-a-replaced-worker").With("worker", id).With("by", other);
-    return;
-  }
-  const auto added = stewards_.emplace(id, worker_steward(beat, now)).first;
-  added->second.SetTerm(term_, now);
-  DropReplaced(added->second);
-}
-
-/** Another worker at the same address is certainly gone. */
-void agent_core::DropReplaced(const worker_steward& newest) {
-  const worker_identity& self = newest.self();
-  const std::string& address = newest.address();
-  std::erase_if(stewards_, [&](const auto& entry) {
-    const worker_steward& other = entry.second;
-    if (other.self().id == self.id || other.address() != address) return false;
-    ReportGone(other.self());
-    return true;
-  });
-}
+void agent_core::On(const worker_beat& beat, millis now) { lives_.On(beat, now); }
 
 void agent_core::On(const worker_left& left, millis) {
-  const auto found = stewards_.find(left.id);
-  if (found == stewards_.end()) return;
+  const auto found = lives_.present().find(left.id);
+  if (found == lives_.present().end()) return;
   log_event("worker-left")
       .With("worker", left.id)
       .With("born", found->second.self().born_ms)
       .With("term", term_);
   ReportGone(found->second.self());
-  stewards_.erase(found);
+  lives_.present().erase(found);
+}
+
+void agent_core::ReportEnded() {
+  for (const auto& life : lives_.TakeGone()) ReportGone(life);
 }
 
 void agent_core::ReportGone(const worker_identity& worker) {
@@ -86,20 +55,18 @@
   out_->emplace_back(send_to_peer{planner_, std::move(report)});
 }
 
-void agent_core::On(const hold_answer& answer, millis now) {
-  if (worker_steward* steward = Find(answer.worker.id)) steward->On(answer, now);
-}
+void agent_core::On(const hold_answer& answer, millis now) { lives_.On(answer, now); }
 
 void agent_core::On(const start_answer& answer, millis now) {
-  if (worker_steward* steward = Find(answer.worker.id)) steward->On(answer, now);
+  if (worker_steward* steward = lives_.Find(answer.worker.id)) steward->On(answer, now);
 }
 
 void agent_core::On(const stop_answer& answer, millis now) {
-  if (worker_steward* steward = Find(answer.worker.id)) steward->On(answer, now);
+  if (worker_steward* steward = lives_.Find(answer.worker.id)) steward->On(answer, now);
 }
 
 void agent_core::On(const pace_answer& answer, millis) {
-  if (worker_steward* steward = Find(answer.worker.id)) steward->On(answer);
+  if (worker_steward* steward = lives_.Find(answer.worker.id)) steward->On(answer);
 }
 
 void agent_core::On(const peer_up& event, millis) {
@@ -117,7 +84,7 @@
   const auto* order = std::get_if<worker_order>(&event.message);
   if (order == nullptr || order->term < term_) return;
   SetTerm(order->term, event.peer, now);
-  if (worker_steward* steward = Find(order->worker.id)) steward->On(*order, now);
+  if (worker_steward* steward = lives_.Find(order->worker.id)) steward->On(*order, now);
 }
 
 void agent_core::OnNotice(std::string_view peer, const planner_notice& notice, millis now) {
@@ -132,13 +99,13 @@
   term_ = term;
   planner_ = planner;
   next_report_ = now;
-  for (auto& [id, steward] : stewards_) steward.SetTerm(term, now);
+  lives_.SetTerm(term, now);
 }
 
 void agent_core::SendReports(millis now) {
   if (planner_.empty()) return;
   const bool due = now >= next_report_;
-  for (auto& [id, steward] : stewards_) {
+  for (auto& [id, steward] : lives_.present()) {
     if (due || steward.changed()) {
       out_->emplace_back(send_to_peer{planner_, steward.Report(++report_sequence_, now)});
     }
--- a/src/kernel/batch/agent_core.h
+++ b/src/kernel/batch/agent_core.h
@@ -3,14 +3,13 @@
  */
 #pragma once
 
-#include <map>
 #include <set>
 #include <span>
 #include <string>
 #include <variant>
 #include <vector>
 
-#include "kernel/batch/worker_steward.h"
+#include "kernel/batch/worker_lives.h"
 #include "kernel/model/link_events.h"
 
 namespace eelgrass {
@@ -21,8 +20,8 @@
     std::variant<hold_call, start_call, stop_call, pace_call, send_to_peer, dial_peer>;
 
 /**
- * Keeps a steward for each worker at this VM (two while one is being replaced by the next), follows
- * whoever plans under the highest term, and keeps connections to all entries.
+ * Passes on what workers at this VM say and what becomes of them, follows whoever plans under the
+ * highest term, and keeps connections to all entries.
  */
 class agent_core {
  public:
@@ -43,13 +42,12 @@
   void On(const peer_said& event, millis now);
   void OnNotice(std::string_view peer, const planner_notice& notice, millis now);
   void SetTerm(int64_t term, std::string_view planner, millis now);
-  void DropReplaced(const worker_steward& newest);
   void ReportGone(const worker_identity& worker);
   void SendReports(millis now);
   void Dial(std::span<const std::string> addresses);
-  worker_steward* Find(std::string_view worker);
+  void ReportEnded();
 
-  std::map<std::string, worker_steward, std::less<>> stewards_;  // by the worker's id
+  worker_lives lives_;
   std::set<std::string> dialled_;
   std::vector<std::string> seeds_;
   std::vector<agent_action>* out_ = nullptr;
--- a/src/kernel/batch/worker_calls.h
+++ b/src/kernel/batch/worker_calls.h
@@ -20,6 +20,7 @@
   int64_t seen_upto = 0;
   int64_t deadline_ms = 0;  // worker's clock; 0: leaves the lease as it is
   millis wait{0};           // for an end
+  millis sent{0};           // agent's clock
 };
 
 /** Asks a worker to begin a run. */
@@ -60,7 +61,7 @@
 struct hold_answer {
   worker_identity worker;  // that was meant
   int64_t fence = 0;       // of the call
-  millis sent{0};          // agent's clock
+  millis sent{0};          // the call, agent's clock
   call_outcome outcome = call_outcome::kNoAnswer;
   int64_t born_ms = 0;  // of the life that answered; 0: not said
   int64_t clock_ms = 0;
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -28,6 +28,9 @@
 /** A worker without answers and reports is forgotten after this; no lease lasts as long. */
 constexpr millis kForgetAfter{20000};
 
+/** A life that has not answered is asked for this long after its last heartbeat. */
+constexpr millis kAnnouncedFor{3000};
+
 /** Slowest that a worker's clock may run, by the platform's bound of 2%. */
 constexpr int64_t kSlowClockPercent = 98;
 constexpr int64_t kPercent = 100;
@@ -37,45 +40,16 @@
 
 }  // namespace
 
-worker_steward::worker_steward(const worker_beat& first, millis now) { BeginLife(first, now); }
-
-void worker_steward::BeginLife(const worker_beat& beat, millis now) {
-  profile_ = beat.worker;
-  beat_sequence_ = beat.sequence;
-  clock_ms_ = beat.clock_ms;
-  clock_read_ = now;
-  confirmed_term_ = 0;
-  running_.clear();
-  running_since_.clear();
-  ended_.clear();
-  starts_.clear();
-  fresh_starts_.clear();
-  stops_.clear();
-  refused_.clear();
-  pacing_.clear();
-  pace_ = pace_policy{};
-  pace_changes_.clear();
-  refused_connection_ = false;
-  seen_upto_ = 0;
-  lease_until_ = millis(0);
-  lease_term_ = 0;
-  next_hold_ = now;
-  last_answer_ = now;
-  last_beat_ = now;
-  changed_ = true;
-  log_event("worker-life")
-      .With("worker", profile_.self.id)
-      .With("born", profile_.self.born_ms)
-      .With("address", profile_.address)
-      .With("service", profile_.service);
-}
+worker_steward::worker_steward(const worker_beat& first, millis now)
+    : profile_(first.worker),
+      beat_sequence_(first.sequence),
+      clock_ms_(first.clock_ms),
+      clock_read_(now),
+      next_hold_(now),
+      last_answer_(now),
+      last_beat_(now) {}
 
 bool worker_steward::On(const worker_beat& beat, millis now) {
-  if (beat.worker.self.born_ms < profile_.self.born_ms) return false;
-  if (beat.worker.self.born_ms > profile_.self.born_ms) {
-    BeginLife(beat, now);
-    return true;
-  }
   if (beat.sequence <= beat_sequence_) return false;
   beat_sequence_ = beat.sequence;
   last_beat_ = now;
@@ -93,6 +67,10 @@
   return true;
 }
 
+void worker_steward::AskAgain(millis now) { next_hold_ = now + kRetryPause; }
+
+bool worker_steward::unheard(millis now) const { return now - last_beat_ > kAnnouncedFor; }
+
 bool worker_steward::gone(millis now) const { return now - last_answer_ > kForgetAfter; }
 
 void worker_steward::SetTerm(int64_t term, millis now) {
@@ -178,26 +156,20 @@
 }
 
 void worker_steward::On(const hold_answer& answer, millis now) {
-  if (answer.fence != term_) return;
+  if (answer.fence != term_ || answer.sent != hold_sent_) return;
   holding_ = false;
-  if (!(answer.worker == profile_.self)) return;
-  const bool other_life = answer.outcome == call_outcome::kOtherLife ||
-                          (answer.born_ms != 0 && answer.born_ms != profile_.self.born_ms);
+  answers_as_another_ = answer.outcome == call_outcome::kOtherLife ||
+                        (answer.born_ms != 0 && answer.born_ms != profile_.self.born_ms);
   const bool refused = answer.outcome == call_outcome::kNeverSent;
   if (refused != refused_connection_) changed_ = true;
   refused_connection_ = refused;
-  if (answer.outcome != call_outcome::kDone || other_life) {
+  if (answers_as_another_) TakeOtherLife(answer);
+  if (answer.outcome != call_outcome::kDone || answers_as_another_) {
     next_hold_ = now + kRetryPause;
-    if (other_life && confirmed_term_ != 0) {
-      confirmed_term_ = 0;
-      changed_ = true;
-      log_event("worker-answers-as-another-life")
-          .With("worker", profile_.self.id)
-          .With("born", answer.born_ms);
-    }
     return;
   }
   last_answer_ = now;
+  if (answer.born_ms == profile_.self.born_ms) proof_.Take(answer.sent, now);
   if (answer.clock_ms > 0) {
     clock_ms_ = answer.clock_ms;
     clock_read_ = now;
@@ -205,6 +177,17 @@
   TakeLists(answer, now);
 }
 
+/** What is known of this life's lists does not count any more. */
+void worker_steward::TakeOtherLife(const hold_answer& answer) {
+  if (confirmed_term_ == 0) return;
+  confirmed_term_ = 0;
+  changed_ = true;
+  log_event("worker-answers-as-another-life")
+      .With("worker", profile_.self.id)
+      .With("born", profile_.self.born_ms)
+      .With("born_answered", answer.born_ms);
+}
+
 void worker_steward::TakeLists(const hold_answer& answer, millis now) {
   const auto key = [](const auto& list) {
     std::vector<run_ref> refs;
@@ -384,6 +367,7 @@
   const bool wait = confirmed_term_ == term_ && ended_.empty() && !running_.empty();
   hold_call call{profile_.address, profile_.self, term_, seen_upto_, DeadlineFor(now), millis(0)};
   if (wait) call.wait = kHoldWait;
+  call.sent = now;
   calls.emplace_back(std::move(call));
 }
 
--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "kernel/batch/life_proof.h"
 #include "kernel/batch/pace_policy.h"
 #include "kernel/batch/worker_calls.h"
 
@@ -19,7 +20,7 @@
 using worker_call = std::variant<hold_call, start_call, stop_call, pace_call>;
 
 /**
- * Carries out the planner's orders at one worker and reports what the worker lists. A worker's
+ * Carries out the planner's orders at one life of a worker and reports what it lists. Its
  * lists only count once it has confirmed the planner's fence, so that no earlier planner's order
  * can still be carried out behind them. The lease of what runs is renewed within the planner's
  * grants only, on a clock that also counts while the VM is suspended.
@@ -28,7 +29,7 @@
  public:
   explicit worker_steward(const worker_beat& first, millis now);
 
-  /** Takes a later report of the worker. False when it is older than what is known. */
+  /** Takes a later report of this life. False when it is older than what is known. */
   bool On(const worker_beat& beat, millis now);
   void On(const hold_answer& answer, millis now);
   void On(const start_answer& answer, millis now);
@@ -50,6 +51,19 @@
 
   const worker_identity& self() const { return profile_.self; }
   const std::string& address() const { return profile_.address; }
+  const std::string& service() const { return profile_.service; }
+
+  /** When this life is known to have lived. */
+  const life_proof& proof() const { return proof_; }
+
+  /** Whether the latest hold was answered by another life. */
+  bool answers_as_another() const { return answers_as_another_; }
+
+  /** Has it asked again: its answer does not tell whether it is the latest life. */
+  void AskAgain(millis now);
+
+  /** Whether its last heartbeat is too old to go on asking for a life that has not answered. */
+  bool unheard(millis now) const;
 
   /** Whether the worker has been out of reach for so long that it can be forgotten. */
   bool gone(millis now) const;
@@ -73,7 +87,7 @@
     millis at{0};
   };
 
-  void BeginLife(const worker_beat& beat, millis now);
+  void TakeOtherLife(const hold_answer& answer);
   void TakeLists(const hold_answer& answer, millis now);
   void SettleStops();
   void Pace(millis now);
@@ -88,6 +102,8 @@
   void CallStops(millis now, std::vector<worker_call>& calls);
 
   worker_profile profile_;
+  life_proof proof_;
+  bool answers_as_another_ = false;
   int64_t beat_sequence_ = 0;
   int64_t clock_ms_ = 0;  // worker's clock when last read
   millis clock_read_{0};
--- /dev/null
+++ b/tests/stories/worker_lives_story.cc
@@ -0,0 +1,219 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "kernel/batch/agent_core.h"
+#include "tests/world/batch_world.h"
+#include "tests/world/require_kept.h"
+
+namespace eelgrass {
+namespace {
+
+constexpr int64_t kTerm = 5;
+const worker_identity kPresent{"w1", 100};
+const listed_run kRun{"a.0.0.0", 501, "", 100, 0};
+
+/** An agent with a planner, and a worker that runs something. */
+class agent_beside_worker {
+ public:
+  agent_beside_worker() {
+    planner_notice notice;
+    notice.term = kTerm;
+    notice.planner = "entry-0";
+    Tell(peer_said{"entry-0", notice}, millis(0));
+    Beat(kPresent, millis(10));
+    REQUIRE(holds.size() == 1);
+    Answer(holds.back(), millis(10), call_outcome::kDone, kPresent.born_ms, millis(20));
+    REQUIRE(Listed(kPresent));
+  }
+
+  void Tell(agent_event event, millis now) { Decide({std::move(event)}, now); }
+  void Pass(millis now) { Decide({}, now); }
+
+  void Beat(const worker_identity& self, millis now, int64_t sequence = 1) {
+    worker_beat beat;
+    beat.worker.self = self;
+    beat.worker.address = "10.0.0.1:80";
+    beat.sequence = sequence;
+    beat.clock_ms = 1000 + now.count();
+    Tell(beat, now);
+  }
+
+  /** The answer to a hold; what the present life lists is running, another lists nothing. */
+  void Answer(const hold_call& call, millis sent, call_outcome outcome, int64_t born, millis now) {
+    hold_answer said;
+    said.worker = call.worker;
+    said.fence = call.fence;
+    said.sent = sent;
+    said.outcome = outcome;
+    said.born_ms = born;
+    said.clock_ms = 1000 + now.count();
+    if (born == kPresent.born_ms) said.running.push_back(kRun);
+    Tell(said, now);
+  }
+
+  /** Whether the latest words on a life are that it lists. */
+  bool Listed(const worker_identity& self) const {
+    const auto found = std::find_if(reports.rbegin(), reports.rend(),
+                                    [&](const auto& report) { return report.worker.self == self; });
+    return found != reports.rend() && found->present && found->listed;
+  }
+  bool Gone(const worker_identity& self) const {
+    return std::any_of(reports.begin(), reports.end(), [&](const auto& report) {
+      return report.worker.self == self && !report.present;
+    });
+  }
+  int Reported(const worker_identity& self) const {
+    return static_cast<int>(std::count_if(reports.begin(), reports.end(), [&](const auto& report) {
+      return report.worker.self == self;
+    }));
+  }
+  int Holds(const worker_identity& self) const {
+    return static_cast<int>(std::count_if(holds.begin(), holds.end(),
+                                          [&](const auto& hold) { return hold.worker == self; }));
+  }
+
+  std::vector<hold_call> holds;  // all that were called
+  std::vector<start_call> starts;
+  std::vector<worker_report> reports;
+
+ private:
+  void Decide(std::vector<agent_event> events, millis now) {
+    std::vector<agent_action> actions;
+    core_.Decide(events, now, actions);
+    for (const auto& action : actions) {
+      if (const auto* hold = std::get_if<hold_call>(&action)) holds.push_back(*hold);
+      if (const auto* start = std::get_if<start_call>(&action)) starts.push_back(*start);
+      const auto* send = std::get_if<send_to_peer>(&action);
+      if (send == nullptr) continue;
+      if (const auto* report = std::get_if<worker_report>(&send->message)) {
+        reports.push_back(*report);
+      }
+    }
+  }
+
+  agent_core core_{{"entry-0:7000"}};
+};
+
+TEST_CASE("which life of a worker lives is judged by its own answers alone") {
+  agent_beside_worker scene;
+  REQUIRE(scene.Holds(kPresent) == 2);
+
+  SUBCASE("a heartbeat of a former life comes late, and its clock was ahead") {
+    const worker_identity former{"w1", 200};
+    scene.Beat(former, millis(100));
+    CHECK(scene.Holds(former) == 1);
+    CHECK(scene.Reported(former) == 0);
+    SUBCASE("the life that answers goes on with what it runs") {
+      const hold_call asked = scene.holds.back();
+      scene.Answer(asked, millis(100), call_outcome::kDone, kPresent.born_ms, millis(105));
+      scene.Pass(millis(1500));
+      CHECK(scene.Listed(kPresent));
+      CHECK(scene.reports.back().running.size() == 1);
+      CHECK_FALSE(scene.Gone(kPresent));
+      CHECK(scene.Holds(former) == 1);
+    }
+  }
+  SUBCASE("a heartbeat of another worker that was there before comes late") {
+    const worker_identity former{"w0", 200};
+    scene.Beat(former, millis(100));
+    CHECK_FALSE(scene.Gone(kPresent));
+    scene.Answer(scene.holds.back(), millis(100), call_outcome::kOtherLife, 0, millis(105));
+    scene.Pass(millis(1500));
+    CHECK(scene.Listed(kPresent));
+    CHECK_FALSE(scene.Gone(kPresent));
+    CHECK(scene.Reported(former) == 0);
+  }
+  SUBCASE("the worker starts again after its clock was stepped back") {
+    const worker_identity next{"w1", 50};
+    scene.Beat(next, millis(100));
+    REQUIRE(scene.Holds(next) == 1);
+    const hold_call asked = scene.holds.back();
+    SUBCASE("its answer makes it the present one, and the former one is reported gone") {
+      scene.Answer(asked, millis(100), call_outcome::kDone, next.born_ms, millis(105));
+      CHECK(scene.Gone(kPresent));
+      CHECK(scene.Listed(next));
+      CHECK(scene.reports.back().running.empty());
+    }
+    SUBCASE("an answer of the former one that came meanwhile has it asked again") {
+      scene.Answer(scene.holds[1], millis(20), call_outcome::kDone, kPresent.born_ms, millis(103));
+      scene.Answer(asked, millis(100), call_outcome::kDone, next.born_ms, millis(105));
+      CHECK_FALSE(scene.Gone(kPresent));
+      scene.Pass(millis(400));
+      REQUIRE(scene.Holds(next) == 2);
+      scene.Answer(asked, millis(400), call_outcome::kDone, next.born_ms, millis(405));
+      CHECK(scene.Gone(kPresent));
+      CHECK(scene.Listed(next));
+    }
+    SUBCASE("an answer of the former one that comes later says nothing any more") {
+      scene.Answer(asked, millis(100), call_outcome::kDone, next.born_ms, millis(105));
+      scene.Answer(scene.holds[1], millis(20), call_outcome::kDone, kPresent.born_ms, millis(110));
+      scene.Pass(millis(1500));
+      CHECK(scene.Listed(next));
+      SUBCASE("nor when a late heartbeat has it asked again") {
+        const int asked_before = scene.Holds(kPresent);
+        scene.Beat(kPresent, millis(1600), 9);
+        CHECK(scene.Holds(kPresent) == asked_before + 1);
+        scene.Answer(scene.holds[1], millis(20), call_outcome::kDone, kPresent.born_ms,
+                     millis(1601));
+        CHECK_FALSE(scene.Gone(next));
+      }
+    }
+  }
+  SUBCASE("another worker with an earlier clock takes over the address") {
+    const worker_identity next{"w2", 50};
+    scene.Beat(next, millis(100));
+    REQUIRE(scene.Holds(next) == 1);
+    CHECK_FALSE(scene.Gone(kPresent));
+    scene.Answer(scene.holds.back(), millis(100), call_outcome::kDone, next.born_ms, millis(105));
+    CHECK(scene.Gone(kPresent));
+    CHECK(scene.Listed(next));
+  }
+  SUBCASE("a life that nobody answers for is not asked for long") {
+    const worker_identity former{"w1", 200};
+    scene.Beat(former, millis(100));
+    for (millis now(150); now < millis(10000); now += millis(50)) {
+      const hold_call asked = scene.holds.back();
+      const bool candidate = asked.worker == former;
+      scene.Pass(now);
+      if (candidate) scene.Answer(asked, now, call_outcome::kNeverSent, 0, now);
+    }
+    CHECK(scene.Holds(former) < 20);
+    CHECK_FALSE(scene.Gone(kPresent));
+  }
+}
+
+TEST_CASE("workers that start again under their ids run no task twice") {
+  constexpr int kWorker = 1;
+  batch_world world;
+  world.RunFor(millis(5000));
+  millis clock_step{0};
+  SUBCASE("their clocks are stepped back") { clock_step = millis(-20000); }
+  SUBCASE("their clocks go right") {}
+  SUBCASE("their clocks are stepped ahead, then back") {
+    world.RestartWorker(kWorker, millis(300), millis(60000));
+    world.RunFor(millis(3000));
+    clock_step = millis(-60000);
+  }
+  world.RestartWorker(kWorker, millis(300), clock_step);
+  world.RunFor(millis(3000));
+  const batch_job job = MakeBatchJob("e1", "usual", 30, millis(9000), 1);
+  world.Submit(job);
+  world.Watch(job.id);
+  world.RunFor(millis(1500));
+  const size_t runs = world.worker(kWorker).running();
+  CHECK(runs > 0);
+
+  SUBCASE("and nothing comes late") {}
+  SUBCASE("and a heartbeat of the former life comes late") {
+    world.LateBeat(kWorker);
+    world.RunFor(millis(1000));
+    CHECK(world.worker(kWorker).running() == runs);
+  }
+  world.RunFor(millis(30000));
+  CHECK(world.check().starts() == 30);
+  RequireKept(world);
+}
+
+}  // namespace
+}  // namespace eelgrass
--- a/tests/stories/worker_steward_story.cc
+++ b/tests/stories/worker_steward_story.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "kernel/batch/worker_steward.h"
+#include "kernel/batch/worker_lives.h"
 
 namespace eelgrass {
 namespace {
@@ -21,9 +21,11 @@
     }
     return found;
   };
-  const auto answer = [&](int64_t fence, call_outcome outcome, millis now) {
+  const auto answer = [&](int64_t fence, call_outcome outcome, millis now,
+                          millis sent = millis(0)) {
     hold_answer said;
     said.worker = {"w1", 17};
+    said.sent = sent;
     said.fence = fence;
     said.outcome = outcome;
     said.born_ms = 17;
@@ -42,7 +44,7 @@
       answer(5, call_outcome::kDone, millis(400));
       CHECK(holds(millis(400)).empty());
       CHECK(steward.Report(1, millis(400)).term == 0);
-      answer(8, call_outcome::kDone, millis(410));
+      answer(8, call_outcome::kDone, millis(410), millis(100));
       CHECK(steward.Report(2, millis(410)).term == 8);
     }
   }
@@ -71,8 +73,24 @@
       worker_beat reborn = beat;
       reborn.worker.self.born_ms = 18;
       reborn.sequence = 1;
-      steward.On(reborn, millis(2000));
-      CHECK(steward.Report(4, millis(2000)).running.empty());
+      worker_lives lives;
+      lives.SetTerm(5, millis(1900));
+      lives.On(beat, millis(1900));
+      lives.On(reborn, millis(2000));
+      calls.clear();
+      lives.Tick(millis(2000), calls);
+      hold_answer said;
+      said.worker = reborn.worker.self;
+      said.fence = 5;
+      said.sent = millis(2000);
+      said.outcome = call_outcome::kDone;
+      said.born_ms = 18;
+      said.running = {first};
+      lives.On(said, millis(2001));
+      REQUIRE(lives.Find("w1")->self() == reborn.worker.self);
+      const auto anew = lives.Find("w1")->Report(4, millis(2100));
+      REQUIRE(anew.running.size() == 1);
+      CHECK(anew.running[0].ran_ms == 0);
     }
   }
   SUBCASE("nobody listens at the worker's address: the planner hears of it at once") {
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -1,6 +1,7 @@
 #include "tests/world/batch_world.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrass {
 namespace {
@@ -186,17 +187,16 @@
   Tick(vm.id, vm.life);
 }
 
-void batch_world::StartWorker(machine& vm, std::string id) {
-  vm.born_ms = kWallOrigin + now().count();
+void batch_world::StartWorker(machine& vm) {
+  vm.born_ms = kWallOrigin + (now() + vm.clock_step).count();
   vm.sequence = 0;
   vm.draining = false;
   vm.leaves_at = millis(0);
   runner_options options = options_.worker;
   const auto percent = options_.time_percent.find(vm.index);
   if (percent != options_.time_percent.end()) options.time_percent = percent->second;
-  if (id.empty()) {
-    id = "worker-" + std::to_string(vm.index) + "-" + std::to_string(vm.born_ms);
-  }
+  std::string id = "worker-" + std::to_string(vm.index) + "-" + std::to_string(vm.born_ms);
+  if (!vm.worker_id.empty()) id = std::exchange(vm.worker_id, {});
   vm.runner = std::make_unique<standin_runner>(
       worker_identity{id, vm.born_ms}, options, gangs_,
       [this](const runner_event& event) { check_.OnRunner(event); }, now());
@@ -219,6 +219,7 @@
     if (vm.leaves_at > millis(0)) beat.worker.remaining_ms = (vm.leaves_at - now()).count();
     beat.sequence = ++vm.sequence;
     beat.clock_ms = vm.runner->ClockAt(now());
+    vm.last_beat = beat;
     ToAgent(vm, beat);
   }
   const int64_t born = vm.born_ms;
@@ -581,19 +582,27 @@
   hold_answer answer;
   answer.worker = call.worker;
   answer.fence = call.fence;
+  answer.sent = call.sent;
   const bool there = vm.runner != nullptr && vm.runner->self().id == call.worker.id;
   if (!there) {
-    answer.outcome = call_outcome::kNeverSent;
+    answer.outcome = vm.runner == nullptr ? call_outcome::kNeverSent : call_outcome::kOtherLife;
     return WaitForEnd(vm, call, answer, millis(0));
   }
   vm.runner->Hold(call, now());
+  answer.born_ms = vm.runner->self().born_ms;
   answer.outcome = call.fence < vm.runner->fence() ? call_outcome::kRefused : call_outcome::kDone;
   WaitForEnd(vm, call, answer, now() + call.wait);
 }
 
 void batch_world::WaitForEnd(machine& vm, const hold_call& call, hold_answer answer, millis until) {
-  const bool there = vm.runner != nullptr && vm.runner->self().id == call.worker.id;
+  const bool there = vm.runner != nullptr && vm.runner->self().id == call.worker.id &&
+                     vm.runner->self().born_ms == answer.born_ms;
   if (there) vm.runner->Advance(now());
+  // The connection to a process that ends breaks.
+  if (!there && answer.outcome == call_outcome::kDone) {
+    answer.outcome = call_outcome::kNoAnswer;
+    answer.born_ms = 0;
+  }
   const bool wait = there && answer.outcome == call_outcome::kDone && now() < until &&
                     !vm.runner->HasEndAfter(call.seen_upto);
   const int64_t life = vm.life;
@@ -694,6 +703,8 @@
 void batch_world::CrashWorker(int worker, millis down) {
   machine& vm = *machines_.at(worker);
   if (vm.runner == nullptr) return;
+  vm.former_beat = vm.last_beat;
+  ++vm.former_beat.sequence;
   vm.runner->Die(now());
   vm.runner.reset();
   events_.After(down, [this, worker] {
@@ -708,10 +719,24 @@
   const std::string id = left.runner->self().id;
   left.runner->Die(now());
   taken.runner->Die(now());
-  StartWorker(taken, id);
+  taken.worker_id = id;
+  StartWorker(taken);
   StartWorker(left);
 }
 
+void batch_world::RestartWorker(int worker, millis down, millis clock_step) {
+  machine& vm = *machines_.at(worker);
+  if (vm.runner == nullptr) return;
+  vm.clock_step += clock_step;
+  vm.worker_id = vm.runner->self().id;
+  CrashWorker(worker, down);
+}
+
+void batch_world::LateBeat(int worker) {
+  machine& vm = *machines_.at(worker);
+  if (vm.alive && !vm.former_beat.worker.self.id.empty()) ToAgent(vm, vm.former_beat);
+}
+
 void batch_world::DrainWorker(int worker) {
   machine& vm = *machines_.at(worker);
   vm.draining = true;
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -76,6 +76,12 @@
    */
   void MoveWorker(int from, int to);
 
+  /** A worker crashes and starts again under its id, after its VM's clock was stepped. */
+  void RestartWorker(int worker, millis down, millis clock_step);
+
+  /** A heartbeat of a worker's former life arrives now. */
+  void LateBeat(int worker);
+
   /** A worker says that it leaves, is gone after the notice, and comes anew later. */
   void TakeAway(int worker, millis notice, millis away);
   /** A worker carries out all calls and answers none. */
@@ -132,6 +138,10 @@
     std::unique_ptr<agent_core> agent;
     std::unique_ptr<standin_runner> runner;
     int64_t born_ms = 0;
+    millis clock_step{0};     // of the VM's time of day
+    std::string worker_id;    // to start under; empty: a new one
+    worker_beat last_beat;    // of the present life
+    worker_beat former_beat;  // of the life before; no id: there was none
     int64_t sequence = 0;
     bool draining = false;
     millis leaves_at{0};  // 0: not said
@@ -156,7 +166,7 @@
 
   void StartEntry(entry_process& entry);
   void StartAgent(machine& vm);
-  void StartWorker(machine& vm, std::string id = {});
+  void StartWorker(machine& vm);
   void StopProcess(process& stopped);
   void Tick(const std::string& id, int64_t life);
   void Beat(machine& vm);
