A departure is believed once nobody answers for the life any more

Callers would see one task run twice: a departure names an id and no life. A late one of a former life had the agent forget the living one and report it gone; the planner takes its runs for over 700 ms later, while they run on.

A departure opens a doubt: the life starts nothing and is asked after 20, 40, 80, 160 and 320 ms. It is reported gone when nobody listens at its address or another life answers there, and goes on after 0.6 s of answers of its own (about six holds). One that leaves properly is known as gone on the first hold after its end. Without any answer its lease decides. A departure that carries another life's birth is not considered.

--- a/src/kernel/batch/agent_core.cc
+++ b/src/kernel/batch/agent_core.cc
@@ -31,16 +31,7 @@
 
 void agent_core::On(const worker_beat& beat, millis now) { lives_.On(beat, now); }
 
-void agent_core::On(const worker_left& left, millis) {
-  const auto found = lives_.present().find(left.id);
-  if (found == lives_.present().end()) return;
-  log_event("worker-left")
-      .With("worker", left.id)
-      .With("born", found->second.self().born_ms)
-      .With("term", term_);
-  ReportGone(found->second.self());
-  lives_.present().erase(found);
-}
+void agent_core::On(const worker_left& left, millis now) { lives_.On(left, now); }
 
 void agent_core::ReportEnded() {
   for (const auto& life : lives_.TakeGone()) ReportGone(life);
--- a/src/kernel/batch/worker_calls.h
+++ b/src/kernel/batch/worker_calls.h
@@ -101,6 +101,7 @@
 /** A worker says that it leaves for good. */
 struct worker_left {
   std::string id;
+  int64_t born_ms = 0;  // 0: not said
 };
 
 }  // namespace eelgrass
--- a/src/kernel/batch/worker_lives.cc
+++ b/src/kernel/batch/worker_lives.cc
@@ -60,9 +60,26 @@
   announced_.push_back(std::move(life));
 }
 
+void worker_lives::On(const worker_left& left, millis now) {
+  worker_steward* steward = Find(left.id);
+  if (steward == nullptr) return;
+  const worker_identity& self = steward->self();
+  if (left.born_ms == 0 || left.born_ms == self.born_ms) return steward->OnLeft(now);
+  log_event("departure-outdated")
+      .With("worker", left.id)
+      .With("born", self.born_ms)
+      .With("born_left", left.born_ms);
+}
+
 void worker_lives::On(const hold_answer& answer, millis now) {
   worker_steward* steward = Find(answer.worker.id);
-  if (steward != nullptr && steward->self() == answer.worker) return steward->On(answer, now);
+  if (steward != nullptr && steward->self() == answer.worker) {
+    steward->On(answer, now);
+    if (!steward->left()) return;
+    gone_.push_back(answer.worker);
+    present_.erase(answer.worker.id);
+    return;
+  }
   steward = FindAnnounced(answer.worker);
   if (steward == nullptr) return;
   steward->On(answer, now);
--- a/src/kernel/batch/worker_lives.h
+++ b/src/kernel/batch/worker_lives.h
@@ -23,6 +23,7 @@
   using stewards = std::map<std::string, worker_steward, std::less<>>;  // by the worker's id
 
   void On(const worker_beat& beat, millis now);
+  void On(const worker_left& left, millis now);
   void On(const hold_answer& answer, millis now);
 
   /** A new planner: every life has to confirm its fence. */
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -69,6 +69,17 @@
 
 void worker_steward::AskAgain(millis now) { next_hold_ = now + kRetryPause; }
 
+void worker_steward::OnLeft(millis now) {
+  departure_.Begin(now);
+  next_hold_ = std::min(next_hold_, now);
+  log_event("departure-heard")
+      .With("worker", profile_.self.id)
+      .With("born", profile_.self.born_ms)
+      .With("draining", profile_.draining ? 1 : 0)
+      .With("term", term_)
+      .With("answered_ago_ms", proof_.known() ? (now - proof_.received()).count() : -1);
+}
+
 bool worker_steward::unheard(millis now) const { return now - last_beat_ > kAnnouncedFor; }
 
 bool worker_steward::gone(millis now) const { return now - last_answer_ > kForgetAfter; }
@@ -164,8 +175,9 @@
   if (refused != refused_connection_) changed_ = true;
   refused_connection_ = refused;
   if (answers_as_another_) TakeOtherLife(answer);
+  if (departure_.open()) TakeDeparture(answer, now);
   if (answer.outcome != call_outcome::kDone || answers_as_another_) {
-    next_hold_ = now + kRetryPause;
+    next_hold_ = now + (departure_.open() ? departure_.pause() : kRetryPause);
     return;
   }
   last_answer_ = now;
@@ -177,6 +189,23 @@
   TakeLists(answer, now);
 }
 
+/** Only a call that was sent after the departure was heard tells whether the life is there. */
+void worker_steward::TakeDeparture(const hold_answer& answer, millis now) {
+  if (answer.sent < departure_.heard()) return;
+  left_ = answer.outcome == call_outcome::kNeverSent || answers_as_another_;
+  const millis heard = departure_.heard();
+  const bool answered = !left_ && answer.outcome == call_outcome::kDone;
+  departure_.OnAnswer(answered);
+  if (!left_ && departure_.open()) return;
+  log_event(left_ ? "worker-left" : "departure-outdated")
+      .With("worker", profile_.self.id)
+      .With("born", profile_.self.born_ms)
+      .With("born_answered", answer.born_ms)
+      .With("term", term_)
+      .With("heard_ago_ms", (now - heard).count())
+      .With("asked_ago_ms", (now - answer.sent).count());
+}
+
 /** What is known of this life's lists does not count any more. */
 void worker_steward::TakeOtherLife(const hold_answer& answer) {
   if (confirmed_term_ == 0) return;
@@ -241,6 +270,7 @@
 }
 
 millis worker_steward::NextHold(millis now) const {
+  if (departure_.open()) return now + departure_.pause();
   if (!ended_.empty()) return now + kListPause;
   if (!running_.empty()) return now;
   return now + (starts_.empty() && stops_.empty() ? kIdlePause : kBusyPause);
@@ -364,7 +394,8 @@
   holding_ = true;
   hold_sent_ = now;
   hold_number_ = ++holds_begun_;
-  const bool wait = confirmed_term_ == term_ && ended_.empty() && !running_.empty();
+  const bool wait =
+      confirmed_term_ == term_ && ended_.empty() && !running_.empty() && !departure_.open();
   hold_call call{profile_.address, profile_.self, term_, seen_upto_, DeadlineFor(now), millis(0)};
   if (wait) call.wait = kHoldWait;
   call.sent = now;
@@ -394,7 +425,7 @@
       barred.push_back(ref);
       continue;
     }
-    if (deadline == 0) continue;
+    if (deadline == 0 || departure_.open()) continue;
     start.phase = start_phase::kCalling;
     calls.emplace_back(start_call{profile_.address, profile_.self, term_, deadline, start.run});
   }
--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "kernel/batch/departure_doubt.h"
 #include "kernel/batch/life_proof.h"
 #include "kernel/batch/pace_policy.h"
 #include "kernel/batch/worker_calls.h"
@@ -53,6 +54,12 @@
   const std::string& address() const { return profile_.address; }
   const std::string& service() const { return profile_.service; }
 
+  /** This life is said to leave: it starts nothing until it has shown whether it is there. */
+  void OnLeft(millis now);
+
+  /** Whether it was said to leave, and is certainly not there any more. */
+  bool left() const { return left_; }
+
   /** When this life is known to have lived. */
   const life_proof& proof() const { return proof_; }
 
@@ -87,6 +94,7 @@
     millis at{0};
   };
 
+  void TakeDeparture(const hold_answer& answer, millis now);
   void TakeOtherLife(const hold_answer& answer);
   void TakeLists(const hold_answer& answer, millis now);
   void SettleStops();
@@ -103,6 +111,8 @@
 
   worker_profile profile_;
   life_proof proof_;
+  departure_doubt departure_;
+  bool left_ = false;
   bool answers_as_another_ = false;
   int64_t beat_sequence_ = 0;
   int64_t clock_ms_ = 0;  // worker's clock when last read
--- a/tests/stories/platform_story.cc
+++ b/tests/stories/platform_story.cc
@@ -158,7 +158,13 @@
   }
   SUBCASE("a worker that leaves says so") {
     server.Ask("DELETE", "/instances/i-1", "");
-    CHECK(workers.gone.size() == 1);
+    REQUIRE(workers.gone.size() == 1);
+    CHECK(workers.gone[0].born_ms == 0);
+    server.Ask("DELETE", "/instances/i-1", R"({"born":17})");
+    CHECK(workers.gone.back().born_ms == 17);
+    server.Ask("DELETE", "/instances/i-1", R"({"born":"17"})");
+    REQUIRE(workers.gone.size() == 3);
+    CHECK(workers.gone.back().born_ms == 0);
   }
 }
 
--- a/tests/stories/worker_lives_story.cc
+++ b/tests/stories/worker_lives_story.cc
@@ -183,6 +183,76 @@
   }
 }
 
+TEST_CASE("a departure is believed once nobody answers for the life any more") {
+  agent_beside_worker scene;
+  REQUIRE(scene.Holds(kPresent) == 2);
+  scene.Tell(worker_left{kPresent.id}, millis(100));
+
+  SUBCASE("the worker ends: it is reported gone within tens of milliseconds") {
+    CHECK_FALSE(scene.Gone(kPresent));
+    scene.Answer(scene.holds.back(), millis(20), call_outcome::kNoAnswer, 0, millis(102));
+    scene.Pass(millis(125));
+    REQUIRE(scene.Holds(kPresent) == 3);
+    scene.Answer(scene.holds.back(), millis(125), call_outcome::kNeverSent, 0, millis(127));
+    CHECK(scene.Gone(kPresent));
+  }
+  SUBCASE("it answers once more before it ends: the same") {
+    scene.Answer(scene.holds.back(), millis(20), call_outcome::kDone, kPresent.born_ms,
+                 millis(102));
+    CHECK_FALSE(scene.Gone(kPresent));
+    scene.Pass(millis(125));
+    scene.Answer(scene.holds.back(), millis(125), call_outcome::kNeverSent, 0, millis(127));
+    CHECK(scene.Gone(kPresent));
+  }
+  SUBCASE("another life answers in its place") {
+    scene.Answer(scene.holds.back(), millis(20), call_outcome::kNoAnswer, 0, millis(102));
+    scene.Pass(millis(125));
+    scene.Answer(scene.holds.back(), millis(125), call_outcome::kDone, 300, millis(127));
+    CHECK(scene.Gone(kPresent));
+  }
+  SUBCASE("it goes on answering: the departure was a former life's, and came late") {
+    scene.Answer(scene.holds.back(), millis(20), call_outcome::kDone, kPresent.born_ms,
+                 millis(102));
+    const int before = scene.Holds(kPresent);
+    millis sent(102);
+    int asked = before;
+    for (millis now(103); now < millis(2000); now += millis(1)) {
+      scene.Pass(now);
+      if (scene.Holds(kPresent) > asked) sent = now;
+      if (scene.Holds(kPresent) > asked) {
+        asked = scene.Holds(kPresent);
+        scene.Answer(scene.holds.back(), sent, call_outcome::kDone, kPresent.born_ms, now);
+        if (scene.holds.back().wait > millis(0)) break;
+      }
+    }
+    CHECK_FALSE(scene.Gone(kPresent));
+    CHECK(scene.Listed(kPresent));
+    CHECK(scene.holds.back().wait > millis(0));
+    CHECK(asked - before < 10);
+  }
+  SUBCASE("it answers nothing: its lease decides, and it gets no starts meanwhile") {
+    worker_order order;
+    order.term = kTerm;
+    order.sequence = 1;
+    order.worker = kPresent;
+    order.starts.push_back({"a.0.0.1", 502, "", ""});
+    order.grant_sequence = scene.reports.back().sequence;
+    order.grant_ms = 4000;
+    scene.Tell(peer_said{"entry-0", order}, millis(101));
+    scene.Pass(millis(1000));
+    CHECK(scene.starts.empty());
+    CHECK_FALSE(scene.Gone(kPresent));
+  }
+  SUBCASE("of another life by its birth: nothing is asked") {
+    agent_beside_worker other;
+    other.Tell(worker_left{kPresent.id, 99}, millis(100));
+    other.Answer(other.holds.back(), millis(20), call_outcome::kDone, kPresent.born_ms,
+                 millis(102));
+    CHECK(other.holds.back().wait > millis(0));
+    CHECK_FALSE(other.Gone(kPresent));
+  }
+}
+
 TEST_CASE("workers that start again under their ids run no task twice") {
   constexpr int kWorker = 1;
   batch_world world;
@@ -210,6 +280,12 @@
     world.RunFor(millis(1000));
     CHECK(world.worker(kWorker).running() == runs);
   }
+  SUBCASE("and the departure of the former life comes late") {
+    world.RunFor(millis(400));  // a heartbeat has just come
+    world.LateLeave(kWorker);
+    world.RunFor(millis(3000));
+    CHECK(world.worker(kWorker).running() == runs);
+  }
   world.RunFor(millis(30000));
   CHECK(world.check().starts() == 30);
   RequireKept(world);
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -737,6 +737,19 @@
   if (vm.alive && !vm.former_beat.worker.self.id.empty()) ToAgent(vm, vm.former_beat);
 }
 
+void batch_world::LateLeave(int worker) {
+  machine& vm = *machines_.at(worker);
+  const std::string& former = vm.former_beat.worker.self.id;
+  if (vm.alive && !former.empty()) ToAgent(vm, worker_left{former});
+}
+
+void batch_world::Leave(int worker, millis away) {
+  machine& vm = *machines_.at(worker);
+  if (vm.runner == nullptr) return;
+  if (vm.alive) ToAgent(vm, worker_left{vm.runner->self().id});
+  events_.After(kWorkerTime, [this, worker, away] { CrashWorker(worker, away); });
+}
+
 void batch_world::DrainWorker(int worker) {
   machine& vm = *machines_.at(worker);
   vm.draining = true;
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -82,6 +82,12 @@
   /** A heartbeat of a worker's former life arrives now. */
   void LateBeat(int worker);
 
+  /** The departure of a worker's former life arrives now. */
+  void LateLeave(int worker);
+
+  /** A worker says that it leaves, and its process ends. */
+  void Leave(int worker, millis away);
+
   /** A worker says that it leaves, is gone after the notice, and comes anew later. */
   void TakeAway(int worker, millis notice, millis away);
   /** A worker carries out all calls and answers none. */
