A worker is taken for gone by its VM's record, or by two lists without it

Callers would see one task run twice at the same time.

Cause: 'its VM is down' followed from an id that one reading of the list of VMs did not hold. The list is read page by page, so that a VM that changes its place, or an entry that cannot be read, leaves out a worker that lives.

Change: one reading proves a worker gone by a record of the VM on which it lived: down, moving, in upkeep, or carrying another worker. Which VM that is, its heartbeat says, or its stored row, or an earlier list. Where no record names the worker, two complete readings in a row have to say so, half a second apart, without an entry that could not be read. A life that began while the list was read is not the one that was silent.

--- a/src/kernel/batch/batch_records.h
+++ b/src/kernel/batch/batch_records.h
@@ -45,6 +45,7 @@
   std::string agent;
   std::string address;
   int64_t born_ms = 0;  // the life that the address belongs to; 0: not known
+  std::string vm;       // on which that life is; empty: not known
 };
 
 /** Writes and reads the records. Stateless. */
--- a/src/kernel/batch/lost_workers.cc
+++ b/src/kernel/batch/lost_workers.cc
@@ -67,15 +67,19 @@
 }
 
 /** Workers on which runs may be and of which nothing has been heard. */
-std::vector<std::string> lost_workers::Silent(millis now) const {
-  std::vector<std::string> silent;
+std::vector<silent_worker> lost_workers::Silent(millis now) const {
+  std::vector<silent_worker> silent;
   if (!journal_.loaded()) return silent;
-  if (now - term_began_ > kReportTime) {
-    for (const auto& [id, record] : journal_.expected()) silent.push_back(id);
+  const bool in_question = now - term_began_ > kReportTime;
+  for (const auto& [id, record] : journal_.expected()) {
+    if (!in_question || pool_.all().contains(id)) continue;
+    silent.push_back({{id, record.born_ms}, record.vm, term_began_});
   }
   for (const auto& [id, worker] : pool_.all()) {
     const bool silent_agent = now - worker.reported > kSilent;
-    if (!worker.runs.empty() && (silent_agent || !worker.listing)) silent.push_back(id);
+    const bool runs = !worker.runs.empty() && (silent_agent || !worker.listing);
+    const bool expected = in_question && journal_.expected().contains(id);
+    if (runs || expected) silent.push_back({worker.profile.self, worker.profile.vm, worker.known});
   }
   return silent;
 }
@@ -85,12 +89,13 @@
 }
 
 std::vector<std::string> lost_workers::On(const vm_listing& listing) {
-  std::vector<std::string> gone = departures_.On(listing);
-  std::erase_if(gone, [&](const std::string& id) {
-    const auto found = pool_.all().find(id);
-    if (found == pool_.all().end()) return false;
-    return found->second.listing && found->second.reported >= listing.requested;
-  });
+  std::vector<std::string> gone;
+  for (const auto& worker : departures_.On(listing)) {
+    const auto found = pool_.all().find(worker.id);
+    // A life that began while the list was read is not the one that was silent.
+    if (found != pool_.all().end() && !(found->second.profile.self == worker)) continue;
+    gone.push_back(worker.id);
+  }
   if (!journal_.loaded()) gone.clear();
   return gone;
 }
--- a/src/kernel/batch/lost_workers.h
+++ b/src/kernel/batch/lost_workers.h
@@ -35,6 +35,9 @@
    */
   std::vector<std::string> Unreported(millis now, millis confirmed) const;
 
+  /** A worker has just listed what it runs. */
+  void OnHeard(std::string_view worker) { departures_.OnHeard(worker); }
+
   /** The list of VMs to ask for now, if a worker with runs is silent. */
   std::optional<vm_listing_request> Next(millis now);
 
@@ -43,7 +46,7 @@
 
  private:
   bool Replaced(const worker_record& stored, const worker_profile& newest) const;
-  std::vector<std::string> Silent(millis now) const;
+  std::vector<silent_worker> Silent(millis now) const;
 
   const worker_pool& pool_;
   const planner_journal& journal_;
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -203,6 +203,7 @@
   const pool_worker* worker = pool_.Find(report.worker.self.id);
   if (worker != nullptr && worker->listing) {
     journal_.Heard(report.worker.self.id);
+    lost_.OnHeard(report.worker.self.id);
     Forget(lost_.ReplacedBy(report.worker), "another worker has its address");
   }
   if (worker != nullptr && !worker->recorded && !worker->recording) journal_.Hurry();
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -94,7 +94,8 @@
   for (auto& [id, worker] : pool.all()) {
     if (worker.recorded || worker.recording || room == 0) continue;
     worker.recording = true;
-    worker_record record{id, worker.agent, worker.profile.address, worker.profile.self.born_ms};
+    worker_record record{id, worker.agent, worker.profile.address, worker.profile.self.born_ms,
+                         worker.profile.vm};
     change.writes.push_back({{std::string(kWorkersTable), "", id}, codec_.Encode(record)});
     group_.workers.push_back(std::move(record));
     --room;
@@ -187,7 +188,8 @@
     } else if (const pool_worker* known = pool.Find(found.at.key);
                known == nullptr || !known->listing) {
       const auto record = codec_.DecodeWorker(found.value);
-      expected_[found.at.key] = record ? record.value() : worker_record{found.at.key, "", ""};
+      expected_[found.at.key] =
+          record ? record.value() : worker_record{found.at.key, "", "", 0, ""};
     }
   }
   if (stage_ == stage::kJobs && continue_at_.empty()) {
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -91,6 +91,7 @@
   worker = pool_worker{};
   worker.profile = report.worker;
   worker.agent = agent;
+  worker.known = now;
   // An earlier planner may have granted a lease that this one knows nothing of.
   worker.lease_end = now + kTermTrust + LeaseBound(options_.grant);
   ++changes_;
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -47,6 +47,7 @@
   bool recorded = false;  // the store knows that runs of this life may be here, at its address
   bool recording = false;
   int64_t report_sequence = 0;
+  millis known{0};  // since when this life is
   millis reported{0};
   millis lease_end{0};  // no run outlives this; planner's clock
   millis leaves_at{0};  // a draining worker stays until then at least; 0: not known
--- a/src/kernel/model/vm_listing.h
+++ b/src/kernel/model/vm_listing.h
@@ -33,7 +33,7 @@
   millis requested{0};  // when it was asked for
   bool answered = false;
   std::vector<vm_record> vms;
-  int unreadable = 0;
+  int unreadable = 0;  // further entries, of which nothing is known
 };
 
 }  // namespace eelgrass
--- a/src/kernel/model/worker_messages.h
+++ b/src/kernel/model/worker_messages.h
@@ -33,6 +33,7 @@
   bool draining = false;
   int64_t remaining_ms = -1;  // a draining worker leaves no earlier than this; -1: not known
   int64_t cold_ms = 0;        // slow for this much longer after its start
+  std::string vm;             // on which it lives; empty: not said
 };
 
 /** A run of a task that a worker lists as running. */
--- a/src/plugins/peer/cbor/cbor_codec.cc
+++ b/src/plugins/peer/cbor/cbor_codec.cc
@@ -65,7 +65,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_identity, id, born_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_profile, self, service, domain, address,
                                                 capacity, rack, labels, draining, remaining_ms,
-                                                cold_ms)
+                                                cold_ms, vm)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(listed_run, task, run, saved, percent, load, ran_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(listed_end, number, task, run, how, saved)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(refused_start, task, run, reason)
--- a/src/plugins/records/json/json_records.cc
+++ b/src/plugins/records/json/json_records.cc
@@ -24,7 +24,7 @@
                                                 failed_runs, saved)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_progress, job, state, tasks)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(term_record, holder, nonce, fence, write, sent_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_record, id, agent, address, born_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_record, id, agent, address, born_ms, vm)
 
 namespace {
 
--- a/tests/stories/odd_entries_story.cc
+++ b/tests/stories/odd_entries_story.cc
@@ -109,15 +109,18 @@
           std::string(R"({"Machine":"m-2\"]","State":up})")}) {
       CAPTURE(entry.substr(0, 80));
       departure_watch watch;
-      const std::vector<std::string> silent{"i-2"};
+      const std::vector<silent_worker> silent{{{"i-2", 1}, "", millis(0)}};
       REQUIRE(watch.Next(silent, millis(7)));
-      const vm_listing read = list(entry);
+      vm_listing read = list(entry);
       CHECK(read.answered);
       CHECK(read.unreadable == 1);
       REQUIRE(read.vms.size() == 2);
       CHECK(read.vms[0].worker == "i-1");
       CHECK(read.vms[1].state == vm_state::kDown);
       CHECK(watch.On(read).empty());
+      read.requested = millis(1007);
+      REQUIRE(watch.Next(silent, read.requested));
+      CHECK(watch.On(read).empty());
     }
   }
   SUBCASE("is a VM in an unknown state if it names one that is not known") {
@@ -309,7 +312,7 @@
       CHECK_FALSE(codec->DecodeTerm(text));
       CHECK_FALSE(codec->DecodeWorker(text));
     }
-    CHECK_NOTHROW((void)codec->Encode(worker_record{"i-\xff", "a", "10.0.0.1:80"}));
+    CHECK_NOTHROW((void)codec->Encode(worker_record{"i-\xff", "a", "10.0.0.1:80", 0, ""}));
   }
 }
 
--- a/tests/stories/platform_story.cc
+++ b/tests/stories/platform_story.cc
@@ -99,11 +99,14 @@
           R"({"Machines":["m-1"],"NextToken":null})"}) {
       CAPTURE(std::string(body));
       departure_watch watch;
-      const std::vector<std::string> silent{"i-1"};
+      const std::vector<silent_worker> silent{{{"i-1", 1}, "", millis(0)}};
       REQUIRE(watch.Next(silent, millis(7)));
-      const vm_listing read = list(body);
+      vm_listing read = list(body);
       CHECK(read.unreadable == 1);
       CHECK(watch.On(read).empty());
+      read.requested = millis(1007);
+      REQUIRE(watch.Next(silent, read.requested));
+      CHECK(watch.On(read).empty());
     }
   }
 }
--- a/tests/stories/takeover_story.cc
+++ b/tests/stories/takeover_story.cc
@@ -206,10 +206,12 @@
 TEST_CASE("the stored row of a worker") {
   const auto codec = std::move(record_codec_registry::Instance().Create("json").value());
   SUBCASE("names the life that it is about") {
-    const auto read = codec->DecodeWorker(codec->Encode(worker_record{"w1", "a1", "h:1", 77}));
+    const auto read =
+        codec->DecodeWorker(codec->Encode(worker_record{"w1", "a1", "h:1", 77, "vm-1"}));
     REQUIRE(read);
     CHECK(read.value().born_ms == 77);
     CHECK(read.value().address == "h:1");
+    CHECK(read.value().vm == "vm-1");
   }
   SUBCASE("of an earlier release is read, and its life is not known") {
     const auto read = codec->DecodeWorker(R"({"id":"w1","agent":"a1","address":"h:1"})");
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -213,6 +213,7 @@
     beat.worker.domain = "domain-" + std::to_string(DomainOf(vm.index));
     beat.worker.rack = "rack-" + std::to_string(vm.index / 3);
     beat.worker.address = vm.id + ":8000";
+    if (vm_named_) beat.worker.vm = "vm-" + std::to_string(vm.index);
     beat.worker.capacity = options_.worker.capacity;
     beat.worker.labels = {"a", beat.worker.rack};
     beat.worker.draining = vm.draining;
@@ -458,6 +459,7 @@
     if (const auto hidden = hidden_vms_.find(index);
         hidden != hidden_vms_.end() && hidden->second > 0) {
       --hidden->second;
+      if (unreadable_) ++listing.unreadable;
       continue;
     }
     const bool up = vm->runner != nullptr;
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -109,6 +109,12 @@
   /** The next so many lists do not hold a worker's VM: it changes its place between two pages. */
   void HideVm(int worker, int lists) { hidden_vms_[worker] = lists; }
 
+  /** Workers say on which VM they live, or do not. They do from the start. */
+  void SetVmNamed(bool named) { vm_named_ = named; }
+
+  /** The entries of VMs that are left out can be seen, but not read. */
+  void SetUnreadable(bool unreadable) { unreadable_ = unreadable; }
+
   /** Orders to workers get no answer and are carried out seconds later, with this probability. */
   void SetLateOrders(double share) { late_orders_ = share; }
 
@@ -228,6 +234,8 @@
   std::map<std::string, store_fault, std::less<>> entry_faults_;
   double late_orders_ = 0;
   bool vm_list_answers_ = true;
+  bool vm_named_ = true;
+  bool unreadable_ = false;
   std::map<int, int> hidden_vms_;  // lists to come, by worker
   millis feed_delay_{0};
   int vm_lists_ = 0;
