Stories for new lives of a worker under the id that it had

Since a row of a worker names its life, a new life gets nothing before the row is written, which the earlier planner cannot do.

--- a/tests/stories/batch_hunt_story.cc
+++ b/tests/stories/batch_hunt_story.cc
@@ -8,8 +8,11 @@
 namespace eelgrass {
 namespace {
 
+/** Whether workers may start again under the ids that they had. */
+enum class worker_ids { kNew, kKept };
+
 /** One random day: jobs all along, and faults that overlap. */
-void PlayDay(uint64_t seed) {
+void PlayDay(uint64_t seed, worker_ids ids) {
   CAPTURE(seed);
   batch_world_options options;
   options.seed = seed;
@@ -36,7 +39,7 @@
       world.Submit(job);
       world.Watch(job.id);
     }
-    switch (pick(16)) {
+    switch (pick(18)) {
       case 0:
         world.KillEntry(pick(world.entries()), millis(500 + pick(3000)));
         break;
@@ -103,6 +106,18 @@
                              [&, domain] { world.CutDomain(domain, false); });
         break;
       }
+      case 15:
+        world.LateBeat(pick(world.workers()));
+        break;
+      case 16:
+        world.LateLeave(pick(world.workers()));
+        break;
+      case 17:
+        if (ids == worker_ids::kKept) {
+          world.RestartWorker(pick(world.workers()), millis(200 + pick(3000)),
+                              millis(pick(40000) - 20000));
+        }
+        break;
       default:
         break;
     }
@@ -120,11 +135,19 @@
   return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
 }
 
-TEST_CASE("random days keep the promises about batch jobs") {
-  constexpr uint64_t kDays = 40;
+constexpr uint64_t kDays = 40;
+
+/** Plays the days that the environment names, or these many. */
+void PlayDays(uint64_t usual, worker_ids ids) {
   const uint64_t first = Setting("EELGRASS_HUNT_FIRST", 1);
-  const uint64_t days = Setting("EELGRASS_HUNT_DAYS", kDays);
-  for (uint64_t seed = first; seed < first + days; ++seed) PlayDay(seed);
+  const uint64_t days = Setting("EELGRASS_HUNT_DAYS", usual);
+  for (uint64_t seed = first; seed < first + days; ++seed) PlayDay(seed, ids);
+}
+
+TEST_CASE("random days keep the promises about batch jobs") { PlayDays(kDays, worker_ids::kNew); }
+
+TEST_CASE("days on which workers start again under their ids keep the promises") {
+  PlayDays(kDays, worker_ids::kKept);
 }
 
 }  // namespace
--- a/tests/stories/two_planners_story.cc
+++ b/tests/stories/two_planners_story.cc
@@ -76,5 +76,29 @@
   RequireKept(world);
 }
 
+TEST_CASE("a replaced planner starts nothing on a new life of a worker that is taken for gone") {
+  millis crash{0};
+  SUBCASE("it crashes 0.9 s after the cut") { crash = millis(900); }
+  SUBCASE("it crashes 1.2 s after the cut") { crash = millis(1200); }
+  SUBCASE("it crashes 1.5 s after the cut") { crash = millis(1500); }
+  batch_world world;
+  world.RunFor(millis(5000));
+  const int first = world.Planner();
+  REQUIRE(first >= 0);
+  const batch_job job = MakeBatchJob("e4", "usual", 16, millis(9000), 1);
+  world.Submit(job);
+  world.Watch(job.id);
+  world.RunFor(millis(1500));
+  REQUIRE(world.worker(first).running() + world.worker(first + 3).running() > 0);
+  world.CutDomain(first, true);
+  world.RunFor(crash);
+  world.RestartWorker(first, millis(1000), millis(0));
+  world.RestartWorker(first + 3, millis(1000), millis(0));
+  world.RunFor(millis(8000));
+  world.CutDomain(first, false);
+  world.RunFor(millis(30000));
+  RequireKept(world);
+}
+
 }  // namespace
 }  // namespace eelgrass
