--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -444,8 +444,9 @@
         .With("term_confirmed_ago_ms", (now - confirmed).count());
     GiveUpAll(worker, "the lease has lapsed", worker.lease_end);
   }
-  if (confirmed <= last_given_up_)
+  if (confirmed <= last_given_up_) {
     unsure = std::max(unsure.value_or(last_given_up_), last_given_up_);
+  }
   return unsure;
 }
 
