--- a/bench/fuzz_platform.cc
+++ b/bench/fuzz_platform.cc
@@ -45,7 +45,8 @@
     workers.beats.clear();
     server.Ask("PUT", "/instances/i-1", body);
     for (const auto& beat : workers.beats) {
-      (void)records->Encode(worker_record{beat.worker.self.id, "a", beat.worker.address});
+      const worker_profile& worker = beat.worker;
+      (void)records->Encode({worker.self.id, "a", worker.address, worker.self.born_ms, worker.vm});
     }
   }
   void List() {
