A later life under a worker's id gets a higher fence

Cause: a call to a worker names an id and no life, and may be carried out seconds late. All calls of a term had one fence, so that the next life carried out starts that were meant for the former one, also those that had been taken back and barred there. The planner took the former life's runs for over as soon as the next one listed, and started them elsewhere.

The planner counts the lives under each id within its term, also over a worker that was forgotten in between, and the count is part of the fence. What the former life had stays on the worker until the next one has listed under its own fence: from then on it refuses what is still on its way, and what it has carried out before is in its lists. Late holds of a former life, which could note ends of the next one or prolong its lease, are refused as well.

The new sections of run_tracker_story and worker_steward_story do not hold without the count.

--- a/src/kernel/batch/order_writer.cc
+++ b/src/kernel/batch/order_writer.cc
@@ -43,6 +43,7 @@
     order.term = term;
     order.sequence = ++sent_;
     order.worker = worker.profile.self;
+    order.life = worker.life;
     for (const auto& [ref, record] : worker.runs) {
       if (record.phase == run_phase::kStopping) order.stops.push_back(ref);
       if (record.phase == run_phase::kRunning) {
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -34,6 +34,7 @@
 void run_tracker::Begin(int64_t term) {
   term_ = term;
   runs_begun_ = 0;
+  lives_.clear();
 }
 
 int64_t run_tracker::NextRun() { return term_ * kRunsPerTerm + ++runs_begun_; }
@@ -73,7 +74,7 @@
   worker.profile = report.worker;
   const bool leaving = report.worker.draining && report.worker.remaining_ms >= 0;
   worker.leaves_at = leaving ? now + millis(report.worker.remaining_ms) : millis(0);
-  worker.listing = report.listed && report.term == term_;
+  worker.listing = report.listed && report.term == term_ && report.life == worker.life;
   worker.order_due = true;
   if (!worker.listing) return;
   if (!was_usable) ++changes_;
@@ -81,15 +82,35 @@
   TakeRunning(worker, report, now);
   TakeRefused(worker, report, now);
   DropUnlisted(worker, report, now);
+  GiveUpFormer(worker, report, now);
 }
 
+/** Numbers the lives under an id, also of a worker that was forgotten in between. */
+int64_t run_tracker::LifeOf(const worker_identity& worker) {
+  const auto [found, first] = lives_.try_emplace(worker.id, numbered_life{worker.born_ms, 0});
+  numbered_life& latest = found->second;
+  if (latest.born_ms != worker.born_ms) latest = {worker.born_ms, latest.number + 1};
+  return latest.number;
+}
+
+/**
+ * What was ordered to a former life may still be carried out by this one, until it has confirmed
+ * its own fence. So the runs stay until it lists them, or lists without them.
+ */
 void run_tracker::BeginLife(pool_worker& worker, const worker_report& report,
                             std::string_view agent, millis now) {
   const int64_t born_before = worker.profile.self.born_ms;
   const int64_t reported_ago = born_before == 0 ? -1 : (now - worker.reported).count();
-  if (!worker.profile.self.id.empty()) GiveUpAll(worker, "another life of the worker", now);
+  std::map<run_ref, run_record> runs = std::move(worker.runs);
+  for (auto& [ref, record] : runs) {
+    record.former_life = true;
+    record.phase = run_phase::kStopping;
+    record.since = now;
+  }
   worker = pool_worker{};
+  worker.runs = std::move(runs);
   worker.profile = report.worker;
+  worker.life = LifeOf(report.worker.self);
   worker.agent = agent;
   worker.known = now;
   // An earlier planner may have granted a lease that this one knows nothing of.
@@ -99,6 +120,8 @@
       .With("worker", report.worker.self.id)
       .With("born", report.worker.self.born_ms)
       .With("born_before", born_before)
+      .With("life", worker.life)
+      .With("runs_before", static_cast<int64_t>(worker.runs.size()))
       .With("reported_ago_ms", reported_ago)
       .With("listed", report.listed ? 1 : 0)
       .With("term", term_)
@@ -314,26 +337,39 @@
   ++changes_;
 }
 
-/** Takes a worker's runs for over since a time, without having heard how they ended. */
+/** Takes a run for over since a time, without having heard how it ended. */
+void run_tracker::GiveUp(pool_worker& worker, const run_ref& run, std::string_view reason,
+                         millis over) {
+  log_event("run-given-up")
+      .With("task", run.task)
+      .With("run", run.run)
+      .With("worker", worker.profile.self.id)
+      .With("born", worker.profile.self.born_ms)
+      .With("term", term_)
+      .With("reason", reason);
+  ++given_up_;
+  last_given_up_ = std::max(last_given_up_, over);
+  if (unit_state* unit = book_.Find(worker.runs.at(run).unit)) {
+    unit->given_up_run = std::max(unit->given_up_run, run.run);
+    unit->given_up = std::max(unit->given_up, over);
+  }
+  Close(worker, run);
+}
+
 void run_tracker::GiveUpAll(pool_worker& worker, std::string_view reason, millis over) {
-  std::vector<run_ref> refs;
-  for (const auto& [ref, record] : worker.runs) refs.push_back(ref);
-  if (!refs.empty()) last_given_up_ = std::max(last_given_up_, over);
-  for (const auto& ref : refs) {
-    log_event("run-given-up")
-        .With("task", ref.task)
-        .With("run", ref.run)
-        .With("worker", worker.profile.self.id)
-        .With("born", worker.profile.self.born_ms)
-        .With("term", term_)
-        .With("reason", reason);
-    ++given_up_;
-    if (unit_state* unit = book_.Find(worker.runs.at(ref).unit)) {
-      unit->given_up_run = std::max(unit->given_up_run, ref.run);
-      unit->given_up = std::max(unit->given_up, over);
-    }
-    Close(worker, ref);
+  while (!worker.runs.empty()) {
+    const run_ref run = worker.runs.begin()->first;
+    GiveUp(worker, run, reason, over);
+  }
+}
+
+/** Gives up what a former life had and this one, under its own fence, does not list. */
+void run_tracker::GiveUpFormer(pool_worker& worker, const worker_report& report, millis now) {
+  std::vector<run_ref> over;
+  for (const auto& [ref, record] : worker.runs) {
+    if (record.former_life && !Contains(report.running, ref)) over.push_back(ref);
   }
+  for (const auto& ref : over) GiveUp(worker, ref, "another life of the worker", now);
 }
 
 void run_tracker::Apply(const start_plan& plan, millis now) {
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -60,6 +61,12 @@
   int64_t changes() const { return changes_; }
 
  private:
+  struct numbered_life {
+    int64_t born_ms = 0;
+    int64_t number = 0;
+  };
+
+  int64_t LifeOf(const worker_identity& worker);
   void BeginLife(pool_worker& worker, const worker_report& report, std::string_view agent,
                  millis now);
   void TakeEnds(pool_worker& worker, const worker_report& report, const batch_config& config,
@@ -73,6 +80,8 @@
                   millis now);
   void Close(pool_worker& worker, const run_ref& run);
   void GiveUpAll(pool_worker& worker, std::string_view reason, millis over);
+  void GiveUp(pool_worker& worker, const run_ref& run, std::string_view reason, millis over);
+  void GiveUpFormer(pool_worker& worker, const worker_report& report, millis now);
   std::optional<millis> CloseLapsed(millis now, millis confirmed);
   void ReleaseHeld(millis now);
   void StopOverdue(millis now);
@@ -85,6 +94,7 @@
   worker_speeds& speeds_;
   int64_t term_ = 0;
   int64_t runs_begun_ = 0;
+  std::map<std::string, numbered_life, std::less<>> lives_;  // the latest under each id
   int64_t changes_ = 0;
   int64_t given_up_ = 0;
   millis last_given_up_{INT64_MIN / 4};
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -34,16 +34,18 @@
   millis since{0};              // of the phase
   std::optional<millis> began;  // none: it has not been seen running
   std::string saved;
-  bool timed = false;  // placed by this planner with all its work before it
-  std::string ticket;  // from the advice that the queue's policy demands
+  bool timed = false;        // placed by this planner with all its work before it
+  std::string ticket;        // from the advice that the queue's policy demands
+  bool former_life = false;  // ordered to an earlier life under the worker's id
 };
 
 /** One worker. */
 struct pool_worker {
   worker_profile profile;
+  int64_t life = 0;   // lives under the id before this one, within the term
   std::string agent;  // peer through which it is reached
   bool linked = false;
-  bool listing = false;   // its latest report has lists under this term
+  bool listing = false;   // its latest report has lists under this life's fence
   bool recorded = false;  // the store knows that runs of this life may be here, at its address
   bool recording = false;
   int64_t report_sequence = 0;
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -87,10 +87,9 @@
 void worker_steward::SetTerm(int64_t term, millis now) {
   if (term <= term_) return;
   term_ = term;
+  life_ = 0;
   order_sequence_ = 0;
-  // The hold under way may wait for an end; its answer has an earlier fence and says nothing.
-  holding_ = false;
-  next_hold_ = now;
+  AskUnderNewFence(now);
   // The new planner decides from the lists. What is still under way to the worker either shows
   // there or has a fence that the worker will not take any more.
   starts_.clear();
@@ -99,10 +98,20 @@
   refused_.clear();
 }
 
+/** The hold under way may wait for an end; its answer has an earlier fence and says nothing. */
+void worker_steward::AskUnderNewFence(millis now) {
+  holding_ = false;
+  next_hold_ = now;
+}
+
 void worker_steward::On(const worker_order& order, millis now) {
   if (order.term != term_ || order.sequence <= order_sequence_) return;
   if (!(order.worker == profile_.self)) return;
   order_sequence_ = order.sequence;
+  if (order.life > life_) {
+    life_ = order.life;
+    AskUnderNewFence(now);
+  }
   for (const auto& known : reports_) {
     if (known.sequence != order.grant_sequence || order.grant_ms <= 0) continue;
     const millis until = known.at + millis(order.grant_ms);
@@ -167,7 +176,7 @@
 }
 
 void worker_steward::On(const hold_answer& answer, millis now) {
-  if (answer.fence != term_ || answer.sent != hold_sent_) return;
+  if (answer.fence != fence() || answer.sent != hold_sent_) return;
   holding_ = false;
   answers_as_another_ = answer.outcome == call_outcome::kOtherLife ||
                         (answer.born_ms != 0 && answer.born_ms != profile_.self.born_ms);
@@ -228,10 +237,11 @@
   for (const auto& end : answer.ended) {
     if (end.number > seen_upto_) unseen.push_back(end);
   }
-  const bool same = confirmed_term_ == answer.fence && key(running_) == key(answer.running) &&
-                    ended_.size() == unseen.size();
+  const bool same =
+      confirmed() && key(running_) == key(answer.running) && ended_.size() == unseen.size();
   changed_ = changed_ || !same;
-  confirmed_term_ = answer.fence;
+  confirmed_term_ = term_;
+  confirmed_life_ = life_;
   running_ = answer.running;
   ended_ = std::move(unseen);
   std::erase_if(starts_, [this](const auto& entry) {
@@ -322,7 +332,7 @@
           .With("worker", profile_.self.id)
           .With("task", answer.run.task)
           .With("run", answer.run.run)
-          .With("term", answer.fence);
+          .With("term", term_);
       return;
     case call_outcome::kRefused:
       if (start.doubtful && answer.refusal != start_refusal::kOld) {
@@ -379,12 +389,12 @@
 void worker_steward::Tick(millis now, std::vector<worker_call>& calls) {
   if (term_ == 0) return;
   CallHold(now, calls);
-  if (confirmed_term_ != term_) return;
+  if (!confirmed()) return;
   CallStops(now, calls);
   CallStarts(now, calls);
   for (const auto& change : pace_changes_) {
     calls.emplace_back(
-        pace_call{profile_.address, profile_.self, term_, change.run, change.percent});
+        pace_call{profile_.address, profile_.self, fence(), change.run, change.percent});
   }
   pace_changes_.clear();
 }
@@ -394,9 +404,8 @@
   holding_ = true;
   hold_sent_ = now;
   hold_number_ = ++holds_begun_;
-  const bool wait =
-      confirmed_term_ == term_ && ended_.empty() && !running_.empty() && !departure_.open();
-  hold_call call{profile_.address, profile_.self, term_, seen_upto_, DeadlineFor(now), millis(0)};
+  const bool wait = confirmed() && ended_.empty() && !running_.empty() && !departure_.open();
+  hold_call call{profile_.address, profile_.self, fence(), seen_upto_, DeadlineFor(now), millis(0)};
   if (wait) call.wait = kHoldWait;
   call.sent = now;
   calls.emplace_back(std::move(call));
@@ -406,7 +415,7 @@
   for (auto& [ref, stop] : stops_) {
     if (stop.phase != stop_phase::kWanted || now < stop.not_before) continue;
     stop.phase = stop_phase::kCalling;
-    calls.emplace_back(stop_call{profile_.address, profile_.self, term_, ref});
+    calls.emplace_back(stop_call{profile_.address, profile_.self, fence(), ref});
     log_event("run-stop")
         .With("worker", profile_.self.id)
         .With("task", ref.task)
@@ -427,7 +436,7 @@
     }
     if (deadline == 0 || departure_.open()) continue;
     start.phase = start_phase::kCalling;
-    calls.emplace_back(start_call{profile_.address, profile_.self, term_, deadline, start.run});
+    calls.emplace_back(start_call{profile_.address, profile_.self, fence(), deadline, start.run});
   }
   for (const auto& ref : barred) Refuse(ref, start_refusal::kBarred);
 }
@@ -454,6 +463,7 @@
   report.sent_ms = now.count();
   report.present = true;
   report.term = confirmed_term_;
+  report.life = confirmed_life_;
   report.listed =
       confirmed_term_ != 0 && !refused_connection_ && now - last_answer_ < kAnsweringFor;
   report.worker = profile_;
--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -94,6 +94,9 @@
     millis at{0};
   };
 
+  int64_t fence() const { return FenceOf(term_, life_); }
+  bool confirmed() const { return confirmed_term_ == term_ && confirmed_life_ == life_; }
+  void AskUnderNewFence(millis now);
   void TakeDeparture(const hold_answer& answer, millis now);
   void TakeOtherLife(const hold_answer& answer);
   void TakeLists(const hold_answer& answer, millis now);
@@ -118,8 +121,10 @@
   int64_t clock_ms_ = 0;  // worker's clock when last read
   millis clock_read_{0};
   int64_t term_ = 0;
+  int64_t life_ = 0;
   int64_t order_sequence_ = 0;
-  int64_t confirmed_term_ = 0;  // fence under which the lists were read
+  int64_t confirmed_term_ = 0;  // under whose fence the lists were read
+  int64_t confirmed_life_ = 0;
   std::vector<listed_run> running_;
   std::map<run_ref, millis> running_since_;  // as far as reports have told of them
   std::vector<listed_end> ended_;
--- a/src/kernel/model/worker_messages.h
+++ b/src/kernel/model/worker_messages.h
@@ -14,6 +14,16 @@
 
 namespace eelgrass {
 
+/**
+ * Fence of the calls to a worker: those of a later term, or under the same term to a later life
+ * under its id, have a higher one. A term is a revision of the store, so that this stays below
+ * 2^53.
+ */
+constexpr int64_t FenceOf(int64_t term, int64_t life) {
+  constexpr int64_t kLivesPerTerm = 100000;
+  return term * kLivesPerTerm + std::min(life, kLivesPerTerm - 1);
+}
+
 /** One life of a worker. A worker that restarts may keep its id, never its birth. */
 struct worker_identity {
   std::string id;
@@ -76,7 +86,8 @@
 
 /** Agent to entries: everything about its worker. Sent when it changes, and as a heartbeat. */
 struct worker_report {
-  int64_t term = 0;      // fence that the worker has confirmed; 0: not yet under any
+  int64_t term = 0;      // whose fence the worker has confirmed; 0: not yet any
+  int64_t life = 0;      // of the confirmed fence: lives under the id before, within the term
   int64_t sequence = 0;  // of this agent process
   int64_t sent_ms = 0;   // agent's clock
   bool present = false;  // there is a worker
@@ -122,6 +133,7 @@
   int64_t term = 0;
   int64_t sequence = 0;  // a lower one that arrives late is ignored
   worker_identity worker;
+  int64_t life = 0;  // for the fence: lives under the id before this one, within the term
   std::vector<wanted_run> starts;
   std::vector<run_ref> stops;
   std::vector<run_ref> forget;  // refusals that the planner has noted
--- a/tests/stories/run_tracker_story.cc
+++ b/tests/stories/run_tracker_story.cc
@@ -61,11 +61,13 @@
   const batch_job job = MakeBatchJob("a1", "usual", 1, millis(1000), 1);
   book.Add(job, millis(0));
   tracker.Begin(kTerm);
+  const unit_ref unit{job.id, 0, 0, 0};
   const std::string task = job.id + ".0.0.0";
   const auto report = [&](int64_t born, int64_t sequence, bool listed,
-                          std::vector<listed_run> running) {
+                          std::vector<listed_run> running, int64_t life = 0) {
     worker_report said;
     said.term = listed ? kTerm : 0;
+    said.life = life;
     said.sequence = sequence;
     said.present = true;
     said.listed = listed;
@@ -77,14 +79,37 @@
   report(100, 2, true, {{task, 701, "", 100, 0}});
   REQUIRE(pool.Find("w1")->runs.size() == 1);
 
-  SUBCASE("lists of a life whose clock was stepped back end what ran in the former one") {
+  SUBCASE("lists of a life whose clock was stepped back take the place of the former one's") {
     report(50, 3, true, {});
     CHECK(born() == 50);
-    CHECK(tracker.given_up() == 1);
-    CHECK(pool.Find("w1")->runs.empty());
+    CHECK_FALSE(pool.Find("w1")->listing);
+    SUBCASE("what ran there is over once the life lists under a fence of its own") {
+      CHECK(tracker.given_up() == 0);
+      CHECK(book.Find(unit)->open_runs == 1);
+      report(50, 4, true, {}, 1);
+      CHECK(pool.Find("w1")->listing);
+      CHECK(tracker.given_up() == 1);
+      CHECK(pool.Find("w1")->runs.empty());
+      CHECK(book.Find(unit)->open_runs == 0);
+    }
+    SUBCASE(
+        "a start to the former life that this one has carried out late ends before it is over") {
+      report(50, 4, true, {{task, 701, "", 100, 0}}, 1);
+      CHECK(tracker.given_up() == 0);
+      REQUIRE(pool.Find("w1")->runs.size() == 1);
+      CHECK(pool.Find("w1")->runs.begin()->second.phase == run_phase::kStopping);
+      CHECK(book.Find(unit)->open_runs == 1);
+    }
     SUBCASE("and a later one's, whichever way the clock went") {
       report(200, 4, true, {});
       CHECK(born() == 200);
+      CHECK(pool.Find("w1")->life == 2);
+    }
+    SUBCASE("and a later one's, though the worker was forgotten in between") {
+      tracker.Drop("w1", "its VM is down", millis(35));
+      report(60, 4, true, {});
+      CHECK(pool.Find("w1")->life == 2);
+      CHECK_FALSE(pool.Find("w1")->listing);
     }
   }
   SUBCASE("a life that is announced and has not answered ends nothing") {
--- a/tests/stories/worker_steward_story.cc
+++ b/tests/stories/worker_steward_story.cc
@@ -21,12 +21,12 @@
     }
     return found;
   };
-  const auto answer = [&](int64_t fence, call_outcome outcome, millis now,
-                          millis sent = millis(0)) {
+  const auto answer = [&](int64_t term, call_outcome outcome, millis now, millis sent = millis(0),
+                          int64_t life = 0) {
     hold_answer said;
     said.worker = {"w1", 17};
     said.sent = sent;
-    said.fence = fence;
+    said.fence = FenceOf(term, life);
     said.outcome = outcome;
     said.born_ms = 17;
     said.clock_ms = 1000 + now.count();
@@ -39,7 +39,7 @@
     steward.SetTerm(8, millis(100));
     const auto next = holds(millis(100));
     REQUIRE(next.size() == 1);
-    CHECK(next[0].fence == 8);
+    CHECK(next[0].fence == FenceOf(8, 0));
     SUBCASE("and the earlier answer, late, neither counts nor begins another") {
       answer(5, call_outcome::kDone, millis(400));
       CHECK(holds(millis(400)).empty());
@@ -52,7 +52,7 @@
     const auto lists = [&](std::vector<listed_run> running, millis now) {
       hold_answer said;
       said.worker = {"w1", 17};
-      said.fence = 5;
+      said.fence = FenceOf(5, 0);
       said.outcome = call_outcome::kDone;
       said.born_ms = 17;
       said.clock_ms = 1000 + now.count();
@@ -81,7 +81,7 @@
       lives.Tick(millis(2000), calls);
       hold_answer said;
       said.worker = reborn.worker.self;
-      said.fence = 5;
+      said.fence = FenceOf(5, 0);
       said.sent = millis(2000);
       said.outcome = call_outcome::kDone;
       said.born_ms = 18;
@@ -126,6 +126,38 @@
     CHECK(std::none_of(calls.begin(), calls.end(),
                        [](const auto& call) { return std::holds_alternative<start_call>(call); }));
   }
+  SUBCASE(
+      "a later life under the worker's id gets a fence above all that was sent to former ones") {
+    answer(5, call_outcome::kDone, millis(10));
+    steward.Report(1, millis(10));
+    worker_order order;
+    order.term = 5;
+    order.life = 1;
+    order.sequence = 1;
+    order.worker = {"w1", 17};
+    order.starts.push_back({"a.0.0.0", 1, "", ""});
+    order.grant_sequence = 1;
+    order.grant_ms = 4000;
+    steward.On(order, millis(20));
+    const auto next = holds(millis(20));
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].fence > FenceOf(5, 0));
+    CHECK(next[0].fence < FenceOf(6, 0));
+    SUBCASE("and starts nothing before the life has confirmed it") {
+      REQUIRE(calls.size() == 1);
+      answer(5, call_outcome::kDone, millis(30), millis(0));
+      CHECK(steward.Report(2, millis(30)).life == 0);
+      answer(5, call_outcome::kDone, millis(40), millis(20), 1);
+      CHECK(steward.Report(3, millis(40)).life == 1);
+      calls.clear();
+      steward.Tick(millis(40), calls);
+      const auto start = std::find_if(calls.begin(), calls.end(), [](const auto& call) {
+        return std::holds_alternative<start_call>(call);
+      });
+      REQUIRE(start != calls.end());
+      CHECK(std::get<start_call>(*start).fence == next[0].fence);
+    }
+  }
   SUBCASE("a start that was not answered is repeated after a pause, not at once") {
     answer(5, call_outcome::kDone, millis(10));
     const int64_t sequence = 1;
