A start is sent again only to a life that has answered since

Cause: when a worker had crashed, its agent went on sending starts to its address, every 0.2 s, until the next life listened there.

After a call that was not answered or not sent, a start waits until the worker has answered a hold that was sent after that. The hold goes after the same pause of 0.2 s, so that a start is not repeated later than before if the worker is there.

The story of the repeated start failed before, as the start was repeated without an answer.

--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -35,6 +35,10 @@
 constexpr int64_t kSlowClockPercent = 98;
 constexpr int64_t kPercent = 100;
 
+bool Unanswered(call_outcome outcome) {
+  return outcome == call_outcome::kNoAnswer || outcome == call_outcome::kNeverSent;
+}
+
 /** Reports whose grants may still come. */
 constexpr size_t kRememberedReports = 64;
 
@@ -185,11 +189,13 @@
   refused_connection_ = refused;
   if (answers_as_another_) TakeOtherLife(answer);
   if (departure_.open()) TakeDeparture(answer, now);
+  if (refused) failed_ = now;
   if (answer.outcome != call_outcome::kDone || answers_as_another_) {
     next_hold_ = now + (departure_.open() ? departure_.pause() : kRetryPause);
     return;
   }
   last_answer_ = now;
+  last_asked_ = answer.sent;
   if (answer.born_ms == profile_.self.born_ms) proof_.Take(answer.sent, now);
   if (answer.clock_ms > 0) {
     clock_ms_ = answer.clock_ms;
@@ -319,6 +325,11 @@
   const auto found = starts_.find(answer.run);
   if (found == starts_.end()) return;
   ordered_start& start = found->second;
+  if (Unanswered(answer.outcome)) {
+    failed_ = now;
+    holding_ = false;
+    AskAgain(now);
+  }
   switch (answer.outcome) {
     case call_outcome::kDone:
       if (!Lists(answer.run)) {
@@ -434,7 +445,8 @@
       barred.push_back(ref);
       continue;
     }
-    if (deadline == 0 || departure_.open()) continue;
+    // If the life is not there any more, the next one under its id would carry the start out.
+    if (deadline == 0 || departure_.open() || !answers()) continue;
     start.phase = start_phase::kCalling;
     calls.emplace_back(start_call{profile_.address, profile_.self, fence(), deadline, start.run});
   }
--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -97,6 +97,8 @@
   int64_t fence() const { return FenceOf(term_, life_); }
   bool confirmed() const { return confirmed_term_ == term_ && confirmed_life_ == life_; }
   void AskUnderNewFence(millis now);
+  /** Whether a hold that was sent after the latest failed call has been answered. */
+  bool answers() const { return last_asked_ >= failed_; }
   void TakeDeparture(const hold_answer& answer, millis now);
   void TakeOtherLife(const hold_answer& answer);
   void TakeLists(const hold_answer& answer, millis now);
@@ -140,10 +142,12 @@
   int64_t lease_term_ = 0;  // under which the lease was last prolonged
   std::deque<sent_report> reports_;
   bool holding_ = false;
+  millis failed_{INT64_MIN / 4};     // when a call last was not answered or not sent
   bool refused_connection_ = false;  // nobody listens at the worker's address
   int64_t holds_begun_ = 0;
   int64_t hold_number_ = 0;  // of the hold under way
   millis hold_sent_{0};
+  millis last_asked_{0};  // when the latest hold that was answered was sent
   millis next_hold_{0};
   millis last_answer_{0};
   millis last_beat_{0};
