--- /dev/null
+++ b/src/kernel/batch/life_numbers.cc
@@ -0,0 +1,12 @@
+#include "kernel/batch/life_numbers.h"
+
+namespace eelgrass {
+
+int64_t life_numbers::Of(const worker_identity& worker) {
+  const auto [found, first] = latest_.try_emplace(worker.id, numbered_life{worker.born_ms, 0});
+  numbered_life& latest = found->second;
+  if (latest.born_ms != worker.born_ms) latest = {worker.born_ms, latest.number + 1};
+  return latest.number;
+}
+
+}  // namespace eelgrass
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -29,12 +29,13 @@
 
 run_tracker::run_tracker(tracker_options options, job_book& book, worker_pool& pool,
                          worker_speeds& speeds)
-    : options_(options), book_(book), pool_(pool), speeds_(speeds) {}
+    : options_(options), book_(book), pool_(pool), speeds_(speeds), closer_(book, pool) {}
 
 void run_tracker::Begin(int64_t term) {
   term_ = term;
   runs_begun_ = 0;
-  lives_.clear();
+  lives_.Reset();
+  closer_.Begin(term);
 }
 
 int64_t run_tracker::NextRun() { return term_ * kRunsPerTerm + ++runs_begun_; }
@@ -82,15 +83,7 @@
   TakeRunning(worker, report, now);
   TakeRefused(worker, report, now);
   DropUnlisted(worker, report, now);
-  GiveUpFormer(worker, report, now);
-}
-
-/** Numbers the lives under an id, also of a worker that was forgotten in between. */
-int64_t run_tracker::LifeOf(const worker_identity& worker) {
-  const auto [found, first] = lives_.try_emplace(worker.id, numbered_life{worker.born_ms, 0});
-  numbered_life& latest = found->second;
-  if (latest.born_ms != worker.born_ms) latest = {worker.born_ms, latest.number + 1};
-  return latest.number;
+  closer_.GiveUpFormer(worker, report, now);
 }
 
 /**
@@ -110,7 +103,7 @@
   worker = pool_worker{};
   worker.runs = std::move(runs);
   worker.profile = report.worker;
-  worker.life = LifeOf(report.worker.self);
+  worker.life = lives_.Of(report.worker.self);
   worker.agent = agent;
   worker.known = now;
   // An earlier planner may have granted a lease that this one knows nothing of.
@@ -143,7 +136,7 @@
 void run_tracker::Drop(std::string_view id, std::string_view reason, millis now) {
   pool_worker* worker = pool_.Find(id);
   if (worker == nullptr) return;
-  GiveUpAll(*worker, reason, now);
+  closer_.GiveUpAll(*worker, reason, now);
   log_event("worker-forgotten").With("worker", id).With("reason", reason);
   pool_.Erase(id);
 }
@@ -174,7 +167,7 @@
       .With("ran_ms", known ? (now - record->second.began.value_or(now)).count() : -1)
       .With("known", known ? 1 : 0);
   if (job == nullptr || static_cast<size_t>(task.step) >= job->job.steps.size()) {
-    if (known) Close(worker, ref);
+    if (known) closer_.Close(worker, ref);
     return;
   }
   const batch_step& step = job->job.steps[static_cast<size_t>(task.step)];
@@ -198,7 +191,7 @@
                    worker.profile.self.id);
   }
   if (latest && !end.saved.empty()) book_.OnSaved(unit, end.saved);
-  if (known) Close(worker, ref);
+  if (known) closer_.Close(worker, ref);
   // One member's end is the end of the whole gang.
   if (step.gang && state->open_runs > 0 && latest) Stop(unit, "a member has ended", now);
   ++changes_;
@@ -299,7 +292,7 @@
         .With("run", refused.run)
         .With("worker", worker.profile.self.id)
         .With("reason", StartRefusalName(refused.reason));
-    Close(worker, ref);
+    closer_.Close(worker, ref);
     if (unit_state* state = book_.Find(unit)) {
       state->not_before = now + kRefusalPause;
       if (refused.reason == start_refusal::kUnhealthy) Note(worker, false, now);
@@ -326,52 +319,6 @@
   }
 }
 
-void run_tracker::Close(pool_worker& worker, const run_ref& ref) {
-  const auto found = worker.runs.find(ref);
-  if (found == worker.runs.end()) return;
-  if (unit_state* unit = book_.Find(found->second.unit)) {
-    unit->open_runs = std::max(0, unit->open_runs - 1);
-  }
-  worker.runs.erase(found);
-  worker.order_due = true;
-  ++changes_;
-}
-
-/** Takes a run for over since a time, without having heard how it ended. */
-void run_tracker::GiveUp(pool_worker& worker, const run_ref& run, std::string_view reason,
-                         millis over) {
-  log_event("run-given-up")
-      .With("task", run.task)
-      .With("run", run.run)
-      .With("worker", worker.profile.self.id)
-      .With("born", worker.profile.self.born_ms)
-      .With("term", term_)
-      .With("reason", reason);
-  ++given_up_;
-  last_given_up_ = std::max(last_given_up_, over);
-  if (unit_state* unit = book_.Find(worker.runs.at(run).unit)) {
-    unit->given_up_run = std::max(unit->given_up_run, run.run);
-    unit->given_up = std::max(unit->given_up, over);
-  }
-  Close(worker, run);
-}
-
-void run_tracker::GiveUpAll(pool_worker& worker, std::string_view reason, millis over) {
-  while (!worker.runs.empty()) {
-    const run_ref run = worker.runs.begin()->first;
-    GiveUp(worker, run, reason, over);
-  }
-}
-
-/** Gives up what a former life had and this one, under its own fence, does not list. */
-void run_tracker::GiveUpFormer(pool_worker& worker, const worker_report& report, millis now) {
-  std::vector<run_ref> over;
-  for (const auto& [ref, record] : worker.runs) {
-    if (record.former_life && !Contains(report.running, ref)) over.push_back(ref);
-  }
-  for (const auto& ref : over) GiveUp(worker, ref, "another life of the worker", now);
-}
-
 void run_tracker::Apply(const start_plan& plan, millis now) {
   for (const auto& unit : plan.preempted) Stop(unit, "preempted", now);
   for (const auto& unit : plan.moved) Stop(unit, "its worker leaves before it can end", now);
@@ -446,7 +393,7 @@
           .With("worker", id)
           .With("reason", reason);
     }
-    for (const auto& ref : unbegun) Close(worker, ref);
+    for (const auto& ref : unbegun) closer_.Close(worker, ref);
   }
 }
 
@@ -462,32 +409,8 @@
   for (const auto& unit : overdue) Stop(unit, "not begun in time", now);
 }
 
-/** Ends the runs on workers whose lease ended before anybody else can have prolonged it. */
-std::optional<millis> run_tracker::CloseLapsed(millis now, millis confirmed) {
-  std::optional<millis> unsure;
-  for (auto& [id, worker] : pool_.all()) {
-    if (worker.runs.empty() || now <= worker.lease_end) continue;
-    if (confirmed <= worker.lease_end) {
-      unsure = std::max(unsure.value_or(worker.lease_end), worker.lease_end);
-      continue;
-    }
-    log_event("lease-over")
-        .With("worker", id)
-        .With("term", term_)
-        .With("over_ms", (now - worker.lease_end).count())
-        .With("reported_ago_ms", (now - worker.reported).count())
-        .With("listing", worker.listing ? 1 : 0)
-        .With("term_confirmed_ago_ms", (now - confirmed).count());
-    GiveUpAll(worker, "the lease has lapsed", worker.lease_end);
-  }
-  if (confirmed <= last_given_up_) {
-    unsure = std::max(unsure.value_or(last_given_up_), last_given_up_);
-  }
-  return unsure;
-}
-
 std::optional<millis> run_tracker::Tick(millis now, millis confirmed) {
-  const std::optional<millis> unsure = CloseLapsed(now, confirmed);
+  const std::optional<millis> unsure = closer_.GiveUpLapsed(now, confirmed);
   std::set<unit_ref> ended;
   for (auto& [id, worker] : pool_.all()) {
     for (auto& [ref, record] : worker.runs) {
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -3,13 +3,14 @@
  */
 #pragma once
 
-#include <map>
 #include <optional>
 #include <span>
 #include <string>
 #include <vector>
 
 #include "kernel/batch/job_book.h"
+#include "kernel/batch/life_numbers.h"
+#include "kernel/batch/run_closer.h"
 #include "kernel/batch/start_plan.h"
 #include "kernel/batch/worker_pool.h"
 #include "kernel/batch/worker_speeds.h"
@@ -55,18 +56,12 @@
   std::optional<millis> Tick(millis now, millis confirmed);
 
   /** Runs that were taken for over without a listed end or a bar, in this term. */
-  int64_t given_up() const { return given_up_; }
+  int64_t given_up() const { return closer_.given_up(); }
 
   /** Rises whenever something may have become startable. */
-  int64_t changes() const { return changes_; }
+  int64_t changes() const { return changes_ + closer_.changes(); }
 
  private:
-  struct numbered_life {
-    int64_t born_ms = 0;
-    int64_t number = 0;
-  };
-
-  int64_t LifeOf(const worker_identity& worker);
   void BeginLife(pool_worker& worker, const worker_report& report, std::string_view agent,
                  millis now);
   void TakeEnds(pool_worker& worker, const worker_report& report, const batch_config& config,
@@ -78,11 +73,6 @@
   void ApplyEnd(pool_worker& worker, const listed_end& end, const batch_config& config, millis now);
   void LearnSpeed(const pool_worker& worker, const run_record& record, const batch_step& step,
                   millis now);
-  void Close(pool_worker& worker, const run_ref& run);
-  void GiveUpAll(pool_worker& worker, std::string_view reason, millis over);
-  void GiveUp(pool_worker& worker, const run_ref& run, std::string_view reason, millis over);
-  void GiveUpFormer(pool_worker& worker, const worker_report& report, millis now);
-  std::optional<millis> CloseLapsed(millis now, millis confirmed);
   void ReleaseHeld(millis now);
   void StopOverdue(millis now);
   int64_t NextRun();
@@ -92,12 +82,11 @@
   job_book& book_;
   worker_pool& pool_;
   worker_speeds& speeds_;
+  run_closer closer_;
   int64_t term_ = 0;
   int64_t runs_begun_ = 0;
-  std::map<std::string, numbered_life, std::less<>> lives_;  // the latest under each id
+  life_numbers lives_;
   int64_t changes_ = 0;
-  int64_t given_up_ = 0;
-  millis last_given_up_{INT64_MIN / 4};
 };
 
 }  // namespace eelgrass
