Give the planner's choice of serving workers a class of its own

Which domains are out, which workers back guarantees and which take starts is state that nothing else of the planner touches: serving_workers follows the windows and answers both questions. No change of behaviour.

--- a/src/kernel/jobs/job_planner.cc
+++ b/src/kernel/jobs/job_planner.cc
@@ -13,11 +13,9 @@
 constexpr millis kReportTimeout{2000};  // of a start
 constexpr millis kRunningReportTimeout{60000};
 constexpr millis kQueryInterval{2000};
-constexpr millis kLeaseLapse{4000};       // after which members of a lost anchor have stopped
-constexpr millis kWorkerLost{120000};     // silent that long, an agent has stopped its gangs
-constexpr millis kLedgerPatience{30000};  // a worker away for less keeps its guarantees
+constexpr millis kLeaseLapse{4000};    // after which members of a lost anchor have stopped
+constexpr millis kWorkerLost{120000};  // silent that long, an agent has stopped its gangs
 constexpr millis kForgetWorker{3600000};
-constexpr millis kReturnStep{200};  // between workers of a domain that comes back
 
 }  // namespace
 
@@ -26,7 +24,8 @@
     : table_(table),
       scheduler_(std::move(ordering), std::move(placement)),
       document_(std::make_shared<document>()),
-      submission_(document_) {}
+      submission_(document_),
+      serving_(machines_, failures_) {}
 
 void job_planner::On(const document_changed& event) {
   document_ = event.doc;
@@ -299,7 +298,10 @@
     }
     flows_.clear();
   }
-  NoteDomains();
+  if (serving_.FollowDomains(*document_, state_.now, state_.wall_now)) {
+    plan_due_ = true;
+    ledger_due_ = true;
+  }
   UpdateLedger();
   if (state.leading) {
     CancelWaiting();
@@ -313,38 +315,14 @@
   outbox_.clear();
 }
 
-void job_planner::NoteDomains() {
-  for (const auto& domain : document_->domains) {
-    const bool out = document_->IsOut(domain.name, state_.wall_now);
-    const bool known_out = domains_out_.contains(domain.name);
-    if (out == known_out) continue;
-    plan_due_ = true;
-    ledger_due_ = true;
-    if (out) {
-      domains_out_.insert(domain.name);
-    } else {
-      domains_out_.erase(domain.name);
-      domain_returned_[domain.name] = state_.now;
-    }
-  }
-}
-
 void job_planner::UpdateLedger() {
   if (!ledger_due_ && state_.now < next_ledger_) return;
   ledger_due_ = false;
   next_ledger_ = state_.now + kLedgerInterval;
-  std::vector<ledger_worker> workers;
-  for (const auto& [id, worker] : machines_.workers()) {
-    const bool there = worker.connected || state_.now - worker.lost_at < kLedgerPatience;
-    const bool serves = there && !worker.leaving && !worker.capacity.empty() &&
-                        !domains_out_.contains(worker.domain) &&
-                        !failures_.Quarantined(id, state_.now);
-    if (!serves) continue;
-    workers.push_back({id, worker.rack, worker.domain, worker.region, worker.capacity});
-  }
-  ledger_.Update(*document_, workers, [this](std::string_view owner, std::string_view worker) {
-    return machines_.OwnUsage(owner, worker);
-  });
+  ledger_.Update(*document_, serving_.Backing(state_.now),
+                 [this](std::string_view owner, std::string_view worker) {
+                   return machines_.OwnUsage(owner, worker);
+                 });
   DemoteUncovered();
   PromoteCovered();
 }
@@ -422,18 +400,21 @@
       StopGang(row, millis(0), "cancelled");
       continue;
     }
-    if (domains_out_.empty()) continue;
-    for (const auto& member : row.members) {
-      const worker_state* worker = machines_.Find(member.agent);
-      if (worker == nullptr || !domains_out_.contains(worker->domain)) continue;
-      window_mode mode = window_mode::kDrain;
-      document_->IsOut(worker->domain, state_.wall_now, &mode);
-      if (mode == window_mode::kDrain) continue;
-      const job_class* kind = ClassOf(row);
-      const bool saves = mode == window_mode::kMove && kind != nullptr;
-      StopGang(row, saves ? kind->checkpoint_ms : millis(0), "domain out");
-      break;
-    }
+    StopInDomainsOut(row);
+  }
+}
+
+void job_planner::StopInDomainsOut(const job_row& row) {
+  for (const auto& member : row.members) {
+    const worker_state* worker = machines_.Find(member.agent);
+    if (worker == nullptr || !serving_.Out(worker->domain)) continue;
+    window_mode mode = window_mode::kDrain;
+    document_->IsOut(worker->domain, state_.wall_now, &mode);
+    if (mode == window_mode::kDrain) continue;
+    const job_class* kind = ClassOf(row);
+    const bool saves = mode == window_mode::kMove && kind != nullptr;
+    StopGang(row, saves ? kind->checkpoint_ms : millis(0), "domain out");
+    return;
   }
 }
 
@@ -490,31 +471,15 @@
   if (!plan_due_ && state_.now < next_plan_) return;
   plan_due_ = false;
   next_plan_ = state_.now + kPlanInterval;
-  CollectUsable();
+  serving_.CollectUsable(*document_, state_.now);
   const auto waiting = Waiting();
   const auto running = Active();
-  const schedule_view view{*document_, machines_, ledger_, estimator_, failures_,
-                           waiting,    running,   usable_, state_.now, state_.wall_now};
+  const schedule_view view{*document_, machines_, ledger_,           estimator_, failures_,
+                           waiting,    running,   serving_.usable(), state_.now, state_.wall_now};
   auto decisions = scheduler_.Plan(view);
   for (auto& decision : decisions) Begin(std::move(decision));
 }
 
-void job_planner::CollectUsable() {
-  usable_.clear();
-  std::map<std::string_view, int64_t> rank_in_domain;
-  for (const auto& [id, worker] : machines_.workers()) {
-    const int64_t rank = rank_in_domain[worker.domain]++;
-    const bool serves =
-        worker.connected && !worker.leaving && document_->FindDomain(worker.domain) != nullptr &&
-        !domains_out_.contains(worker.domain) && !failures_.Quarantined(id, state_.now);
-    if (!serves) continue;
-    const auto returned = domain_returned_.find(worker.domain);
-    const bool ramping =
-        returned != domain_returned_.end() && state_.now < returned->second + kReturnStep * rank;
-    if (!ramping) usable_.insert(id);
-  }
-}
-
 std::vector<const job_row*> job_planner::Waiting() const {
   std::vector<const job_row*> waiting;
   for (const auto& [id, row] : rows_) {
@@ -663,7 +628,7 @@
   resources free;
   int tasks = 0;
   for (const auto& [id, worker] : machines_.workers()) {
-    if (!usable_.contains(id)) continue;
+    if (!serving_.usable().contains(id)) continue;
     free += worker.free();
     tasks = std::max(tasks, CountFitting(row.spec.per_task, worker.free(), row.spec.tasks));
   }
--- a/src/kernel/jobs/job_planner.h
+++ b/src/kernel/jobs/job_planner.h
@@ -16,6 +16,7 @@
 #include "kernel/jobs/guarantee_ledger.h"
 #include "kernel/jobs/job_scheduler.h"
 #include "kernel/jobs/runtime_estimator.h"
+#include "kernel/jobs/serving_workers.h"
 #include "kernel/jobs/submission_rules.h"
 #include "kernel/model/duty_events.h"
 #include "kernel/model/link_events.h"
@@ -117,6 +118,7 @@
   void EndUnknown(job_row row, std::string_view reason);
   void CancelWaiting();
   void StopUnwanted();
+  void StopInDomainsOut(const job_row& row);
   void StopGang(const job_row& row, millis checkpoint, std::string_view reason);
   void WatchActive();
   void WatchLost(const job_row& row, watch& item);
@@ -131,8 +133,6 @@
   void Reserve(start_flow& flow);
   void Commit(start_flow& flow);
   void Abort(const std::string& job, std::string_view reason);
-  void CollectUsable();
-  void NoteDomains();
   bool RegionVisible(std::string_view region) const;
   std::vector<const job_row*> Waiting() const;
   std::vector<const job_row*> Active() const;
@@ -147,14 +147,12 @@
   guarantee_ledger ledger_;
   runtime_estimator estimator_;
   failure_tracker failures_;
+  serving_workers serving_;
   std::map<std::string, job_row, std::less<>> rows_;  // not final; as wanted
   std::map<std::string, start_flow, std::less<>> flows_;
   std::map<std::string, watch, std::less<>> watches_;
   std::map<std::string, gang_id, std::less<>> unacknowledged_;  // final rows being written
   std::map<std::string, std::string, std::less<>> final_reporters_;
-  std::map<std::string, millis, std::less<>> domain_returned_;
-  std::set<std::string, std::less<>> domains_out_;
-  std::set<std::string, std::less<>> usable_;
   std::vector<send_to_peer> outbox_;
   standing state_;
   bool was_leading_ = false;
