Give the watch over started gangs a class of its own

Which anchors have reported, whom to ask, whom to tell to stop and which gangs are lost is state of its own: gang_watch keeps it, and the planner acts on what it says. No change of behaviour.

--- /dev/null
+++ b/src/kernel/jobs/gang_watch.h
@@ -0,0 +1,66 @@
+/** \file
+ * What the anchors of the started gangs have last said.
+ */
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kernel/base/millis.h"
+#include "kernel/jobs/cluster.h"
+#include "kernel/model/job.h"
+#include "kernel/model/link_events.h"
+
+namespace eelgrass {
+
+/**
+ * Asks after gangs whose anchors are silent, tells anchors to stop theirs, and judges which gangs
+ * are lost with their anchor. Messages go to the outbox of its owner.
+ */
+class gang_watch {
+ public:
+  gang_watch(const cluster& machines, std::vector<send_to_peer>& outbox);
+
+  /** Has a gang, whose anchor has just been told of it, given time for a first report. */
+  void Begin(std::string_view job, millis now);
+
+  /** Has a gang whose anchor was restarted asked after at once. */
+  void AskSoon(std::string_view job, millis now);
+
+  /** The gang's anchor has reported. */
+  void Reported(std::string_view job, millis now);
+
+  void Forget(std::string_view job);
+  void ForgetAll() { watches_.clear(); }
+
+  /** Asks after a gang that has said nothing for too long, or that is new here. */
+  void AskIfSilent(const job_row& row, millis now);
+
+  /** Tells the anchor to stop the gang, and again until it has. */
+  void Stop(const job_row& row, millis checkpoint, std::string_view reason, millis now);
+
+  /** The anchor knows nothing of the gang; true once the members of a former life have stopped. */
+  bool BarredLongEnough(std::string_view job, millis now);
+
+  /** Whether the anchor has been away for so long that it has stopped the gang. */
+  bool Lost(const job_row& row, millis now) const;
+
+ private:
+  struct watch {
+    millis last_report;
+    millis next_query;
+    millis next_stop;
+    millis bar_seen{0};
+  };
+
+  watch& Find(std::string_view job) { return watches_[std::string(job)]; }
+  bool RegionVisible(std::string_view region) const;
+
+  const cluster& machines_;
+  std::vector<send_to_peer>& outbox_;
+  std::map<std::string, watch, std::less<>> watches_;
+};
+
+}  // namespace eelgrass
--- a/src/kernel/jobs/job_planner.cc
+++ b/src/kernel/jobs/job_planner.cc
@@ -9,12 +9,6 @@
 constexpr millis kLedgerInterval{5000};  // without any change
 constexpr millis kReserveHold{3000};
 constexpr millis kReserveTimeout{1000};
-constexpr millis kStopRepeat{1000};
-constexpr millis kReportTimeout{2000};  // of a start
-constexpr millis kRunningReportTimeout{60000};
-constexpr millis kQueryInterval{2000};
-constexpr millis kLeaseLapse{4000};    // after which members of a lost anchor have stopped
-constexpr millis kWorkerLost{120000};  // silent that long, an agent has stopped its gangs
 constexpr millis kForgetWorker{3600000};
 
 }  // namespace
@@ -25,7 +19,8 @@
       scheduler_(std::move(ordering), std::move(placement)),
       document_(std::make_shared<document>()),
       submission_(document_),
-      serving_(machines_, failures_) {}
+      serving_(machines_, failures_),
+      watch_(machines_, outbox_) {}
 
 void job_planner::On(const document_changed& event) {
   document_ = event.doc;
@@ -48,10 +43,7 @@
 void job_planner::AskAbout(std::string_view anchor, millis now) {
   for (const auto& [id, row] : rows_) {
     const bool concerned = IsActive(row.state) && row.members.front().agent == anchor;
-    if (!concerned) continue;
-    const auto [item, added] = watches_.try_emplace(id);
-    item->second.last_report = now - kRunningReportTimeout;
-    item->second.next_query = now;
+    if (concerned) watch_.AskSoon(id, now);
   }
 }
 
@@ -115,7 +107,7 @@
 void job_planner::Sync(const job_row& row) {
   if (IsFinal(row.state)) {
     rows_.erase(row.id);
-    watches_.erase(row.id);
+    watch_.Forget(row.id);
     failures_.Forget(row.id);
     if (flows_.find(row.id) == flows_.end()) machines_.Free(row.id);
     return;
@@ -127,7 +119,7 @@
     if (!row.borrowing && !Covered(*machines_.FindAllocation(row.id))) ledger_due_ = true;
     return;
   }
-  watches_.erase(row.id);
+  watch_.Forget(row.id);
   if (flows_.find(row.id) == flows_.end()) machines_.Free(row.id);
 }
 
@@ -170,7 +162,7 @@
     return;
   }
   if (flows_.find(row.id) != flows_.end()) return;
-  watches_[row.id].last_report = state_.now;
+  watch_.Reported(row.id, state_.now);
   if (report.state == gang_state::kBarred) {
     OnBarred(row, agent);
   } else if (final_state) {
@@ -236,10 +228,7 @@
     RequeueOrEnd(std::move(next), "the start was not committed");
     return;
   }
-  watch& item = watches_[row.id];
-  if (item.bar_seen == millis(0)) item.bar_seen = state_.now;
-  // The members of a restarted anchor stop when its lease lapses.
-  if (state_.now - item.bar_seen < kLeaseLapse) return;
+  if (!watch_.BarredLongEnough(row.id, state_.now)) return;
   EndUnknown(row, "the gang's first agent was restarted");
 }
 
@@ -288,7 +277,7 @@
   state_ = state;
   was_leading_ = state.leading;
   if (took_over) {
-    watches_.clear();
+    watch_.ForgetAll();
     plan_due_ = true;
   }
   if (!state.leading && !flows_.empty()) {
@@ -397,7 +386,7 @@
   for (const auto& [id, row] : rows_) {
     if (!IsActive(row.state) || flows_.contains(id)) continue;
     if (row.cancel_wanted) {
-      StopGang(row, millis(0), "cancelled");
+      watch_.Stop(row, millis(0), "cancelled", state_.now);
       continue;
     }
     StopInDomainsOut(row);
@@ -413,19 +402,11 @@
     if (mode == window_mode::kDrain) continue;
     const job_class* kind = ClassOf(row);
     const bool saves = mode == window_mode::kMove && kind != nullptr;
-    StopGang(row, saves ? kind->checkpoint_ms : millis(0), "domain out");
+    watch_.Stop(row, saves ? kind->checkpoint_ms : millis(0), "domain out", state_.now);
     return;
   }
 }
 
-void job_planner::StopGang(const job_row& row, millis checkpoint, std::string_view reason) {
-  watch& item = watches_[row.id];
-  if (state_.now < item.next_stop) return;
-  item.next_stop = state_.now + kStopRepeat;
-  Send(row.members.front().agent,
-       gang_stop{{row.id, row.epoch}, checkpoint.count(), std::string(reason)});
-}
-
 void job_planner::WatchActive() {
   std::vector<std::string> ids;
   for (const auto& [id, row] : rows_) {
@@ -433,37 +414,9 @@
   }
   for (const auto& id : ids) {
     const job_row row = rows_.at(id);
-    const auto [slot, added] = watches_.try_emplace(id);
-    watch& item = slot->second;
-    if (added) item.last_report = state_.now;
-    const bool starting = row.state == job_state::kStarting;
-    const millis patience = starting ? kReportTimeout : kRunningReportTimeout;
-    const bool silent = state_.now - item.last_report >= patience;
-    if (added || (silent && state_.now >= item.next_query)) {
-      item.next_query = state_.now + kQueryInterval;
-      Send(row.members.front().agent, gang_query{{row.id, row.epoch}});
-    }
-    WatchLost(row, item);
-  }
-}
-
-void job_planner::WatchLost(const job_row& row, watch& item) {
-  const worker_state* anchor = machines_.Find(row.members.front().agent);
-  if (anchor == nullptr || anchor->connected) return;
-  const millis silent_since = std::max(anchor->lost_at, item.last_report);
-  if (state_.now - silent_since < kWorkerLost || !RegionVisible(anchor->region)) return;
-  EndUnknown(row, "the gang's first worker was lost");
-}
-
-bool job_planner::RegionVisible(std::string_view region) const {
-  int there = 0;
-  int known = 0;
-  for (const auto& [id, worker] : machines_.workers()) {
-    if (worker.region != region) continue;
-    ++known;
-    if (worker.connected) ++there;
+    watch_.AskIfSilent(row, state_.now);
+    if (watch_.Lost(row, state_.now)) EndUnknown(row, "the gang's first worker was lost");
   }
-  return there * 2 >= known && there > 0;
 }
 
 void job_planner::Plan() {
@@ -520,7 +473,7 @@
                          IsActive(row->second.state) && !flows_.contains(victim.job);
       if (!stays) continue;
       gone = false;
-      StopGang(row->second, victim.checkpoint, "reclaimed");
+      watch_.Stop(row->second, victim.checkpoint, "reclaimed", state_.now);
     }
     if (gone) ready.push_back(job);
   }
@@ -566,7 +519,7 @@
   message.limit_ms = kind != nullptr ? kind->longest_ms.count() : 0;
   message.fails = row.spec.fails;
   ++stats_.starts;
-  watches_[row.id] = watch{state_.now, state_.now + kReportTimeout, state_.now, millis(0)};
+  watch_.Begin(row.id, state_.now);
   Send(row.members.front().agent, std::move(message));
   flows_.erase(row.id);
 }
--- a/src/kernel/jobs/job_planner.h
+++ b/src/kernel/jobs/job_planner.h
@@ -13,6 +13,7 @@
 #include "kernel/base/millis.h"
 #include "kernel/jobs/cluster.h"
 #include "kernel/jobs/failure_tracker.h"
+#include "kernel/jobs/gang_watch.h"
 #include "kernel/jobs/guarantee_ledger.h"
 #include "kernel/jobs/job_scheduler.h"
 #include "kernel/jobs/runtime_estimator.h"
@@ -97,13 +98,6 @@
     millis next_stop;
   };
 
-  struct watch {
-    millis last_report;
-    millis next_query;
-    millis next_stop;
-    millis bar_seen{0};
-  };
-
   /** Has the gangs of a restarted anchor asked about at once. */
   void AskAbout(std::string_view anchor, millis now);
   void OnReport(std::string_view agent, const gang_report& report);
@@ -119,9 +113,7 @@
   void CancelWaiting();
   void StopUnwanted();
   void StopInDomainsOut(const job_row& row);
-  void StopGang(const job_row& row, millis checkpoint, std::string_view reason);
   void WatchActive();
-  void WatchLost(const job_row& row, watch& item);
   void UpdateLedger();
   bool Covered(const allocation& held) const;
   void DemoteUncovered();
@@ -133,7 +125,6 @@
   void Reserve(start_flow& flow);
   void Commit(start_flow& flow);
   void Abort(const std::string& job, std::string_view reason);
-  bool RegionVisible(std::string_view region) const;
   std::vector<const job_row*> Waiting() const;
   std::vector<const job_row*> Active() const;
   const job_class* ClassOf(const job_row& row) const;
@@ -148,12 +139,12 @@
   runtime_estimator estimator_;
   failure_tracker failures_;
   serving_workers serving_;
+  std::vector<send_to_peer> outbox_;
+  gang_watch watch_;
   std::map<std::string, job_row, std::less<>> rows_;  // not final; as wanted
   std::map<std::string, start_flow, std::less<>> flows_;
-  std::map<std::string, watch, std::less<>> watches_;
   std::map<std::string, gang_id, std::less<>> unacknowledged_;  // final rows being written
   std::map<std::string, std::string, std::less<>> final_reporters_;
-  std::vector<send_to_peer> outbox_;
   standing state_;
   bool was_leading_ = false;
   bool plan_due_ = true;
