--- a/src/kernel/jobs/job_planner.cc
+++ b/src/kernel/jobs/job_planner.cc
@@ -19,6 +19,7 @@
       scheduler_(std::move(ordering), std::move(placement)),
       document_(std::make_shared<document>()),
       submission_(document_),
+      cover_(machines_),
       serving_(machines_, failures_),
       watch_(machines_, outbox_) {}
 
@@ -116,7 +117,7 @@
   if (IsActive(row.state)) {
     machines_.Allocate(row.id, {row.spec.organisation, row.members, row.borrowing});
     // The row may not know yet that its guarantee has moved away.
-    if (!row.borrowing && !Covered(*machines_.FindAllocation(row.id))) ledger_due_ = true;
+    if (!row.borrowing && !cover_.Covers(*machines_.FindAllocation(row.id))) ledger_due_ = true;
     return;
   }
   watch_.Forget(row.id);
@@ -308,65 +309,36 @@
   if (!ledger_due_ && state_.now < next_ledger_) return;
   ledger_due_ = false;
   next_ledger_ = state_.now + kLedgerInterval;
-  ledger_.Update(*document_, serving_.Backing(state_.now),
-                 [this](std::string_view owner, std::string_view worker) {
-                   return machines_.OwnUsage(owner, worker);
-                 });
+  cover_.Update(*document_, serving_.Backing(state_.now));
   DemoteUncovered();
   PromoteCovered();
 }
 
-bool job_planner::Covered(const allocation& held) const {
-  return std::all_of(held.members.begin(), held.members.end(), [&](const auto& member) {
-    return machines_.OwnUsage(held.organisation, member.agent)
-        .Fits(ledger_.Share(held.organisation, member.agent));
-  });
-}
-
 void job_planner::DemoteUncovered() {
-  std::vector<std::string> own;
-  for (const auto& [job, held] : machines_.allocations()) {
-    if (!held.borrowing) own.push_back(job);
-  }
-  for (const auto& job : own) {
-    allocation held = *machines_.FindAllocation(job);
-    if (Covered(held)) continue;
-    // Each one that becomes a borrower leaves more of the share to the others.
-    held.borrowing = true;
-    machines_.Allocate(job, std::move(held));
-    ++stats_.uncovered;
+  for (const auto& job : cover_.Jobs(false)) {
+    if (!cover_.DemoteUncovered(job)) continue;
     const auto row = rows_.find(job);
     if (!state_.leading || row == rows_.end() || flows_.contains(job)) continue;
-    job_row next = row->second;
-    next.borrowing = true;
-    Change(std::move(next), write_rank::kBulk);
+    NoteBorrowing(row->second, true);
   }
 }
 
 void job_planner::PromoteCovered() {
   if (!state_.leading) return;
-  std::vector<std::string> candidates;
-  for (const auto& [job, held] : machines_.allocations()) {
+  for (const auto& job : cover_.Jobs(true)) {
     const auto row = rows_.find(job);
     const bool steady = row != rows_.end() && row->second.state == job_state::kRunning &&
                         !row->second.cancel_wanted && !flows_.contains(job);
-    if (held.borrowing && steady) candidates.push_back(job);
-  }
-  for (const auto& job : candidates) {
-    allocation held = *machines_.FindAllocation(job);
-    const bool fits = std::all_of(held.members.begin(), held.members.end(), [&](const auto& m) {
-      const resources own = machines_.OwnUsage(held.organisation, m.agent);
-      return (own + m.amount).Fits(ledger_.Share(held.organisation, m.agent));
-    });
-    if (!fits) continue;
-    held.borrowing = false;
-    machines_.Allocate(job, std::move(held));
-    job_row next = rows_.at(job);
-    next.borrowing = false;
-    Change(std::move(next), write_rank::kBulk);
+    if (steady && cover_.PromoteCovered(job)) NoteBorrowing(row->second, false);
   }
 }
 
+void job_planner::NoteBorrowing(const job_row& row, bool borrowing) {
+  job_row next = row;
+  next.borrowing = borrowing;
+  Change(std::move(next), write_rank::kBulk);
+}
+
 void job_planner::CancelWaiting() {
   std::vector<std::string> cancelled;
   for (const auto& [id, row] : rows_) {
@@ -427,7 +399,7 @@
   serving_.CollectUsable(*document_, state_.now);
   const auto waiting = Waiting();
   const auto running = Active();
-  const schedule_view view{*document_, machines_, ledger_,           estimator_, failures_,
+  const schedule_view view{*document_, machines_, cover_.ledger(),   estimator_, failures_,
                            waiting,    running,   serving_.usable(), state_.now, state_.wall_now};
   auto decisions = scheduler_.Plan(view);
   for (auto& decision : decisions) Begin(std::move(decision));
@@ -548,7 +520,8 @@
     if (IsActive(row.state)) ++now.active;
     if (row.state == job_state::kQueued) ++now.waiting;
   }
-  now.suspended_guarantees = ledger_.suspended();
+  now.uncovered = cover_.demoted();
+  now.suspended_guarantees = cover_.ledger().suspended();
   return now;
 }
 
--- a/src/kernel/jobs/job_planner.h
+++ b/src/kernel/jobs/job_planner.h
@@ -14,6 +14,7 @@
 #include "kernel/jobs/cluster.h"
 #include "kernel/jobs/failure_tracker.h"
 #include "kernel/jobs/gang_watch.h"
+#include "kernel/jobs/guarantee_cover.h"
 #include "kernel/jobs/guarantee_ledger.h"
 #include "kernel/jobs/job_scheduler.h"
 #include "kernel/jobs/runtime_estimator.h"
@@ -82,7 +83,7 @@
   job_explanation Explain(const job_row& row, millis wall_now) const;
 
   const cluster& machines() const { return machines_; }
-  const guarantee_ledger& ledger() const { return ledger_; }
+  const guarantee_ledger& ledger() const { return cover_.ledger(); }
   const failure_tracker& failures() const { return failures_; }
   const std::map<std::string, job_row, std::less<>>& live_rows() const { return rows_; }
   planner_stats stats() const;
@@ -115,9 +116,9 @@
   void StopInDomainsOut(const job_row& row);
   void WatchActive();
   void UpdateLedger();
-  bool Covered(const allocation& held) const;
   void DemoteUncovered();
   void PromoteCovered();
+  void NoteBorrowing(const job_row& row, bool borrowing);
   void Plan();
   void Begin(start_decision decision);
   void AdvanceFlows();
@@ -135,7 +136,7 @@
   std::shared_ptr<const document> document_;
   submission_rules submission_;
   cluster machines_;
-  guarantee_ledger ledger_;
+  guarantee_cover cover_;
   runtime_estimator estimator_;
   failure_tracker failures_;
   serving_workers serving_;
