Give the end of a job's start a class of its own

What becomes of a job whose gang has ended is a decision on one row, a report and the job's class: job_settler gives the next row, and tells the estimates and the failures of workers. No change of behaviour.

--- a/src/kernel/jobs/job_planner.cc
+++ b/src/kernel/jobs/job_planner.cc
@@ -20,6 +20,7 @@
       document_(std::make_shared<document>()),
       submission_(document_),
       cover_(machines_),
+      settler_(estimator_, failures_),
       serving_(machines_, failures_),
       watch_(machines_, outbox_) {}
 
@@ -167,7 +168,9 @@
   if (report.state == gang_state::kBarred) {
     OnBarred(row, agent);
   } else if (final_state) {
-    OnFinal(row, report);
+    if (report.state == gang_state::kFailed) ledger_due_ = true;
+    Change(settler_.AfterReport(row, report, SituationOf(row)), write_rank::kFirst);
+    unacknowledged_[report.gang.job] = report.gang;
     final_reporters_[report.gang.job] = agent;
   } else if (report.state == gang_state::kRunning && row.state == job_state::kStarting) {
     job_row running = row;
@@ -176,87 +179,29 @@
   }
 }
 
-void job_planner::OnFinal(const job_row& row, const gang_report& report) {
-  job_row next = row;
-  next.members.clear();
-  const gang_id gang = report.gang;
-  switch (report.state) {
-    case gang_state::kFinished:
-      estimator_.Learn(row.spec, millis(report.ran_ms + row.saved_ms));
-      for (const auto& member : row.members) failures_.RecordSuccess(row.id, member.agent);
-      next.state = job_state::kFinished;
-      next.ended_ms = state_.wall_now.count();
-      next.reason.clear();
-      Change(std::move(next), write_rank::kFirst);
-      break;
-    case gang_state::kFailed: {
-      failures_.RecordFailure(row.id, report.failed_worker, state_.now);
-      ledger_due_ = true;
-      next.failed_workers.push_back(report.failed_worker);
-      const job_class* kind = ClassOf(row);
-      const int most = kind != nullptr ? kind->max_attempts : 1;
-      const bool spent = failures_.CountedFailures(row.id) >= most;
-      next.state = spent ? job_state::kParked : job_state::kQueued;
-      next.reason = report.reason;
-      if (row.cancel_wanted) next.state = job_state::kCancelled;
-      const bool again = kind == nullptr || kind->idempotent || report.ran_ms == 0;
-      if (!again && !row.cancel_wanted) next.state = job_state::kFailed;
-      if (next.state == job_state::kFailed) next.ended_ms = state_.wall_now.count();
-      Change(std::move(next), write_rank::kFirst);
-      break;
-    }
-    default: {
-      const bool lost_work = report.ran_ms > 0 && report.saved_ms == 0;
-      const bool limited = report.reason == "time limit";
-      next.saved_ms += report.saved_ms;
-      if (lost_work && !limited && !row.cancel_wanted) {
-        EndUnknown(std::move(next), report.reason);
-      } else {
-        RequeueOrEnd(std::move(next), report.reason);
-      }
-      break;
-    }
-  }
-  unacknowledged_[gang.job] = gang;
-}
-
 void job_planner::OnBarred(const job_row& row, std::string_view agent) {
   const worker_state* anchor = machines_.Find(agent);
   const bool same = anchor != nullptr && anchor->incarnation == row.anchor_incarnation;
   if (same && row.state == job_state::kStarting) {
-    job_row next = row;
-    next.members.clear();
-    RequeueOrEnd(std::move(next), "the start was not committed");
+    Requeue(row, "the start was not committed");
     return;
   }
   if (!watch_.BarredLongEnough(row.id, state_.now)) return;
   EndUnknown(row, "the gang's first agent was restarted");
 }
 
-void job_planner::EndUnknown(job_row row, std::string_view reason) {
-  row.members.clear();
-  const job_class* kind = ClassOf(row);
-  if (kind != nullptr && kind->idempotent) {
-    RequeueOrEnd(std::move(row), reason);
-    return;
-  }
-  row.state = job_state::kUnknown;
-  row.reason = reason;
-  row.ended_ms = state_.wall_now.count();
-  Change(std::move(row), write_rank::kFirst);
+void job_planner::EndUnknown(const job_row& row, std::string_view reason) {
+  Change(settler_.AfterLoss(row, reason, SituationOf(row)), write_rank::kFirst);
 }
 
-void job_planner::RequeueOrEnd(job_row row, std::string_view reason) {
-  row.reason = reason;
-  row.state = row.cancel_wanted ? job_state::kCancelled : job_state::kQueued;
-  if (row.cancel_wanted) row.ended_ms = state_.wall_now.count();
-  const job_class* kind = ClassOf(row);
-  if (!row.cancel_wanted && reason == "time limit") {
-    row.state = job_state::kFailed;
-    row.ended_ms = state_.wall_now.count();
-  }
-  if (kind != nullptr && row.state == job_state::kQueued) ++stats_.requeued;
-  Change(std::move(row), write_rank::kFirst);
+void job_planner::Requeue(const job_row& row, std::string_view reason) {
+  job_row next = row;
+  next.members.clear();
+  Change(settler_.AfterStop(std::move(next), reason, SituationOf(row)), write_rank::kFirst);
+}
+
+job_settler::situation job_planner::SituationOf(const job_row& row) const {
+  return {ClassOf(row), state_.now, state_.wall_now};
 }
 
 void job_planner::OnReserveAnswer(std::string_view agent, const reserve_answer& answer) {
@@ -501,9 +446,7 @@
   ++stats_.aborted_starts;
   for (const auto& member : row.members) Send(member.agent, release{{row.id, row.epoch}});
   flows_.erase(job);
-  job_row next = row;
-  next.members.clear();
-  RequeueOrEnd(std::move(next), reason);
+  Requeue(row, reason);
 }
 
 const job_class* job_planner::ClassOf(const job_row& row) const {
@@ -520,6 +463,7 @@
     if (IsActive(row.state)) ++now.active;
     if (row.state == job_state::kQueued) ++now.waiting;
   }
+  now.requeued = settler_.requeued();
   now.uncovered = cover_.demoted();
   now.suspended_guarantees = cover_.ledger().suspended();
   return now;
--- a/src/kernel/jobs/job_planner.h
+++ b/src/kernel/jobs/job_planner.h
@@ -17,6 +17,7 @@
 #include "kernel/jobs/guarantee_cover.h"
 #include "kernel/jobs/guarantee_ledger.h"
 #include "kernel/jobs/job_scheduler.h"
+#include "kernel/jobs/job_settler.h"
 #include "kernel/jobs/runtime_estimator.h"
 #include "kernel/jobs/serving_workers.h"
 #include "kernel/jobs/submission_rules.h"
@@ -102,15 +103,15 @@
   /** Has the gangs of a restarted anchor asked about at once. */
   void AskAbout(std::string_view anchor, millis now);
   void OnReport(std::string_view agent, const gang_report& report);
-  void OnFinal(const job_row& row, const gang_report& report);
   void OnBarred(const job_row& row, std::string_view agent);
   void OnReserveAnswer(std::string_view agent, const reserve_answer& answer);
   void OnUsage(std::string_view agent, const worker_usage& usage);
   void Sync(const job_row& row);
 
   void Change(job_row row, write_rank rank);
-  void RequeueOrEnd(job_row row, std::string_view reason);
-  void EndUnknown(job_row row, std::string_view reason);
+  void Requeue(const job_row& row, std::string_view reason);
+  void EndUnknown(const job_row& row, std::string_view reason);
+  job_settler::situation SituationOf(const job_row& row) const;
   void CancelWaiting();
   void StopUnwanted();
   void StopInDomainsOut(const job_row& row);
@@ -139,6 +140,7 @@
   guarantee_cover cover_;
   runtime_estimator estimator_;
   failure_tracker failures_;
+  job_settler settler_;
   serving_workers serving_;
   std::vector<send_to_peer> outbox_;
   gang_watch watch_;
