Give the explanation of a waiting job a class of its own

Putting a job's state into an operator's words only reads the rows, the machines and who serves: job_explainer. The time, which was not used, is no longer passed. No change of behaviour.

--- a/src/kernel/control/commands/cancel_job_command.cc
+++ b/src/kernel/control/commands/cancel_job_command.cc
@@ -13,7 +13,7 @@
     return;
   }
   if (IsFinal(row->state) || row->cancel_wanted) {
-    desk.Answer(origin, job_detail{*row, desk.planner().Explain(*row, desk.wall_now()), false});
+    desk.Answer(origin, job_detail{*row, desk.planner().Explain(*row), false});
     return;
   }
   job_row next = *row;
--- a/src/kernel/control/commands/show_job_command.cc
+++ b/src/kernel/control/commands/show_job_command.cc
@@ -11,7 +11,7 @@
     desk.Refuse(origin, error_kind::kNotFound, "show-job", "there is no such job");
     return;
   }
-  desk.Answer(origin, job_detail{*row, desk.planner().Explain(*row, desk.wall_now()), false});
+  desk.Answer(origin, job_detail{*row, desk.planner().Explain(*row), false});
 }
 
 }  // namespace eelgrass
--- a/src/kernel/control/commands/submit_job_command.cc
+++ b/src/kernel/control/commands/submit_job_command.cc
@@ -24,7 +24,7 @@
   const stored_record* known = desk.table().Find(row_key);
   if (known != nullptr) {
     const auto& row = std::get<job_row>(known->value);
-    desk.Answer(origin, job_detail{row, desk.planner().Explain(row, desk.wall_now()), false});
+    desk.Answer(origin, job_detail{row, desk.planner().Explain(row), false});
     return;
   }
   if (!desk.table().loaded() || (desk.table().store_down() && !desk.table().Busy(row_key))) {
--- a/src/kernel/control/control_core.cc
+++ b/src/kernel/control/control_core.cc
@@ -192,7 +192,7 @@
 
 operator_view control_core::ViewOf(const record& value) const {
   if (const auto* row = std::get_if<job_row>(&value)) {
-    return job_detail{*row, planner_.Explain(*row, wall_now_), true};
+    return job_detail{*row, planner_.Explain(*row), true};
   }
   if (const auto* change = std::get_if<change_record>(&value)) return change_detail{*change};
   return refusal{{error_kind::kInvalid, "show-row", "", "nothing to show"}, {}};
--- /dev/null
+++ b/src/kernel/jobs/job_explainer.h
@@ -0,0 +1,42 @@
+/** \file
+ * Tells operators why a job waits.
+ */
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "kernel/jobs/cluster.h"
+#include "kernel/jobs/serving_workers.h"
+#include "kernel/model/job.h"
+
+namespace eelgrass {
+
+/** What an operator is told about a waiting job. */
+struct job_explanation {
+  std::string state;
+  int position = 0;  // in the waiting order; 0 when it does not wait
+  std::string needs;
+  std::string why;
+};
+
+/** Puts a planner's knowledge of a job into words. */
+class job_explainer {
+ public:
+  using job_rows = std::map<std::string, job_row, std::less<>>;
+
+  job_explainer(const job_rows& rows, const cluster& machines, const serving_workers& serving);
+
+  /** `starting`: a start of the job is under way, for which borrowers have to leave. */
+  job_explanation Explain(const job_row& row, bool starting) const;
+
+ private:
+  int Position(const job_row& row) const;
+  std::string FreeRoom(const job_row& row) const;
+
+  const job_rows& rows_;
+  const cluster& machines_;
+  const serving_workers& serving_;
+};
+
+}  // namespace eelgrass
--- a/src/kernel/jobs/job_planner.cc
+++ b/src/kernel/jobs/job_planner.cc
@@ -22,7 +22,8 @@
       cover_(machines_),
       settler_(estimator_, failures_),
       serving_(machines_, failures_),
-      watch_(machines_, outbox_) {}
+      watch_(machines_, outbox_),
+      explainer_(rows_, machines_, serving_) {}
 
 void job_planner::On(const document_changed& event) {
   document_ = event.doc;
@@ -473,41 +474,4 @@
   return submission_.Check(spec);
 }
 
-job_explanation job_planner::Explain(const job_row& row, millis /*wall_now*/) const {
-  job_explanation told;
-  told.state = JobStateName(row.state);
-  told.needs = std::to_string(row.spec.tasks) + " tasks of " +
-               std::to_string(row.spec.per_task.accelerators) + " accelerators within one " +
-               std::string(AdjacencyName(row.spec.within));
-  if (row.state == job_state::kParked) {
-    told.why = "failed on " + std::to_string(row.failed_workers.size()) + " workers: " + row.reason;
-    return told;
-  }
-  if (row.state != job_state::kQueued) {
-    told.why = row.reason.empty() ? "it does not wait" : row.reason;
-    return told;
-  }
-  for (const auto& [id, other] : rows_) {
-    if (other.state != job_state::kQueued) continue;
-    if (other.submitted_ms <= row.submitted_ms) ++told.position;
-  }
-  if (flows_.contains(row.id)) {
-    told.why = "borrowers are leaving for it";
-    return told;
-  }
-  resources free;
-  int tasks = 0;
-  for (const auto& [id, worker] : machines_.workers()) {
-    if (!serving_.usable().contains(id)) continue;
-    free += worker.free();
-    tasks = std::max(tasks, CountFitting(row.spec.per_task, worker.free(), row.spec.tasks));
-  }
-  told.why = std::to_string(std::max(0, free.accelerators)) +
-             " accelerators are free on usable workers, at most " + std::to_string(tasks) +
-             " of its tasks fit on one worker; it starts when its " +
-             "organisation's guarantee or enough adjacent capacity is free";
-  if (!row.reason.empty()) told.why += "; last: " + row.reason;
-  return told;
-}
-
 }  // namespace eelgrass
--- a/src/kernel/jobs/job_planner.h
+++ b/src/kernel/jobs/job_planner.h
@@ -16,6 +16,7 @@
 #include "kernel/jobs/gang_watch.h"
 #include "kernel/jobs/guarantee_cover.h"
 #include "kernel/jobs/guarantee_ledger.h"
+#include "kernel/jobs/job_explainer.h"
 #include "kernel/jobs/job_scheduler.h"
 #include "kernel/jobs/job_settler.h"
 #include "kernel/jobs/runtime_estimator.h"
@@ -40,14 +41,6 @@
   millis last_plan{0};
 };
 
-/** What an operator is told about a waiting job. */
-struct job_explanation {
-  std::string state;
-  int position = 0;  // in the waiting order; 0 when it does not wait
-  std::string needs;
-  std::string why;
-};
-
 /**
  * Follows the job rows and the agents' reports, and, while its entry leads, starts, stops and
  * settles jobs. Every start is claimed by a conditional write of the job's row with a raised epoch
@@ -81,7 +74,9 @@
   /** Refuses a job that can never run, with the reason. */
   result<void> CheckSubmission(const job_spec& spec) const;
 
-  job_explanation Explain(const job_row& row, millis wall_now) const;
+  job_explanation Explain(const job_row& row) const {
+    return explainer_.Explain(row, flows_.contains(row.id));
+  }
 
   const cluster& machines() const { return machines_; }
   const guarantee_ledger& ledger() const { return cover_.ledger(); }
@@ -145,6 +140,7 @@
   std::vector<send_to_peer> outbox_;
   gang_watch watch_;
   std::map<std::string, job_row, std::less<>> rows_;  // not final; as wanted
+  job_explainer explainer_;
   std::map<std::string, start_flow, std::less<>> flows_;
   std::map<std::string, gang_id, std::less<>> unacknowledged_;  // final rows being written
   std::map<std::string, std::string, std::less<>> final_reporters_;
