Give the steps of a start a class of its own

From the borrowers' leaving to the commit each start has a phase, a deadline and members that have yet to answer: start_flows takes it through these steps, and the planner writes the rows. No change of behaviour.

--- a/src/kernel/jobs/job_planner.cc
+++ b/src/kernel/jobs/job_planner.cc
@@ -1,14 +1,10 @@
 #include "kernel/jobs/job_planner.h"
 
-#include <algorithm>
-
 namespace eelgrass {
 namespace {
 
 constexpr millis kPlanInterval{1000};    // without any change
 constexpr millis kLedgerInterval{5000};  // without any change
-constexpr millis kReserveHold{3000};
-constexpr millis kReserveTimeout{1000};
 constexpr millis kForgetWorker{3600000};
 
 }  // namespace
@@ -23,7 +19,8 @@
       settler_(estimator_, failures_),
       serving_(machines_, failures_),
       watch_(machines_, outbox_),
-      explainer_(rows_, machines_, serving_) {}
+      explainer_(rows_, machines_, serving_),
+      starts_(rows_, machines_, watch_, outbox_) {}
 
 void job_planner::On(const document_changed& event) {
   document_ = event.doc;
@@ -78,7 +75,6 @@
   const auto* row = std::get_if<job_row>(&event.value);
   if (row == nullptr) return;
   plan_due_ = true;
-  const auto flow = flows_.find(row->id);
   const auto known = rows_.find(row->id);
   if (event.what == table_event::kind::kWritten) {
     const auto finished = unacknowledged_.find(row->id);
@@ -87,22 +83,16 @@
       final_reporters_.erase(row->id);
       unacknowledged_.erase(finished);
     }
-    const bool claimed = flow != flows_.end() && flow->second.at == phase::kClaiming &&
-                         row->state == job_state::kStarting;
-    if (claimed) Reserve(flow->second);
+    starts_.OnStored(*row, *document_, state_.now);
     if (known == rows_.end()) Sync(*row);  // A submission, which did not pass through here.
     return;
   }
   // Another entry has written the row. Its cancellation is taken over into our own changes.
   const bool ours_pending = table_.Busy("jobs/" + row->id) && known != rows_.end();
   if (event.what == table_event::kind::kChanged && ours_pending) return;
-  if (flow != flows_.end()) {
-    const bool still_waits = flow->second.at == phase::kEvicting &&
-                             row->state == job_state::kQueued && !row->cancel_wanted;
-    if (!still_waits) {
-      flows_.erase(flow);
-      machines_.Free(row->id);
-    }
+  if (starts_.Overtaken(*row)) {
+    starts_.Forget(row->id);
+    machines_.Free(row->id);
   }
   Sync(*row);
 }
@@ -112,7 +102,7 @@
     rows_.erase(row.id);
     watch_.Forget(row.id);
     failures_.Forget(row.id);
-    if (flows_.find(row.id) == flows_.end()) machines_.Free(row.id);
+    if (!starts_.Contains(row.id)) machines_.Free(row.id);
     return;
   }
   rows_[row.id] = row;
@@ -123,7 +113,7 @@
     return;
   }
   watch_.Forget(row.id);
-  if (flows_.find(row.id) == flows_.end()) machines_.Free(row.id);
+  if (!starts_.Contains(row.id)) machines_.Free(row.id);
 }
 
 void job_planner::Change(job_row row, write_rank rank) {
@@ -164,7 +154,7 @@
     if (!final_state) Send(agent, gang_stop{report.gang, 0, "an earlier start"});
     return;
   }
-  if (flows_.find(row.id) != flows_.end()) return;
+  if (starts_.Contains(row.id)) return;
   watch_.Reported(row.id, state_.now);
   if (report.state == gang_state::kBarred) {
     OnBarred(row, agent);
@@ -206,17 +196,15 @@
 }
 
 void job_planner::OnReserveAnswer(std::string_view agent, const reserve_answer& answer) {
-  const auto found = flows_.find(answer.gang.job);
-  if (found == flows_.end() || found->second.at != phase::kReserving) return;
-  if (rows_.at(answer.gang.job).epoch != answer.gang.epoch) return;
-  if (!answer.granted) {
-    Abort(answer.gang.job, std::string(agent) + " refused: " + answer.reason);
-    return;
+  const std::string& job = answer.gang.job;
+  switch (starts_.OnAnswer(agent, answer)) {
+    case start_flows::reservation::kOpen:
+      return;
+    case start_flows::reservation::kRefused:
+      return Abort(job, std::string(agent) + " refused: " + answer.reason);
+    case start_flows::reservation::kComplete:
+      return starts_.Commit(job, *document_, state_.now);
   }
-  start_flow& flow = found->second;
-  const auto waiting = flow.awaiting.find(agent);
-  if (waiting != flow.awaiting.end()) flow.awaiting.erase(waiting);
-  if (flow.awaiting.empty()) Commit(flow);
 }
 
 void job_planner::Tick(const standing& state, std::vector<send_to_peer>& messages) {
@@ -227,13 +215,7 @@
     watch_.ForgetAll();
     plan_due_ = true;
   }
-  if (!state.leading && !flows_.empty()) {
-    // Another entry plans now. Starts that were claimed are settled by it through the anchors.
-    for (const auto& [job, flow] : flows_) {
-      if (flow.at == phase::kEvicting) machines_.Free(job);
-    }
-    flows_.clear();
-  }
+  if (!state.leading) starts_.GiveUp();
   if (serving_.FollowDomains(*document_, state_.now, state_.wall_now)) {
     plan_due_ = true;
     ledger_due_ = true;
@@ -243,7 +225,7 @@
     CancelWaiting();
     StopUnwanted();
     WatchActive();
-    AdvanceFlows();
+    AdvanceStarts();
     Plan();
   }
   machines_.Expire(state.now, kForgetWorker);
@@ -264,7 +246,7 @@
   for (const auto& job : cover_.Jobs(false)) {
     if (!cover_.DemoteUncovered(job)) continue;
     const auto row = rows_.find(job);
-    if (!state_.leading || row == rows_.end() || flows_.contains(job)) continue;
+    if (!state_.leading || row == rows_.end() || starts_.Contains(job)) continue;
     NoteBorrowing(row->second, true);
   }
 }
@@ -274,7 +256,7 @@
   for (const auto& job : cover_.Jobs(true)) {
     const auto row = rows_.find(job);
     const bool steady = row != rows_.end() && row->second.state == job_state::kRunning &&
-                        !row->second.cancel_wanted && !flows_.contains(job);
+                        !row->second.cancel_wanted && !starts_.Contains(job);
     if (steady && cover_.PromoteCovered(job)) NoteBorrowing(row->second, false);
   }
 }
@@ -292,7 +274,7 @@
     if (row.cancel_wanted && waits) cancelled.push_back(id);
   }
   for (const auto& id : cancelled) {
-    flows_.erase(id);
+    starts_.Forget(id);
     job_row next = rows_.at(id);
     next.state = job_state::kCancelled;
     next.ended_ms = state_.wall_now.count();
@@ -302,7 +284,7 @@
 
 void job_planner::StopUnwanted() {
   for (const auto& [id, row] : rows_) {
-    if (!IsActive(row.state) || flows_.contains(id)) continue;
+    if (!IsActive(row.state) || starts_.Contains(id)) continue;
     if (row.cancel_wanted) {
       watch_.Stop(row, millis(0), "cancelled", state_.now);
       continue;
@@ -328,7 +310,7 @@
 void job_planner::WatchActive() {
   std::vector<std::string> ids;
   for (const auto& [id, row] : rows_) {
-    if (IsActive(row.state) && !flows_.contains(id)) ids.push_back(id);
+    if (IsActive(row.state) && !starts_.Contains(id)) ids.push_back(id);
   }
   for (const auto& id : ids) {
     const job_row row = rows_.at(id);
@@ -355,7 +337,7 @@
   std::vector<const job_row*> waiting;
   for (const auto& [id, row] : rows_) {
     const bool waits = row.state == job_state::kQueued && !row.cancel_wanted;
-    if (waits && !flows_.contains(id) && !table_.Busy("jobs/" + id)) waiting.push_back(&row);
+    if (waits && !starts_.Contains(id) && !table_.Busy("jobs/" + id)) waiting.push_back(&row);
   }
   return waiting;
 }
@@ -369,85 +351,26 @@
 }
 
 void job_planner::Begin(start_decision decision) {
-  start_flow flow;
   const std::string job = decision.job;
-  flow.deadline = state_.now;
-  flow.decision = std::move(decision);
-  stats_.evictions += static_cast<int64_t>(flow.decision.evictions.size());
-  auto& stored = flows_[job] = std::move(flow);
-  if (stored.decision.evictions.empty()) Claim(stored);
-}
-
-void job_planner::AdvanceFlows() {
-  std::vector<std::string> late;
-  std::vector<std::string> ready;
-  for (auto& [job, flow] : flows_) {
-    if (flow.at == phase::kReserving && state_.now >= flow.deadline) late.push_back(job);
-    if (flow.at != phase::kEvicting) continue;
-    bool gone = true;
-    for (const auto& victim : flow.decision.evictions) {
-      const auto row = rows_.find(victim.job);
-      const bool stays = row != rows_.end() && row->second.epoch == victim.epoch &&
-                         IsActive(row->second.state) && !flows_.contains(victim.job);
-      if (!stays) continue;
-      gone = false;
-      watch_.Stop(row->second, victim.checkpoint, "reclaimed", state_.now);
-    }
-    if (gone) ready.push_back(job);
-  }
-  for (const auto& job : ready) Claim(flows_.at(job));
-  for (const auto& job : late) Abort(job, "an agent did not answer the reservation");
-}
-
-void job_planner::Claim(start_flow& flow) {
-  flow.at = phase::kClaiming;
-  job_row row = rows_.at(flow.decision.job);
-  const worker_state* anchor = machines_.Find(flow.decision.members.front().agent);
-  row.state = job_state::kStarting;
-  ++row.epoch;
-  row.members = flow.decision.members;
-  row.borrowing = flow.decision.borrowing;
-  row.anchor_incarnation = anchor != nullptr ? anchor->incarnation : 0;
-  row.started_ms = state_.wall_now.count();
-  row.reason.clear();
-  Change(std::move(row), write_rank::kFirst);
-}
-
-void job_planner::Reserve(start_flow& flow) {
-  flow.at = phase::kReserving;
-  flow.deadline = state_.now + kReserveTimeout;
-  const job_row& row = rows_.at(flow.decision.job);
-  for (const auto& member : row.members) {
-    flow.awaiting.insert(member.agent);
-    Send(member.agent, reserve{{row.id, row.epoch},
-                               member.tasks,
-                               member.amount,
-                               kReserveHold.count(),
-                               document_->version});
-  }
+  const size_t evictions = decision.evictions.size();
+  stats_.evictions += static_cast<int64_t>(evictions);
+  starts_.Begin(std::move(decision));
+  if (evictions == 0) Claim(job);
+}
+
+void job_planner::AdvanceStarts() {
+  const start_flows::due_starts due = starts_.Advance(state_.now);
+  for (const auto& job : due.to_claim) Claim(job);
+  for (const auto& job : due.late) Abort(job, "an agent did not answer the reservation");
 }
 
-void job_planner::Commit(start_flow& flow) {
-  const job_row& row = rows_.at(flow.decision.job);
-  const job_class* kind = ClassOf(row);
-  commit message;
-  message.gang = {row.id, row.epoch};
-  message.members = row.members;
-  message.run_ms = std::max<int64_t>(1, row.spec.run_ms.count() - row.saved_ms);
-  message.limit_ms = kind != nullptr ? kind->longest_ms.count() : 0;
-  message.fails = row.spec.fails;
-  ++stats_.starts;
-  watch_.Begin(row.id, state_.now);
-  Send(row.members.front().agent, std::move(message));
-  flows_.erase(row.id);
+void job_planner::Claim(const std::string& job) {
+  Change(starts_.Claim(job, state_.wall_now), write_rank::kFirst);
 }
 
 void job_planner::Abort(const std::string& job, std::string_view reason) {
-  const job_row row = rows_.at(job);
-  ++stats_.aborted_starts;
-  for (const auto& member : row.members) Send(member.agent, release{{row.id, row.epoch}});
-  flows_.erase(job);
-  Requeue(row, reason);
+  starts_.Abort(job);
+  Requeue(rows_.at(job), reason);
 }
 
 const job_class* job_planner::ClassOf(const job_row& row) const {
@@ -464,14 +387,12 @@
     if (IsActive(row.state)) ++now.active;
     if (row.state == job_state::kQueued) ++now.waiting;
   }
+  now.starts = starts_.started();
+  now.aborted_starts = starts_.aborted();
   now.requeued = settler_.requeued();
   now.uncovered = cover_.demoted();
   now.suspended_guarantees = cover_.ledger().suspended();
   return now;
 }
 
-result<void> job_planner::CheckSubmission(const job_spec& spec) const {
-  return submission_.Check(spec);
-}
-
 }  // namespace eelgrass
--- a/src/kernel/jobs/job_planner.h
+++ b/src/kernel/jobs/job_planner.h
@@ -21,6 +21,7 @@
 #include "kernel/jobs/job_settler.h"
 #include "kernel/jobs/runtime_estimator.h"
 #include "kernel/jobs/serving_workers.h"
+#include "kernel/jobs/start_flows.h"
 #include "kernel/jobs/submission_rules.h"
 #include "kernel/model/duty_events.h"
 #include "kernel/model/link_events.h"
@@ -72,10 +73,10 @@
   void TakeCancellation(job_row row) { Change(std::move(row), write_rank::kBulk); }
 
   /** Refuses a job that can never run, with the reason. */
-  result<void> CheckSubmission(const job_spec& spec) const;
+  result<void> CheckSubmission(const job_spec& spec) const { return submission_.Check(spec); }
 
   job_explanation Explain(const job_row& row) const {
-    return explainer_.Explain(row, flows_.contains(row.id));
+    return explainer_.Explain(row, starts_.Contains(row.id));
   }
 
   const cluster& machines() const { return machines_; }
@@ -85,16 +86,6 @@
   planner_stats stats() const;
 
  private:
-  enum class phase { kEvicting, kClaiming, kReserving };
-
-  struct start_flow {
-    start_decision decision;
-    phase at = phase::kEvicting;
-    std::set<std::string, std::less<>> awaiting;
-    millis deadline;
-    millis next_stop;
-  };
-
   /** Has the gangs of a restarted anchor asked about at once. */
   void AskAbout(std::string_view anchor, millis now);
   void OnReport(std::string_view agent, const gang_report& report);
@@ -117,10 +108,8 @@
   void NoteBorrowing(const job_row& row, bool borrowing);
   void Plan();
   void Begin(start_decision decision);
-  void AdvanceFlows();
-  void Claim(start_flow& flow);
-  void Reserve(start_flow& flow);
-  void Commit(start_flow& flow);
+  void AdvanceStarts();
+  void Claim(const std::string& job);
   void Abort(const std::string& job, std::string_view reason);
   std::vector<const job_row*> Waiting() const;
   std::vector<const job_row*> Active() const;
@@ -141,7 +130,7 @@
   gang_watch watch_;
   std::map<std::string, job_row, std::less<>> rows_;  // not final; as wanted
   job_explainer explainer_;
-  std::map<std::string, start_flow, std::less<>> flows_;
+  start_flows starts_;
   std::map<std::string, gang_id, std::less<>> unacknowledged_;  // final rows being written
   std::map<std::string, std::string, std::less<>> final_reporters_;
   standing state_;
