Give the claims of keys a class of its own

A key that is being claimed has a home, agents that have yet to answer and a time limit, which matter to no other request: key_claims keeps them and rules on each answer. No change of behaviour.

--- a/src/kernel/requests/request_router.cc
+++ b/src/kernel/requests/request_router.cc
@@ -11,7 +11,6 @@
 constexpr millis kResolveGrace{1000};  // after the deadline, for a last answer
 constexpr millis kLostAgentPatience{1200};
 constexpr millis kForgetAgent{600000};
-constexpr millis kClaimTimeout{500};
 constexpr millis kRetryPause{20};
 constexpr millis kDemandInterval{20};
 constexpr millis kMaxDeadline{120000};
@@ -23,6 +22,15 @@
   return {kind, std::string(step), std::string(peer), std::string(detail)};
 }
 
+bool HasToRunOnce(const caller_request& request) {
+  return !request.idempotent && !request.key.empty();
+}
+
+/** The name of the request's key among all organisations' and services'. */
+std::string FullKey(const caller_request& request) {
+  return request.service + "\n" + request.organisation + "\n" + request.key;
+}
+
 }  // namespace
 
 request_router::request_router(router_options options, std::unique_ptr<routing_policy> routing,
@@ -30,7 +38,8 @@
     : options_(std::move(options)),
       routing_(std::move(routing)),
       admission_(std::move(admission)),
-      document_(std::make_shared<document>()) {}
+      document_(std::make_shared<document>()),
+      claims_(upstreams_) {}
 
 void request_router::Decide(std::span<const router_event> events, millis now,
                             std::vector<router_action>& actions) {
@@ -211,7 +220,7 @@
 
 bool request_router::StartNext(const std::string& service) {
   const auto candidates = upstreams_.Candidates(service, now_);
-  int free = -claiming_[service];
+  int free = -claims_.Count(service);
   for (const auto& candidate : candidates) free += candidate.free_credits;
   if (free <= 0) return false;
   const auto chosen = routing_->Choose(candidates, options_.domain);
@@ -223,7 +232,7 @@
     FinishNotRun(item, "wait-for-slot", "too little time is left to run it");
     return true;
   }
-  if (!item.request.idempotent && !item.request.key.empty()) {
+  if (HasToRunOnce(item.request)) {
     StartKeyed(item);
     return true;
   }
@@ -241,22 +250,16 @@
 }
 
 void request_router::StartKeyed(flight& item) {
-  const auto members = upstreams_.Members(item.request.service);
-  const std::string key =
-      item.request.service + "\n" + item.request.organisation + "\n" + item.request.key;
-  item.ring = RankForKey(key, members);
-  item.redirected = false;
+  const std::string key = FullKey(item.request);
+  const claim_ring& ring = claims_.Open(item.id, item.request.service, key, now_);
   item.state = flight_state::kClaiming;
-  ++claiming_[item.request.service];
-  item.claim_until = now_ + kClaimTimeout;
-  item.claims_open = item.ring.claim_holders.size();
-  upstream_view* home = upstreams_.Find(item.ring.home);
-  if (item.claims_open == 0) {
+  upstream_view* home = upstreams_.Find(ring.home);
+  if (ring.claim_holders.empty()) {
     SendAttempt(item, *home);
     return;
   }
-  for (const auto& holder : item.ring.claim_holders) {
-    Send(holder, claim{RequestName(item), key, item.ring.home, home->incarnation});
+  for (const auto& holder : ring.claim_holders) {
+    Send(holder, claim{RequestName(item), key, ring.home, home->incarnation});
   }
 }
 
@@ -267,45 +270,24 @@
   if (found == flights_.end() || found->second.state != flight_state::kClaiming) return;
   flight& item = found->second;
   if (RequestName(item) != answer.id) return;
-  std::string home = item.ring.home;
-  switch (answer.state) {
-    case claim_state::kRefused:
-      FinishNotRun(item, "claim-key", "an agent cannot record the claim now");
+  const claim_ruling ruling = claims_.Take(id, agent, answer);
+  switch (ruling.verdict) {
+    case claim_verdict::kWait:
       return;
-    case claim_state::kGranted:
-      break;
-    case claim_state::kHere:
-      home = agent;
-      break;
-    case claim_state::kClaimed: {
-      const upstream_view* claimed = upstreams_.Find(answer.home);
-      const bool there = claimed != nullptr && claimed->connected &&
-                         claimed->incarnation == answer.home_incarnation;
-      if (!there) {
-        FinishUnknown(item, "claim-key", "the key may have run at an agent that is gone");
-        return;
-      }
-      home = answer.home;
-      break;
-    }
+    case claim_verdict::kRun:
+      return SendAttempt(item, *upstreams_.Find(claims_.Home(id)));
+    case claim_verdict::kNotRun:
+      return FinishNotRun(item, "claim-key", ruling.detail);
+    case claim_verdict::kUnknown:
+      return FinishUnknown(item, "claim-key", ruling.detail);
   }
-  if (home != item.ring.home) {
-    if (item.redirected) {
-      FinishUnknown(item, "claim-key", "the key was claimed for two agents");
-      return;
-    }
-    item.redirected = true;
-    item.ring.home = home;
-  }
-  if (--item.claims_open > 0) return;
-  SendAttempt(item, *upstreams_.Find(item.ring.home));
 }
 
 void request_router::SendAttempt(flight& item, upstream_view& agent) {
   const auto& request = item.request;
   ++item.attempts;
   ++stats_.attempts;
-  if (item.state == flight_state::kClaiming) --claiming_[request.service];
+  claims_.Close(item.id);
   item.state = flight_state::kSent;
   item.agent = agent.id;
   item.agent_incarnation = agent.incarnation;
@@ -324,9 +306,7 @@
   message.sent_ms = now_.count();
   message.deadline_ms = (item.deadline_at - now_).count();
   message.idempotent = request.idempotent;
-  if (!request.idempotent && !request.key.empty()) {
-    message.key = request.service + "\n" + request.organisation + "\n" + request.key;
-  }
+  if (HasToRunOnce(request)) message.key = FullKey(request);
   Send(agent.id, std::move(message));
 }
 
@@ -391,7 +371,7 @@
 void request_router::CheckTimes() {
   std::vector<uint64_t> due;
   for (const auto& [id, item] : flights_) {
-    const bool claiming = item.state == flight_state::kClaiming && now_ >= item.claim_until;
+    const bool claiming = claims_.Late(id, now_);
     const bool resolving = item.state == flight_state::kSent && now_ >= item.next_resolve;
     if (claiming || resolving || now_ >= item.deadline_at) due.push_back(id);
   }
@@ -478,7 +458,7 @@
   answer.organisation = item.request.organisation;
   answer.service = item.request.service;
   answer.latency = now_ - item.arrived_at;
-  if (item.state == flight_state::kClaiming) --claiming_[item.request.service];
+  claims_.Close(item.id);
   --open_by_organisation_[item.request.organisation];
   const uint64_t id = item.id;
   actions_->push_back(std::move(answer));
--- a/src/kernel/requests/request_router.h
+++ b/src/kernel/requests/request_router.h
@@ -17,8 +17,8 @@
 #include "kernel/model/link_events.h"
 #include "kernel/requests/admission_policy.h"
 #include "kernel/requests/caller_request.h"
-#include "kernel/requests/claim_ring.h"
 #include "kernel/requests/fair_queue.h"
+#include "kernel/requests/key_claims.h"
 #include "kernel/requests/retry_budget.h"
 #include "kernel/requests/routing_policy.h"
 #include "kernel/requests/upstream_table.h"
@@ -54,7 +54,7 @@
  * Each attempt is sent once. When its answer does not come the same agent is asked what became of
  * it; only an attempt that is known not to have run is sent elsewhere, unless the request is
  * idempotent. A request that is not idempotent and has a key is claimed at further agents first
- * (see claim_ring).
+ * (see key_claims).
  */
 class request_router {
  public:
@@ -86,10 +86,6 @@
     int64_t agent_incarnation = 0;
     millis next_resolve;
     bool deadline_asked = false;
-    claim_ring ring;
-    size_t claims_open = 0;
-    bool redirected = false;  // another claim named the home
-    millis claim_until;
     std::vector<std::string> avoid;  // agents that have refused it
   };
 
@@ -136,7 +132,7 @@
   upstream_table upstreams_;
   retry_budget budget_;
   std::map<std::string, fair_queue, std::less<>> queues_;  // by service
-  std::map<std::string, int, std::less<>> claiming_;       // requests by service
+  key_claims claims_;
   std::unordered_map<uint64_t, flight> flights_;
   std::unordered_map<std::string, uint64_t> by_attempt_;
   std::map<std::string, int, std::less<>> open_by_organisation_;
--- a/src/kernel/requests/upstream_table.cc
+++ b/src/kernel/requests/upstream_table.cc
@@ -31,6 +31,11 @@
   return found == agents_.end() ? nullptr : &found->second;
 }
 
+const upstream_view* upstream_table::Find(std::string_view agent) const {
+  const auto found = agents_.find(agent);
+  return found == agents_.end() ? nullptr : &found->second;
+}
+
 std::vector<std::string_view> upstream_table::Members(std::string_view service) const {
   std::vector<std::string_view> members;
   for (const auto& [id, agent] : agents_) {
--- a/src/kernel/requests/upstream_table.h
+++ b/src/kernel/requests/upstream_table.h
@@ -43,6 +43,7 @@
  public:
   upstream_view& Up(const hello& peer);
   upstream_view* Find(std::string_view agent);
+  const upstream_view* Find(std::string_view agent) const;
   const std::map<std::string, upstream_view, std::less<>>& all() const { return agents_; }
   std::map<std::string, upstream_view, std::less<>>& all() { return agents_; }
 
