Give the admission of requests a class of its own

Whether a request may come in is decided by its size, its organisation's open requests and the admission policy: request_gate, which alone counts the open ones. No change of behaviour.

--- a/src/kernel/requests/request_router.cc
+++ b/src/kernel/requests/request_router.cc
@@ -14,8 +14,7 @@
 constexpr millis kRetryPause{20};
 constexpr millis kDemandInterval{20};
 constexpr millis kMaxDeadline{120000};
-constexpr double kServiceMargin = 3;       // of the mean service time, left when an attempt starts
-constexpr int kDefaultConnections = 2048;  // open requests for each organisation
+constexpr double kServiceMargin = 3;  // of the mean service time, left when an attempt starts
 
 error Problem(error_kind kind, std::string_view step, std::string_view peer,
               std::string_view detail) {
@@ -37,8 +36,8 @@
                                std::unique_ptr<admission_policy> admission)
     : options_(std::move(options)),
       routing_(std::move(routing)),
-      admission_(std::move(admission)),
       document_(std::make_shared<document>()),
+      gate_(std::move(admission), upstreams_),
       claims_(upstreams_) {}
 
 void request_router::Decide(std::span<const router_event> events, millis now,
@@ -76,7 +75,11 @@
            Problem(error_kind::kNotFound, "find-service", "", "no service of this name"));
     return;
   }
-  if (!Admit(request, *service)) return;
+  auto refusal = gate_.Check(request, *service, *document_, queues_[request.service]);
+  if (refusal) {
+    Refuse(request, refusal->status, std::move(refusal->problem));
+    return;
+  }
   flight item;
   item.id = ++last_id_;
   item.request = request;
@@ -86,40 +89,11 @@
   item.deadline_at = now_ + std::min(left, kMaxDeadline);
   ++stats_.fresh;
   budget_.AddFresh(request.organisation);
-  ++open_by_organisation_[request.organisation];
+  gate_.Enter(request.organisation);
   auto& stored = flights_[item.id] = std::move(item);
   Enqueue(stored, false);
 }
 
-bool request_router::Admit(const caller_request& request, const service_entry& service) {
-  if (static_cast<int64_t>(request.body.data.size()) > service.max_body) {
-    Refuse(request, http_status::kContentTooLarge,
-           Problem(error_kind::kInvalid, "admit", "",
-                   "the body is larger than " + std::to_string(service.max_body) + " bytes"));
-    return false;
-  }
-  const organisation* owner = document_->FindOrganisation(request.organisation);
-  const int limit =
-      owner != nullptr && owner->max_connections > 0 ? owner->max_connections : kDefaultConnections;
-  if (open_by_organisation_[request.organisation] >= limit) {
-    Refuse(request, http_status::kTooManyRequests,
-           Problem(error_kind::kExhausted, "admit", "", "too many open requests"));
-    return false;
-  }
-  const fair_queue& queue = queues_[request.service];
-  admission_view view;
-  view.queued = queue.size();
-  view.queued_ahead = queue.CountAhead(request.organisation, WeightOf(request.organisation));
-  view.max_queue = service.max_queue;
-  view.slots = upstreams_.Slots(request.service);
-  view.mean_service_ms = upstreams_.MeanServiceMs(request.service);
-  view.deadline = request.deadline > millis(0) ? request.deadline : service.default_deadline_ms;
-  if (admission_->Admit(view)) return true;
-  Refuse(request, http_status::kServiceUnavailable,
-         Problem(error_kind::kExhausted, "admit", "", "the queue is too long for the deadline"));
-  return false;
-}
-
 void request_router::On(const peer_up& event) {
   if (event.peer.role != peer_role::kUpstreamAgent) return;
   const upstream_view* known = upstreams_.Find(event.peer.id);
@@ -207,8 +181,8 @@
 void request_router::Enqueue(flight& item, bool retried) {
   item.state = flight_state::kQueued;
   const auto& request = item.request;
-  queues_[request.service].Push(request.organisation, WeightOf(request.organisation), item.id,
-                                retried);
+  queues_[request.service].Push(request.organisation, WeightOf(*document_, request.organisation),
+                                item.id, retried);
 }
 
 void request_router::RunQueues() {
@@ -459,7 +433,7 @@
   answer.service = item.request.service;
   answer.latency = now_ - item.arrived_at;
   claims_.Close(item.id);
-  --open_by_organisation_[item.request.organisation];
+  gate_.Leave(item.request.organisation);
   const uint64_t id = item.id;
   actions_->push_back(std::move(answer));
   flights_.erase(id);
@@ -490,9 +464,4 @@
          std::to_string(item.id);
 }
 
-int request_router::WeightOf(std::string_view organisation_name) const {
-  const organisation* owner = document_->FindOrganisation(organisation_name);
-  return owner != nullptr ? owner->weight : 1;
-}
-
 }  // namespace eelgrass
--- a/src/kernel/requests/request_router.h
+++ b/src/kernel/requests/request_router.h
@@ -19,6 +19,7 @@
 #include "kernel/requests/caller_request.h"
 #include "kernel/requests/fair_queue.h"
 #include "kernel/requests/key_claims.h"
+#include "kernel/requests/request_gate.h"
 #include "kernel/requests/retry_budget.h"
 #include "kernel/requests/routing_policy.h"
 #include "kernel/requests/upstream_table.h"
@@ -102,7 +103,6 @@
   void OnAnswer(std::string_view agent, const attempt_answer& answer);
   void OnClaimAnswer(std::string_view agent, const claim_answer& answer);
 
-  bool Admit(const caller_request& request, const service_entry& service);
   void Enqueue(flight& item, bool retried);
   void RunQueues();
   bool StartNext(const std::string& service);
@@ -123,19 +123,17 @@
   void FinishUnknown(flight& item, std::string_view step, std::string_view detail);
   void Send(std::string_view peer, peer_message message);
   std::string RequestName(const flight& item) const;
-  int WeightOf(std::string_view organisation) const;
 
   const router_options options_;
   const std::unique_ptr<routing_policy> routing_;
-  const std::unique_ptr<admission_policy> admission_;
   std::shared_ptr<const document> document_;
   upstream_table upstreams_;
+  request_gate gate_;
   retry_budget budget_;
   std::map<std::string, fair_queue, std::less<>> queues_;  // by service
   key_claims claims_;
   std::unordered_map<uint64_t, flight> flights_;
   std::unordered_map<std::string, uint64_t> by_attempt_;
-  std::map<std::string, int, std::less<>> open_by_organisation_;
   std::map<std::string, attempt_done, std::less<>> acknowledgements_;
   std::vector<router_action>* actions_ = nullptr;
   millis now_;
