Give the word on an entry's demand a class of its own

How many slots an entry could use is told to the agents on a beat of its own: demand_teller. No change of behaviour.

--- a/src/kernel/requests/request_router.cc
+++ b/src/kernel/requests/request_router.cc
@@ -12,7 +12,6 @@
 constexpr millis kLostAgentPatience{1200};
 constexpr millis kForgetAgent{600000};
 constexpr millis kRetryPause{20};
-constexpr millis kDemandInterval{20};
 constexpr millis kMaxDeadline{120000};
 constexpr double kServiceMargin = 3;  // of the mean service time, left when an attempt starts
 
@@ -38,6 +37,7 @@
       routing_(std::move(routing)),
       document_(std::make_shared<document>()),
       gate_(std::move(admission), upstreams_),
+      demand_(upstreams_, queues_),
       claims_(upstreams_) {}
 
 void request_router::Decide(std::span<const router_event> events, millis now,
@@ -50,7 +50,7 @@
   CheckLostAgents();
   CheckTimes();
   RunQueues();
-  TellDemand();
+  for (auto& message : demand_.Due(now_)) actions.push_back(std::move(message));
   for (auto& [agent, done] : acknowledgements_) Send(agent, std::move(done));
   acknowledgements_.clear();
   actions_ = nullptr;
@@ -375,28 +375,6 @@
   }
 }
 
-void request_router::TellDemand() {
-  if (now_ < next_demand_) return;
-  next_demand_ = now_ + kDemandInterval;
-  std::map<std::string, int, std::less<>> wanted;
-  for (const auto& [service, queue] : queues_) wanted[service] = queue.size();
-  std::map<std::string, int, std::less<>> members;
-  for (const auto& [id, agent] : upstreams_.all()) {
-    if (!agent.connected) continue;
-    wanted[agent.service] += agent.in_flight;
-    ++members[agent.service];
-  }
-  for (auto& [id, agent] : upstreams_.all()) {
-    if (!agent.connected || agent.slots == 0) continue;
-    const int count = members[agent.service];
-    const int share = (wanted[agent.service] + count - 1) / count;
-    const int demand = std::min(2 * agent.slots, std::max(share, agent.in_flight));
-    if (demand == agent.demand_told) continue;
-    agent.demand_told = demand;
-    Send(id, slot_demand{demand});
-  }
-}
-
 void request_router::Leave(flight& item) {
   by_attempt_.erase(item.attempt_id);
   acknowledgements_[item.agent].ids.push_back(item.attempt_id);
--- a/src/kernel/requests/request_router.h
+++ b/src/kernel/requests/request_router.h
@@ -17,6 +17,7 @@
 #include "kernel/model/link_events.h"
 #include "kernel/requests/admission_policy.h"
 #include "kernel/requests/caller_request.h"
+#include "kernel/requests/demand_teller.h"
 #include "kernel/requests/fair_queue.h"
 #include "kernel/requests/key_claims.h"
 #include "kernel/requests/request_gate.h"
@@ -114,7 +115,6 @@
   void CheckTimes();
   void CheckFlight(flight& item);
   void CheckLostAgents();
-  void TellDemand();
   void Leave(flight& item);
   void Complete(flight& item, const attempt_answer& answer);
   void Refuse(const caller_request& request, int status, error problem);
@@ -131,13 +131,13 @@
   request_gate gate_;
   retry_budget budget_;
   std::map<std::string, fair_queue, std::less<>> queues_;  // by service
+  demand_teller demand_;
   key_claims claims_;
   std::unordered_map<uint64_t, flight> flights_;
   std::unordered_map<std::string, uint64_t> by_attempt_;
   std::map<std::string, attempt_done, std::less<>> acknowledgements_;
   std::vector<router_action>* actions_ = nullptr;
   millis now_;
-  millis next_demand_;
   uint64_t last_id_ = 0;
   bool draining_ = false;
   router_stats stats_;
