Give each runner of the stand-in fleet a class of its own

A VM with its server, its runner's calls, waiting holds and heartbeats has nothing to do with the store: runner_site. The fleet keeps the store, what tests ask, and the one lock. No change of behaviour: tests/processes/batch_platform.sh passes.

--- a/standins/standin_fleet.h
+++ b/standins/standin_fleet.h
@@ -16,19 +16,11 @@
 #include "kernel/io/http_client.h"
 #include "kernel/io/http_front.h"
 #include "standins/batch_check.h"
+#include "standins/runner_site.h"
 #include "standins/standin_rows.h"
-#include "standins/standin_runner.h"
 
 namespace eelgrass {
 
-/** Where one runner listens and which agent it registers at. */
-struct fleet_runner_place {
-  std::string listen;  // IP:PORT
-  std::string agent;   // IP:PORT
-  std::string zone;
-  std::string advertised;  // IP:PORT that the runner names; empty: where it listens
-};
-
 /**
  * Serves the store at one address and each runner at its own. Runners beat at their agents. What is
  * started and ended is checked for tasks that run twice. Tests steer it at the store's address:
@@ -42,8 +34,8 @@
  */
 class standin_fleet {
  public:
-  standin_fleet(std::string store, std::vector<fleet_runner_place> runners, std::string service,
-                const clock& time);
+  standin_fleet(std::string store, std::vector<fleet_runner_place> runners,
+                std::string_view service, const clock& time);
   ~standin_fleet();
 
   result<void> Start();
@@ -54,33 +46,24 @@
   int starts();
 
  private:
-  struct runner_site;
   class store_handler;
   class runner_handler;
-  /** A request that waits for an end or a change. */
+  /** A request that waits for a change. */
   struct waiting {
     http_front* server = nullptr;
     http_request request;
     millis until{0};
-    int runner = -1;   // -1: the store
-    std::string life;  // of the runner
   };
 
   void OnStore(http_front& server, http_request request);
   bool OnTest(http_front& server, const http_request& request);
   void OnTransaction(http_front& server, const http_request& request);
   void TakeCallerAnswer(std::string_view text);
-  void Revive(runner_site& site);
   std::string VmList() const;
-  void OnRunner(int index, http_request request);
-  bool TryFeed(waiting& wait, bool last);
-  bool TryHold(waiting& wait, bool last);
+  bool TryFeed(const waiting& wait, bool last);
   void Tick();
-  void Beat(runner_site& site);
-  static void Answer(http_front& server, uint64_t id, int status, std::string body);
 
   const std::string store_;
-  const std::string service_;
   const clock& clock_;
   std::mutex mutex_;
   std::string fault_ = "none";
@@ -91,6 +74,7 @@
   std::unique_ptr<http_front> store_front_;
   std::unique_ptr<store_handler> store_handler_;
   std::vector<std::unique_ptr<runner_site>> sites_;
+  std::vector<std::unique_ptr<runner_handler>> runner_handlers_;
   std::vector<waiting> waiting_;
   std::vector<std::pair<millis, row_transaction>> late_;  // to be done at that time
   bool callers_report_ = false;  // otherwise what is stored counts as accepted
