--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -14,9 +14,7 @@
 constexpr millis kSilence{700};  // until a connection that says nothing is given up
 constexpr millis kRedial{300};
 constexpr millis kBeat{1500};
-constexpr millis kCallerWait{3000};
 constexpr millis kOrderTimeout{500};
-constexpr int kMostTries = 40;
 constexpr int64_t kWallOrigin = 1700000000000;
 constexpr int kDomains = 3;
 
@@ -87,7 +85,14 @@
 }
 
 batch_world::batch_world(batch_world_options options)
-    : options_(std::move(options)), random_(options_.seed), config_(UsualConfig()) {
+    : options_(std::move(options)),
+      random_(options_.seed),
+      callers_(events_, check_,
+               [this](uint64_t turn, const caller_call& call) {
+                 entry_process& entry = *entries_.at(turn % entries_.size());
+                 if (entry.alive && now() >= entry.frozen_until) ToGateway(entry, call);
+               }),
+      config_(UsualConfig()) {
   source_ = std::make_unique<world_source>(config_);
   codec_ = std::move(record_codec_registry::Instance().Create("json").value());
   order_ = std::move(unit_order_registry::Instance().Create(options_.order).value());
@@ -406,7 +411,7 @@
   const int64_t life = entry.life;
   for (auto& action : actions) {
     if (const auto* reply = std::get_if<caller_reply>(&action)) {
-      events_.After(kNetwork, [this, answer = *reply] { OnReply(answer); });
+      events_.After(kNetwork, [this, answer = *reply] { callers_.OnReply(answer); });
     } else if (const auto* request = std::get_if<store_request>(&action)) {
       CallStore(entry, *request, true);
     } else if (const auto* send = std::get_if<send_to_peer>(&action)) {
@@ -792,78 +797,4 @@
   rows_.Apply(change);
 }
 
-void batch_world::Submit(const batch_job& job) {
-  check_.OnSubmitted(job);
-  const uint64_t id = ++last_caller_;
-  callers_[id] = {job, call_kind::kSubmit, 0, false};
-  Try(id);
-}
-
-void batch_world::Cancel(std::string_view job) {
-  const uint64_t id = ++last_caller_;
-  batch_job named;
-  for (const auto& [other, caller] : callers_) {
-    if (caller.job.id == job) named = caller.job;
-  }
-  callers_[id] = {named, call_kind::kCancel, 0, false};
-  Try(id);
-}
-
-void batch_world::Watch(std::string_view job) { Ask(std::string(job)); }
-
-void batch_world::Ask(const std::string& job) {
-  const uint64_t id = ++last_caller_;
-  batch_job named;
-  for (const auto& [other, caller] : callers_) {
-    if (caller.job.id == job) named = caller.job;
-  }
-  callers_[id] = {named, call_kind::kState, 0, false};
-  Try(id);
-}
-
-/** Sends a call to the next entry; looks after its deadline whether to try again. */
-void batch_world::Try(uint64_t id) {
-  caller_try& caller = callers_.at(id);
-  if (caller.settled || caller.tries >= kMostTries) return;
-  const int tries = ++caller.tries;
-  entry_process& entry = *entries_.at((id + static_cast<uint64_t>(tries)) % entries_.size());
-  if (entry.alive && now() >= entry.frozen_until) {
-    caller_call call;
-    call.id = id;
-    call.kind = caller.kind;
-    call.host = "site";
-    call.path = "/" + caller.job.queue + "/" + caller.job.id;
-    call.key = "key-" + caller.job.organisation;
-    call.wait = kCallerWait;
-    if (caller.kind == call_kind::kSubmit) call.job = caller.job;
-    ToGateway(entry, call);
-  }
-  events_.After(kCallerWait, [this, id, tries] {
-    if (callers_.at(id).tries == tries) Try(id);
-  });
-}
-
-void batch_world::OnReply(const caller_reply& reply) {
-  caller_try& caller = callers_.at(reply.id);
-  if (caller.settled) return;
-  check_.OnAnswer(caller.job.id, caller.kind, reply, now());
-  const bool again = reply.answer == call_answer::kUnavailable ||
-                     reply.answer == call_answer::kBusy ||
-                     reply.answer == call_answer::kOutcomeUnknown;
-  const bool running = reply.answer == call_answer::kState && !IsFinal(reply.state);
-  const bool unknown_yet =
-      caller.kind == call_kind::kState && reply.answer == call_answer::kNoSuchJob;
-  if (again) {
-    const uint64_t id = reply.id;
-    events_.After(millis(500), [this, id, tries = caller.tries] {
-      if (callers_.at(id).tries == tries) Try(id);
-    });
-    return;
-  }
-  caller.settled = true;
-  if (running || unknown_yet) {
-    events_.After(millis(500), [this, job = caller.job.id] { Ask(job); });
-  }
-}
-
 }  // namespace eelgrass
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -18,6 +18,7 @@
 #include "kernel/io/peer_hub.h"
 #include "standins/batch_check.h"
 #include "standins/standin_rows.h"
+#include "tests/world/batch_callers.h"
 #include "tests/world/timeline.h"
 
 namespace eelgrass {
@@ -48,12 +49,9 @@
   void RunFor(millis time) { events_.RunUntil(events_.now() + time); }
   batch_check& check() { return check_; }
 
-  /** A caller hands a job in, trying again at other entries until it knows. */
-  void Submit(const batch_job& job);
-  void Cancel(std::string_view job);
-
-  /** A caller asks for a job's state every half second until it is final. */
-  void Watch(std::string_view job);
+  void Submit(const batch_job& job) { callers_.Submit(job); }
+  void Cancel(std::string_view job) { callers_.Cancel(job); }
+  void Watch(std::string_view job) { callers_.Watch(job); }
 
   /** Writes a configuration; returns its revision. */
   void Configure(const std::function<void(batch_config&)>& edit);
@@ -159,13 +157,6 @@
     millis leaves_at{0};  // 0: not said
     bool mute = false;
   };
-  struct caller_try {
-    batch_job job;
-    call_kind kind = call_kind::kSubmit;
-    int tries = 0;
-    bool settled = false;
-  };
-
   std::string EntryId(int index) const { return "entry-" + std::to_string(index); }
   std::string AgentId(int index) const { return "agent-" + std::to_string(index); }
   std::string Address(std::string_view id) const { return std::string(id) + ":7000"; }
@@ -210,9 +201,6 @@
   void Order(machine& vm, Answer answer, const Carry& carry);
   void CallWorker(machine& vm, const start_call& call);
   void CallWorker(machine& vm, const stop_call& call);
-  void Try(uint64_t caller);
-  void OnReply(const caller_reply& reply);
-  void Ask(const std::string& job);
   bool Chance(double share);
   millis Between(millis least, millis most);
 
@@ -222,6 +210,7 @@
   standin_rows rows_;
   standin_gangs gangs_;
   batch_check check_;
+  batch_callers callers_;
   std::unique_ptr<operator_source> source_;
   std::unique_ptr<batch_record_codec> codec_;
   std::unique_ptr<unit_order> order_;
@@ -239,8 +228,6 @@
   std::map<int, int> hidden_vms_;  // lists to come, by worker
   millis feed_delay_{0};
   int vm_lists_ = 0;
-  std::map<uint64_t, caller_try> callers_;
-  uint64_t last_caller_ = 0;
   batch_config config_;
   int store_calls_ = 0;
   int64_t last_life_ = 0;
