--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -9,6 +9,7 @@
 constexpr millis kTick{50};
 constexpr millis kNetwork{1};
 constexpr millis kStoreTime{8};
+constexpr millis kListTime{8};
 constexpr millis kStoreClockAhead{3600000};  // of the clocks of the VMs
 constexpr millis kWorkerTime{2};
 constexpr millis kSilence{700};  // until a connection that says nothing is given up
@@ -455,24 +456,15 @@
 
 /** A VM whose worker has crashed is down until the next one starts there. */
 void batch_world::ListVms(const entry_process& entry, const vm_listing_request& request) {
-  ++vm_lists_;
-  vm_listing listing;
-  listing.requested = request.at;
-  listing.answered = vm_list_answers_ && ReachesStore(entry);
+  std::vector<vm_record> vms;
   for (const auto& [index, vm] : machines_) {
-    if (!listing.answered) break;
-    if (const auto hidden = hidden_vms_.find(index);
-        hidden != hidden_vms_.end() && hidden->second > 0) {
-      --hidden->second;
-      if (unreadable_) ++listing.unreadable;
-      continue;
-    }
     const bool up = vm->runner != nullptr;
-    listing.vms.push_back({"vm-" + std::to_string(index), up ? vm_state::kUp : vm_state::kDown,
-                           up ? vm->runner->self().id : std::string()});
+    vms.push_back({"vm-" + std::to_string(index), up ? vm_state::kUp : vm_state::kDown,
+                   up ? vm->runner->self().id : std::string()});
   }
+  const vm_listing listing = vm_list_.List(request, ReachesStore(entry), vms);
   const int64_t life = entry.life;
-  events_.After(kStoreTime, [this, id = entry.id, life, listing] {
+  events_.After(kListTime, [this, id = entry.id, life, listing] {
     entry_process* same = FindEntry(id);
     if (same->alive && same->life == life) ToPlanner(*same, listing);
   });
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -19,6 +19,7 @@
 #include "standins/batch_check.h"
 #include "standins/standin_rows.h"
 #include "tests/world/batch_callers.h"
+#include "tests/world/fake_vm_list.h"
 #include "tests/world/timeline.h"
 
 namespace eelgrass {
@@ -101,17 +102,17 @@
   void SetFeedDelay(millis delay) { feed_delay_ = delay; }
 
   /** The platform's list of VMs answers, or does not. It answers from the start. */
-  void SetVmList(bool answers) { vm_list_answers_ = answers; }
-  int vm_lists() const { return vm_lists_; }
+  void SetVmList(bool answers) { vm_list_.SetAnswers(answers); }
+  int vm_lists() const { return vm_list_.lists(); }
 
   /** The next so many lists do not hold a worker's VM: it changes its place between two pages. */
-  void HideVm(int worker, int lists) { hidden_vms_[worker] = lists; }
+  void HideVm(int worker, int lists) { vm_list_.Hide(worker, lists); }
 
   /** Workers say on which VM they live, or do not. They do from the start. */
   void SetVmNamed(bool named) { vm_named_ = named; }
 
   /** The entries of VMs that are left out can be seen, but not read. */
-  void SetUnreadable(bool unreadable) { unreadable_ = unreadable; }
+  void SetUnreadable(bool unreadable) { vm_list_.SetUnreadable(unreadable); }
 
   /** Orders to workers get no answer and are carried out seconds later, with this probability. */
   void SetLateOrders(double share) { late_orders_ = share; }
@@ -222,12 +223,9 @@
   store_fault store_fault_ = store_fault::kNone;
   std::map<std::string, store_fault, std::less<>> entry_faults_;
   double late_orders_ = 0;
-  bool vm_list_answers_ = true;
+  fake_vm_list vm_list_;
   bool vm_named_ = true;
-  bool unreadable_ = false;
-  std::map<int, int> hidden_vms_;  // lists to come, by worker
   millis feed_delay_{0};
-  int vm_lists_ = 0;
   batch_config config_;
   int store_calls_ = 0;
   int64_t last_life_ = 0;
