Give the batch world's store a class of its own

Faults, late writes and feeds of the store are played by fake_row_store, which knows the entries through an interface. What is drawn moves to draws, which all parts share, so that the order of draws stays.

--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -8,9 +8,7 @@
 
 constexpr millis kTick{50};
 constexpr millis kNetwork{1};
-constexpr millis kStoreTime{8};
 constexpr millis kListTime{8};
-constexpr millis kStoreClockAhead{3600000};  // of the clocks of the VMs
 constexpr millis kWorkerTime{2};
 constexpr millis kSilence{700};  // until a connection that says nothing is given up
 constexpr millis kRedial{300};
@@ -85,9 +83,44 @@
   return job;
 }
 
+/** The entries as the store sees them. */
+class batch_world::entry_doors : public store_callers {
+ public:
+  explicit entry_doors(batch_world& world) : world_(world) {}
+
+  bool Lives(const store_caller& caller) const override {
+    const entry_process& entry = *world_.FindEntry(caller.entry);
+    return entry.alive && entry.life == caller.life;
+  }
+
+  bool Reaches(const store_caller& caller) const override {
+    return world_.ReachesStore(*world_.FindEntry(caller.entry));
+  }
+
+  void Answer(const store_caller& caller, store_reply reply, millis delay) override {
+    const millis at = std::max(world_.now() + delay, world_.FindEntry(caller.entry)->frozen_until);
+    world_.events_.At(at, [this, caller, reply = std::move(reply)]() mutable {
+      if (!Lives(caller)) return;
+      entry_process& same = *world_.FindEntry(caller.entry);
+      if (caller.gateway) {
+        world_.ToGateway(same, std::move(reply));
+      } else {
+        world_.ToPlanner(same, std::move(reply));
+      }
+    });
+  }
+
+ private:
+  batch_world& world_;
+};
+
+batch_world::~batch_world() = default;
+
 batch_world::batch_world(batch_world_options options)
     : options_(std::move(options)),
       random_(options_.seed),
+      doors_(std::make_unique<entry_doors>(*this)),
+      store_(events_, random_, *doors_),
       callers_(events_, check_,
                [this](uint64_t turn, const caller_call& call) {
                  entry_process& entry = *entries_.at(turn % entries_.size());
@@ -118,14 +151,6 @@
   events_.After(kRedial, [this] { Redial(); });
 }
 
-bool batch_world::Chance(double share) {
-  return std::uniform_real_distribution<double>(0, 1)(random_) < share;
-}
-
-millis batch_world::Between(millis least, millis most) {
-  return millis(std::uniform_int_distribution<int64_t>(least.count(), most.count())(random_));
-}
-
 batch_world::process* batch_world::FindProcess(std::string_view id) {
   if (process* entry = FindEntry(id)) return entry;
   return FindMachine(id);
@@ -158,7 +183,8 @@
 }
 
 int batch_world::Holder() const {
-  const auto read = rows_.Read(row_range{std::string(kTermTable), "", std::string(kEpochKey)});
+  const auto read =
+      store_.rows().Read(row_range{std::string(kTermTable), "", std::string(kEpochKey)});
   for (const auto& entry : entries_) {
     for (const auto& found : read.rows) {
       if (found.at == EpochRow() && found.value == entry->id) return entry->index;
@@ -414,7 +440,7 @@
     if (const auto* reply = std::get_if<caller_reply>(&action)) {
       events_.After(kNetwork, [this, answer = *reply] { callers_.OnReply(answer); });
     } else if (const auto* request = std::get_if<store_request>(&action)) {
-      CallStore(entry, *request, true);
+      store_.Call({entry.id, entry.life, true}, *request);
     } else if (const auto* send = std::get_if<send_to_peer>(&action)) {
       Send(entry.id, *send);
     } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
@@ -440,7 +466,7 @@
   const int64_t life = entry.life;
   for (auto& action : actions) {
     if (const auto* request = std::get_if<store_request>(&action)) {
-      CallStore(entry, *request, false);
+      store_.Call({entry.id, entry.life, false}, *request);
     } else if (const auto* send = std::get_if<send_to_peer>(&action)) {
       Send(entry.id, *send);
     } else if (const auto* tell = std::get_if<tell_gateway>(&action)) {
@@ -486,97 +512,6 @@
   }
 }
 
-void batch_world::CallStore(entry_process& entry, const store_request& request, bool gateway) {
-  ++store_calls_;
-  store_fault fault = store_fault_;
-  const auto own = entry_faults_.find(entry.id);
-  if (own != entry_faults_.end() && own->second != store_fault::kNone) fault = own->second;
-  if (!ReachesStore(entry)) fault = store_fault::kSilent;
-  const bool writes = std::holds_alternative<row_transaction>(request.call);
-  store_reply reply{request.token, {}};
-  const auto give = [&](row_outcome outcome, millis delay) {
-    if (writes) {
-      transaction_result answer;
-      answer.outcome = outcome;
-      reply.answer = answer;
-    } else {
-      rows_result answer;
-      answer.outcome = outcome;
-      reply.answer = answer;
-    }
-    AnswerStore(entry.id, entry.life, gateway, reply, delay);
-  };
-  if (fault == store_fault::kRefuses) return give(row_outcome::kNotDone, kStoreTime);
-  if (fault == store_fault::kSilent) return give(row_outcome::kUnknown, request.timeout);
-  if (writes) {
-    const auto& change = std::get<row_transaction>(request.call);
-    const bool lost = fault == store_fault::kLosesAnswers && Chance(0.4);
-    const bool late = fault == store_fault::kLateWrites && Chance(0.4);
-    if (late) {
-      events_.After(Between(millis(1000), millis(6000)), [this, change] { rows_.Apply(change); });
-      return give(row_outcome::kUnknown, request.timeout);
-    }
-    events_.After(kStoreTime / 2, [this, id = entry.id, life = entry.life, gateway, change, lost,
-                                   token = request.token, timeout = request.timeout] {
-      transaction_result answer = rows_.Apply(change);
-      if (lost) {
-        answer = {};
-        answer.outcome = row_outcome::kUnknown;
-      }
-      AnswerStore(id, life, gateway, {token, answer}, lost ? timeout : kStoreTime / 2);
-    });
-    return;
-  }
-  if (const auto* range = std::get_if<row_range>(&request.call)) {
-    AnswerStore(entry.id, entry.life, gateway, {request.token, rows_.Read(*range)}, kStoreTime);
-    return;
-  }
-  FollowFeed(entry.id, entry.life, gateway, request, now() + std::get<row_feed>(request.call).wait);
-}
-
-void batch_world::FollowFeed(const std::string& id, int64_t life, bool gateway,
-                             const store_request& request, millis until) {
-  entry_process* entry = FindEntry(id);
-  if (!entry->alive || entry->life != life) return;
-  const auto& feed = std::get<row_feed>(request.call);
-  const bool unreachable = !ReachesStore(*entry) || store_fault_ == store_fault::kSilent ||
-                           store_fault_ == store_fault::kRefuses;
-  if (unreachable) {
-    rows_result answer;
-    answer.outcome = row_outcome::kUnknown;
-    return AnswerStore(id, life, gateway, {request.token, answer}, request.timeout);
-  }
-  rows_result answer = rows_.Changes(feed.table, feed.after);
-  if (answer.outcome != row_outcome::kDone || !answer.rows.empty() || now() >= until) {
-    return AnswerStore(id, life, gateway, {request.token, answer}, kStoreTime / 2 + feed_delay_);
-  }
-  events_.After(millis(10), [this, id, life, gateway, request, until] {
-    FollowFeed(id, life, gateway, request, until);
-  });
-}
-
-void batch_world::AnswerStore(const std::string& id, int64_t life, bool gateway, store_reply reply,
-                              millis delay) {
-  entry_process* entry = FindEntry(id);
-  std::visit(
-      [this](auto& answer) {
-        const bool answered =
-            answer.outcome == row_outcome::kDone || answer.outcome == row_outcome::kConflict;
-        if (answered) answer.store_now = now() + kStoreClockAhead;
-      },
-      reply.answer);
-  const millis at = std::max(now() + delay, entry->frozen_until);
-  events_.At(at, [this, id, life, gateway, reply = std::move(reply)]() mutable {
-    entry_process* same = FindEntry(id);
-    if (!same->alive || same->life != life) return;
-    if (gateway) {
-      ToGateway(*same, std::move(reply));
-    } else {
-      ToPlanner(*same, std::move(reply));
-    }
-  });
-}
-
 void batch_world::CallWorker(machine& vm, const hold_call& call) {
   hold_answer answer;
   answer.worker = call.worker;
@@ -625,8 +560,8 @@
 template <typename Answer, typename Carry>
 void batch_world::Order(machine& vm, Answer answer, const Carry& carry) {
   millis delay = kWorkerTime;
-  if (Chance(late_orders_)) {
-    events_.After(Between(millis(2000), millis(12000)),
+  if (random_.Chance(late_orders_)) {
+    events_.After(random_.Between(millis(2000), millis(12000)),
                   [carry, answer]() mutable { carry(answer); });
     answer.outcome = call_outcome::kNoAnswer;
     delay = kOrderTimeout;
@@ -775,7 +710,7 @@
   ++config_.version;
   row_transaction change;
   change.writes.push_back({source_->config_row(), std::to_string(config_.version)});
-  rows_.Apply(change);
+  store_.rows().Apply(change);
 }
 
 void batch_world::Evacuate(std::string_view domain, bool out) {
@@ -786,7 +721,7 @@
   } else {
     change.removals.push_back(at);
   }
-  rows_.Apply(change);
+  store_.rows().Apply(change);
 }
 
 }  // namespace eelgrass
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,16 +16,14 @@
 #include "kernel/batch/planner_core.h"
 #include "kernel/io/peer_hub.h"
 #include "standins/batch_check.h"
-#include "standins/standin_rows.h"
 #include "tests/world/batch_callers.h"
+#include "tests/world/draws.h"
+#include "tests/world/fake_row_store.h"
 #include "tests/world/fake_vm_list.h"
 #include "tests/world/timeline.h"
 
 namespace eelgrass {
 
-/** What the store does to calls. */
-enum class store_fault { kNone, kRefuses, kSilent, kLosesAnswers, kLateWrites };
-
 struct batch_world_options {
   int entries = 3;
   int workers = 6;
@@ -44,6 +41,7 @@
 class batch_world {
  public:
   explicit batch_world(batch_world_options options = {});
+  ~batch_world();
 
   timeline& events() { return events_; }
   millis now() const { return events_.now(); }
@@ -94,12 +92,12 @@
   void SetSick(int worker, bool sick) { machines_[worker]->runner->SetSick(sick); }
   void PowerOffAll(millis down);
 
-  void SetStore(store_fault fault) { store_fault_ = fault; }
-  void SetStoreFor(int entry, store_fault fault) { entry_faults_[EntryId(entry)] = fault; }
-  void ForgetHistory() { rows_.ForgetHistory(); }
+  void SetStore(store_fault fault) { store_.SetFault(fault); }
+  void SetStoreFor(int entry, store_fault fault) { store_.SetFaultFor(EntryId(entry), fault); }
+  void ForgetHistory() { store_.rows().ForgetHistory(); }
 
   /** Changes reach whoever follows them this much later. */
-  void SetFeedDelay(millis delay) { feed_delay_ = delay; }
+  void SetFeedDelay(millis delay) { store_.SetFeedDelay(delay); }
 
   /** The platform's list of VMs answers, or does not. It answers from the start. */
   void SetVmList(bool answers) { vm_list_.SetAnswers(answers); }
@@ -126,13 +124,14 @@
   /** The entry that took the term last, by the store. */
   int Holder() const;
   bool Ready(int entry) const { return entries_.at(static_cast<size_t>(entry))->gateway->ready(); }
-  const standin_rows& rows() const { return rows_; }
-  int store_calls() const { return store_calls_; }
+  const standin_rows& rows() const { return store_.rows(); }
+  int store_calls() const { return store_.calls(); }
   const standin_runner& worker(int index) const { return *machines_.at(index)->runner; }
   int entries() const { return options_.entries; }
   int workers() const { return options_.workers; }
 
  private:
+  class entry_doors;
   struct process {
     std::string id;
     int index = 0;
@@ -191,24 +190,18 @@
   void CarryOut(entry_process& entry, std::vector<planner_action>& actions);
   void CarryOut(machine& vm, std::vector<agent_action>& actions);
   void ListVms(const entry_process& entry, const vm_listing_request& request);
-  void CallStore(entry_process& entry, const store_request& request, bool gateway);
-  void AnswerStore(const std::string& id, int64_t life, bool gateway, store_reply reply,
-                   millis delay);
-  void FollowFeed(const std::string& id, int64_t life, bool gateway, const store_request& request,
-                  millis until);
   void CallWorker(machine& vm, const hold_call& call);
   void WaitForEnd(machine& vm, const hold_call& call, hold_answer answer, millis until);
   template <typename Answer, typename Carry>
   void Order(machine& vm, Answer answer, const Carry& carry);
   void CallWorker(machine& vm, const start_call& call);
   void CallWorker(machine& vm, const stop_call& call);
-  bool Chance(double share);
-  millis Between(millis least, millis most);
 
   const batch_world_options options_;
   timeline events_;
-  std::mt19937_64 random_;
-  standin_rows rows_;
+  draws random_;
+  std::unique_ptr<entry_doors> doors_;
+  fake_row_store store_;
   standin_gangs gangs_;
   batch_check check_;
   batch_callers callers_;
@@ -220,14 +213,10 @@
   std::set<std::pair<std::string, std::string>> links_;
   std::set<std::string> cut_;
   std::set<int> cut_domains_;
-  store_fault store_fault_ = store_fault::kNone;
-  std::map<std::string, store_fault, std::less<>> entry_faults_;
   double late_orders_ = 0;
   fake_vm_list vm_list_;
   bool vm_named_ = true;
-  millis feed_delay_{0};
   batch_config config_;
-  int store_calls_ = 0;
   int64_t last_life_ = 0;
 };
 
