Give the batch world's workers a class of their own

A worker's lives, heartbeats, answers and departures are played by fake_worker, which knows the agent beside it through an interface.

--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -9,11 +9,8 @@
 constexpr millis kTick{50};
 constexpr millis kNetwork{1};
 constexpr millis kListTime{8};
-constexpr millis kWorkerTime{2};
 constexpr millis kSilence{700};  // until a connection that says nothing is given up
 constexpr millis kRedial{300};
-constexpr millis kBeat{1500};
-constexpr millis kOrderTimeout{500};
 constexpr int64_t kWallOrigin = 1700000000000;
 constexpr int kDomains = 3;
 
@@ -114,6 +111,18 @@
   batch_world& world_;
 };
 
+/** The agent beside a worker. */
+class batch_world::agent_door : public worker_agent_side {
+ public:
+  agent_door(batch_world& world, machine& vm) : world_(world), vm_(vm) {}
+  int64_t life() const override { return vm_.alive ? vm_.life : 0; }
+  void Tell(agent_event event) override { world_.ToAgent(vm_, std::move(event)); }
+
+ private:
+  batch_world& world_;
+  machine& vm_;
+};
+
 batch_world::~batch_world() = default;
 
 batch_world::batch_world(batch_world_options options)
@@ -141,12 +150,16 @@
     auto vm = std::make_unique<machine>();
     vm->id = AgentId(i);
     vm->index = i;
+    vm->door = std::make_unique<agent_door>(*this, *vm);
+    vm->worker = std::make_unique<fake_worker>(
+        SiteOf(i), events_, random_, worker_faults_, gangs_,
+        [this](const runner_event& event) { check_.OnRunner(event); }, *vm->door);
     machines_.emplace(i, std::move(vm));
   }
   for (auto& entry : entries_) StartEntry(*entry);
   for (auto& [index, vm] : machines_) {
     StartAgent(*vm);
-    StartWorker(*vm);
+    vm->worker->Start();
   }
   events_.After(kRedial, [this] { Redial(); });
 }
@@ -219,47 +232,16 @@
   Tick(vm.id, vm.life);
 }
 
-void batch_world::StartWorker(machine& vm) {
-  vm.born_ms = kWallOrigin + (now() + vm.clock_step).count();
-  vm.sequence = 0;
-  vm.draining = false;
-  vm.leaves_at = millis(0);
-  runner_options options = options_.worker;
-  const auto percent = options_.time_percent.find(vm.index);
-  if (percent != options_.time_percent.end()) options.time_percent = percent->second;
-  std::string id = "worker-" + std::to_string(vm.index) + "-" + std::to_string(vm.born_ms);
-  if (!vm.worker_id.empty()) id = std::exchange(vm.worker_id, {});
-  vm.runner = std::make_unique<standin_runner>(
-      worker_identity{id, vm.born_ms}, options, gangs_,
-      [this](const runner_event& event) { check_.OnRunner(event); }, now());
-  Beat(vm);
-}
-
-void batch_world::Beat(machine& vm) {
-  if (vm.runner == nullptr) return;
-  vm.runner->Advance(now());
-  if (vm.alive && now() >= vm.frozen_until) {
-    worker_beat beat;
-    beat.worker.self = vm.runner->self();
-    beat.worker.service = "drying";
-    beat.worker.domain = "domain-" + std::to_string(DomainOf(vm.index));
-    beat.worker.rack = "rack-" + std::to_string(vm.index / 3);
-    beat.worker.address = vm.id + ":8000";
-    if (vm_named_) beat.worker.vm = "vm-" + std::to_string(vm.index);
-    beat.worker.capacity = options_.worker.capacity;
-    beat.worker.labels = {"a", beat.worker.rack};
-    beat.worker.draining = vm.draining;
-    if (vm.leaves_at > millis(0)) beat.worker.remaining_ms = (vm.leaves_at - now()).count();
-    beat.sequence = ++vm.sequence;
-    beat.clock_ms = vm.runner->ClockAt(now());
-    vm.last_beat = beat;
-    ToAgent(vm, beat);
-  }
-  const int64_t born = vm.born_ms;
-  events_.After(kBeat, [this, index = vm.index, born] {
-    machine& same = *machines_.at(index);
-    if (same.runner != nullptr && same.born_ms == born) Beat(same);
-  });
+worker_site batch_world::SiteOf(int index) const {
+  worker_site site;
+  site.vm = index;
+  site.domain = "domain-" + std::to_string(DomainOf(index));
+  site.agent = AgentId(index);
+  site.day_ms = kWallOrigin;
+  site.options = options_.worker;
+  const auto percent = options_.time_percent.find(index);
+  if (percent != options_.time_percent.end()) site.options.time_percent = percent->second;
+  return site;
 }
 
 void batch_world::Tick(const std::string& id, int64_t life) {
@@ -274,7 +256,7 @@
       entry->planner->Decide({}, now(), millis(kWallOrigin + now().count()), planner);
       CarryOut(*entry, planner);
     } else if (machine* vm = FindMachine(id)) {
-      if (vm->runner != nullptr) vm->runner->Advance(now());
+      vm->worker->Advance();
       std::vector<agent_action> actions;
       vm->agent->Decide({}, now(), actions);
       CarryOut(*vm, actions);
@@ -484,9 +466,9 @@
 void batch_world::ListVms(const entry_process& entry, const vm_listing_request& request) {
   std::vector<vm_record> vms;
   for (const auto& [index, vm] : machines_) {
-    const bool up = vm->runner != nullptr;
-    vms.push_back({"vm-" + std::to_string(index), up ? vm_state::kUp : vm_state::kDown,
-                   up ? vm->runner->self().id : std::string()});
+    const standin_runner* life = vm->worker->runner();
+    vms.push_back({"vm-" + std::to_string(index), life != nullptr ? vm_state::kUp : vm_state::kDown,
+                   life != nullptr ? life->self().id : std::string()});
   }
   const vm_listing listing = vm_list_.List(request, ReachesStore(entry), vms);
   const int64_t life = entry.life;
@@ -503,105 +485,15 @@
     } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
       Dial(vm, dial->address);
     } else if (const auto* hold = std::get_if<hold_call>(&action)) {
-      CallWorker(vm, *hold);
+      vm.worker->Call(*hold);
     } else if (const auto* start = std::get_if<start_call>(&action)) {
-      CallWorker(vm, *start);
+      vm.worker->Call(*start);
     } else if (const auto* stop = std::get_if<stop_call>(&action)) {
-      CallWorker(vm, *stop);
+      vm.worker->Call(*stop);
     }
   }
 }
 
-void batch_world::CallWorker(machine& vm, const hold_call& call) {
-  hold_answer answer;
-  answer.worker = call.worker;
-  answer.fence = call.fence;
-  answer.sent = call.sent;
-  const bool there = vm.runner != nullptr && vm.runner->self().id == call.worker.id;
-  if (!there) {
-    answer.outcome = vm.runner == nullptr ? call_outcome::kNeverSent : call_outcome::kOtherLife;
-    return WaitForEnd(vm, call, answer, millis(0));
-  }
-  vm.runner->Hold(call, now());
-  answer.born_ms = vm.runner->self().born_ms;
-  answer.outcome = call.fence < vm.runner->fence() ? call_outcome::kRefused : call_outcome::kDone;
-  WaitForEnd(vm, call, answer, now() + call.wait);
-}
-
-void batch_world::WaitForEnd(machine& vm, const hold_call& call, hold_answer answer, millis until) {
-  const bool there = vm.runner != nullptr && vm.runner->self().id == call.worker.id &&
-                     vm.runner->self().born_ms == answer.born_ms;
-  if (there) vm.runner->Advance(now());
-  // The connection to a process that ends breaks.
-  if (!there && answer.outcome == call_outcome::kDone) {
-    answer.outcome = call_outcome::kNoAnswer;
-    answer.born_ms = 0;
-  }
-  const bool wait = there && answer.outcome == call_outcome::kDone && now() < until &&
-                    !vm.runner->HasEndAfter(call.seen_upto);
-  const int64_t life = vm.life;
-  if (wait) {
-    events_.After(millis(10), [this, index = vm.index, life, call, answer, until] {
-      machine& same = *machines_.at(index);
-      if (same.alive && same.life == life) WaitForEnd(same, call, answer, until);
-    });
-    return;
-  }
-  if (there && answer.outcome == call_outcome::kDone) vm.runner->Lists(now(), answer);
-  if (vm.mute) answer.outcome = call_outcome::kNoAnswer;
-  const millis at = std::max(now() + (vm.mute ? kOrderTimeout : kWorkerTime), vm.frozen_until);
-  events_.At(at, [this, index = vm.index, life, answer] {
-    machine& same = *machines_.at(index);
-    if (same.alive && same.life == life) ToAgent(same, answer);
-  });
-}
-
-/** Has an order carried out and answered, or without an answer and seconds later. */
-template <typename Answer, typename Carry>
-void batch_world::Order(machine& vm, Answer answer, const Carry& carry) {
-  millis delay = kWorkerTime;
-  if (random_.Chance(late_orders_)) {
-    events_.After(random_.Between(millis(2000), millis(12000)),
-                  [carry, answer]() mutable { carry(answer); });
-    answer.outcome = call_outcome::kNoAnswer;
-    delay = kOrderTimeout;
-  } else {
-    carry(answer);
-    if (vm.mute) {
-      answer.outcome = call_outcome::kNoAnswer;
-      delay = kOrderTimeout;
-    }
-  }
-  const millis at = std::max(now() + delay, vm.frozen_until);
-  events_.At(at, [this, index = vm.index, life = vm.life, answer] {
-    machine& same = *machines_.at(index);
-    if (same.alive && same.life == life) ToAgent(same, answer);
-  });
-}
-
-void batch_world::CallWorker(machine& vm, const start_call& call) {
-  start_answer answer{call.worker, {call.run.task, call.run.run}, call.fence};
-  const auto carry = [this, index = vm.index, call](start_answer& out) {
-    machine& same = *machines_.at(index);
-    if (same.runner == nullptr || same.runner->self().id != call.worker.id) {
-      out.outcome = call_outcome::kNeverSent;
-      return;
-    }
-    out.outcome = same.runner->Start(call, now(), out.refusal);
-  };
-  Order(vm, std::move(answer), carry);
-}
-
-void batch_world::CallWorker(machine& vm, const stop_call& call) {
-  stop_answer answer{call.worker, call.run, call.fence, call_outcome::kNeverSent};
-  const auto carry = [this, index = vm.index, call](stop_answer& out) {
-    machine& same = *machines_.at(index);
-    const bool there = same.runner != nullptr && same.runner->self().id == call.worker.id;
-    out.outcome = there ? same.runner->Stop(call, now()) : call_outcome::kNeverSent;
-  };
-  Order(vm, std::move(answer), carry);
-}
-
 void batch_world::StopProcess(process& stopped) {
   stopped.alive = false;
   stopped.dialled.clear();
@@ -634,67 +526,14 @@
   });
 }
 
-void batch_world::CrashWorker(int worker, millis down) {
-  machine& vm = *machines_.at(worker);
-  if (vm.runner == nullptr) return;
-  vm.former_beat = vm.last_beat;
-  ++vm.former_beat.sequence;
-  vm.runner->Die(now());
-  vm.runner.reset();
-  events_.After(down, [this, worker] {
-    machine& same = *machines_.at(worker);
-    if (same.runner == nullptr) StartWorker(same);
-  });
-}
-
 void batch_world::MoveWorker(int from, int to) {
-  machine& left = *machines_.at(from);
-  machine& taken = *machines_.at(to);
-  const std::string id = left.runner->self().id;
-  left.runner->Die(now());
-  taken.runner->Die(now());
-  taken.worker_id = id;
-  StartWorker(taken);
-  StartWorker(left);
-}
-
-void batch_world::RestartWorker(int worker, millis down, millis clock_step) {
-  machine& vm = *machines_.at(worker);
-  if (vm.runner == nullptr) return;
-  vm.clock_step += clock_step;
-  vm.worker_id = vm.runner->self().id;
-  CrashWorker(worker, down);
-}
-
-void batch_world::LateBeat(int worker) {
-  machine& vm = *machines_.at(worker);
-  if (vm.alive && !vm.former_beat.worker.self.id.empty()) ToAgent(vm, vm.former_beat);
-}
-
-void batch_world::LateLeave(int worker) {
-  machine& vm = *machines_.at(worker);
-  const std::string& former = vm.former_beat.worker.self.id;
-  if (vm.alive && !former.empty()) ToAgent(vm, worker_left{former});
-}
-
-void batch_world::Leave(int worker, millis away) {
-  machine& vm = *machines_.at(worker);
-  if (vm.runner == nullptr) return;
-  if (vm.alive) ToAgent(vm, worker_left{vm.runner->self().id});
-  events_.After(kWorkerTime, [this, worker, away] { CrashWorker(worker, away); });
-}
-
-void batch_world::DrainWorker(int worker) {
-  machine& vm = *machines_.at(worker);
-  vm.draining = true;
-  Beat(vm);
-}
-
-void batch_world::TakeAway(int worker, millis notice, millis away) {
-  machine& vm = *machines_.at(worker);
-  vm.leaves_at = now() + notice;
-  DrainWorker(worker);
-  events_.After(notice, [this, worker, away] { CrashWorker(worker, away); });
+  fake_worker& left = WorkerAt(from);
+  fake_worker& taken = WorkerAt(to);
+  const std::string id = left.runner()->self().id;
+  left.runner()->Die(now());
+  taken.runner()->Die(now());
+  taken.StartAs(id);
+  left.Start();
 }
 
 void batch_world::PowerOffAll(millis down) {
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -20,6 +20,7 @@
 #include "tests/world/draws.h"
 #include "tests/world/fake_row_store.h"
 #include "tests/world/fake_vm_list.h"
+#include "tests/world/fake_worker.h"
 #include "tests/world/timeline.h"
 
 namespace eelgrass {
@@ -64,8 +65,9 @@
 
   /** Cuts a failure domain (0 to 2) off from the others and the store; inside, all is reachable. */
   void CutDomain(int domain, bool cut);
-  void CrashWorker(int worker, millis down);
-  void DrainWorker(int worker);
+  /** What happens at single workers: see fake_worker. */
+  void CrashWorker(int index, millis down) { WorkerAt(index).Crash(down); }
+  void DrainWorker(int index) { WorkerAt(index).Drain(); }
 
   /**
    * A worker starts again under its id on another VM, whose worker is gone. A new worker starts on
@@ -73,23 +75,15 @@
    */
   void MoveWorker(int from, int to);
 
-  /** A worker crashes and starts again under its id, after its VM's clock was stepped. */
-  void RestartWorker(int worker, millis down, millis clock_step);
-
-  /** A heartbeat of a worker's former life arrives now. */
-  void LateBeat(int worker);
-
-  /** The departure of a worker's former life arrives now. */
-  void LateLeave(int worker);
-
-  /** A worker says that it leaves, and its process ends. */
-  void Leave(int worker, millis away);
-
-  /** A worker says that it leaves, is gone after the notice, and comes anew later. */
-  void TakeAway(int worker, millis notice, millis away);
-  /** A worker carries out all calls and answers none. */
-  void SetMute(int worker, bool mute) { machines_[worker]->mute = mute; }
-  void SetSick(int worker, bool sick) { machines_[worker]->runner->SetSick(sick); }
+  void RestartWorker(int index, millis down, millis clock_step) {
+    WorkerAt(index).Restart(down, clock_step);
+  }
+  void LateBeat(int index) { WorkerAt(index).LateBeat(); }
+  void LateLeave(int index) { WorkerAt(index).LateLeave(); }
+  void Leave(int index, millis away) { WorkerAt(index).Leave(away); }
+  void TakeAway(int index, millis notice, millis away) { WorkerAt(index).TakeAway(notice, away); }
+  void SetMute(int index, bool mute) { WorkerAt(index).SetMute(mute); }
+  void SetSick(int index, bool sick) { WorkerAt(index).runner()->SetSick(sick); }
   void PowerOffAll(millis down);
 
   void SetStore(store_fault fault) { store_.SetFault(fault); }
@@ -107,13 +101,13 @@
   void HideVm(int worker, int lists) { vm_list_.Hide(worker, lists); }
 
   /** Workers say on which VM they live, or do not. They do from the start. */
-  void SetVmNamed(bool named) { vm_named_ = named; }
+  void SetVmNamed(bool named) { worker_faults_.vm_named = named; }
 
   /** The entries of VMs that are left out can be seen, but not read. */
   void SetUnreadable(bool unreadable) { vm_list_.SetUnreadable(unreadable); }
 
   /** Orders to workers get no answer and are carried out seconds later, with this probability. */
-  void SetLateOrders(double share) { late_orders_ = share; }
+  void SetLateOrders(double share) { worker_faults_.late_orders = share; }
 
   /** The entry that plans; -1: nobody does. */
   int Planner() const;
@@ -126,12 +120,13 @@
   bool Ready(int entry) const { return entries_.at(static_cast<size_t>(entry))->gateway->ready(); }
   const standin_rows& rows() const { return store_.rows(); }
   int store_calls() const { return store_.calls(); }
-  const standin_runner& worker(int index) const { return *machines_.at(index)->runner; }
+  const standin_runner& worker(int index) const { return *machines_.at(index)->worker->runner(); }
   int entries() const { return options_.entries; }
   int workers() const { return options_.workers; }
 
  private:
   class entry_doors;
+  class agent_door;
   struct process {
     std::string id;
     int index = 0;
@@ -146,17 +141,11 @@
   };
   struct machine : process {
     std::unique_ptr<agent_core> agent;
-    std::unique_ptr<standin_runner> runner;
-    int64_t born_ms = 0;
-    millis clock_step{0};     // of the VM's time of day
-    std::string worker_id;    // to start under; empty: a new one
-    worker_beat last_beat;    // of the present life
-    worker_beat former_beat;  // of the life before; no id: there was none
-    int64_t sequence = 0;
-    bool draining = false;
-    millis leaves_at{0};  // 0: not said
-    bool mute = false;
+    std::unique_ptr<agent_door> door;
+    std::unique_ptr<fake_worker> worker;
   };
+  fake_worker& WorkerAt(int index) { return *machines_.at(index)->worker; }
+  worker_site SiteOf(int index) const;
   std::string EntryId(int index) const { return "entry-" + std::to_string(index); }
   std::string AgentId(int index) const { return "agent-" + std::to_string(index); }
   std::string Address(std::string_view id) const { return std::string(id) + ":7000"; }
@@ -169,10 +158,8 @@
 
   void StartEntry(entry_process& entry);
   void StartAgent(machine& vm);
-  void StartWorker(machine& vm);
   void StopProcess(process& stopped);
   void Tick(const std::string& id, int64_t life);
-  void Beat(machine& vm);
   void Link(std::string_view from, std::string_view to);
   void Unlink(const std::string& id, millis delay);
   void Unlink(const std::function<bool(const process& a, const process& b)>& lost, millis delay);
@@ -190,12 +177,6 @@
   void CarryOut(entry_process& entry, std::vector<planner_action>& actions);
   void CarryOut(machine& vm, std::vector<agent_action>& actions);
   void ListVms(const entry_process& entry, const vm_listing_request& request);
-  void CallWorker(machine& vm, const hold_call& call);
-  void WaitForEnd(machine& vm, const hold_call& call, hold_answer answer, millis until);
-  template <typename Answer, typename Carry>
-  void Order(machine& vm, Answer answer, const Carry& carry);
-  void CallWorker(machine& vm, const start_call& call);
-  void CallWorker(machine& vm, const stop_call& call);
 
   const batch_world_options options_;
   timeline events_;
@@ -203,6 +184,7 @@
   std::unique_ptr<entry_doors> doors_;
   fake_row_store store_;
   standin_gangs gangs_;
+  worker_faults worker_faults_;
   batch_check check_;
   batch_callers callers_;
   std::unique_ptr<operator_source> source_;
@@ -213,9 +195,7 @@
   std::set<std::pair<std::string, std::string>> links_;
   std::set<std::string> cut_;
   std::set<int> cut_domains_;
-  double late_orders_ = 0;
   fake_vm_list vm_list_;
-  bool vm_named_ = true;
   batch_config config_;
   int64_t last_life_ = 0;
 };
