Give the batch world's connections a class of their own

Who is connected, cut off or dialled matters to nothing that decides: batch_links keeps it and hands over what arrives.

--- /dev/null
+++ b/tests/world/batch_links.cc
@@ -0,0 +1,130 @@
+#include "tests/world/batch_links.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace eelgrass {
+namespace {
+
+constexpr millis kNetwork{1};
+constexpr millis kRedial{300};
+
+}  // namespace
+
+batch_links::batch_links(timeline& events, deliver hand_over)
+    : events_(events), hand_over_(std::move(hand_over)) {}
+
+void batch_links::Begin() {
+  events_.After(kRedial, [this] { Redial(); });
+}
+
+world_process* batch_links::Find(std::string_view id) {
+  const auto found = std::find_if(processes_.begin(), processes_.end(),
+                                  [id](const world_process* one) { return one->id == id; });
+  return found == processes_.end() ? nullptr : *found;
+}
+
+void batch_links::Close(const std::string& id) { Drop(id, kNetwork); }
+
+bool batch_links::Connected(const world_process& a, const world_process& b) const {
+  if (cut_.contains(a.id) || cut_.contains(b.id)) return false;
+  const int domain = DomainOf(a);
+  if (domain == DomainOf(b)) return true;
+  return !cut_domains_.contains(domain) && !cut_domains_.contains(DomainOf(b));
+}
+
+bool batch_links::ReachesStore(const world_process& one) const {
+  return !cut_.contains(one.id) && !cut_domains_.contains(DomainOf(one));
+}
+
+void batch_links::CutDomain(int domain, bool cut) {
+  if (!cut) {
+    cut_domains_.erase(domain);
+    return;
+  }
+  cut_domains_.insert(domain);
+  Drop([this](const world_process& a, const world_process& b) { return !Connected(a, b); }, kSilence);
+}
+
+void batch_links::SetCut(const std::string& id, bool cut) {
+  if (!cut) {
+    cut_.erase(id);
+    return;
+  }
+  cut_.insert(id);
+  Drop(id, kSilence);
+}
+
+void batch_links::Drop(const std::string& id, millis delay) {
+  Drop([&](const world_process& a, const world_process& b) { return a.id == id || b.id == id; }, delay);
+}
+
+/** Both sides of the connections that are gone learn of it. */
+void batch_links::Drop(const loss& lost,
+                         millis delay) {
+  std::vector<std::pair<std::string, std::string>> gone;
+  for (const auto& link : links_) {
+    if (lost(*Find(link.first), *Find(link.second))) gone.push_back(link);
+  }
+  for (const auto& link : gone) links_.erase(link);
+  for (const auto& [a, b] : gone) {
+    events_.After(delay, [this, a = a, b = b] {
+      if (links_.contains({a, b})) return;
+      Deliver(a, peer_down{b, 0});
+      Deliver(b, peer_down{a, 0});
+    });
+  }
+}
+
+void batch_links::Dial(world_process& from, std::string_view address) {
+  from.dialled.insert(std::string(address));
+  Link(from.id, address.substr(0, address.find(':')));
+}
+
+void batch_links::Link(std::string_view from, std::string_view to) {
+  world_process* a = Find(from);
+  world_process* b = Find(to);
+  if (a == nullptr || b == nullptr || a == b || !a->alive) return;
+  if (!b->alive && Connected(*a, *b)) return Deliver(a->id, peer_refused{PeerAddress(b->id)});
+  if (!b->alive) return;
+  if (events_.now() < a->frozen_until || events_.now() < b->frozen_until || !Connected(*a, *b)) return;
+  if (!links_.insert({std::min(a->id, b->id), std::max(a->id, b->id)}).second) return;
+  const auto greet = [&](const world_process& who) {
+    hello greeting;
+    greeting.id = who.id;
+    greeting.incarnation = who.life;
+    greeting.address = PeerAddress(who.id);
+    greeting.role = who.role;
+    return peer_up{greeting};
+  };
+  Deliver(a->id, greet(*b));
+  Deliver(b->id, greet(*a));
+}
+
+/** Connections that are wanted and can be had come up; those of suspended processes go silent. */
+void batch_links::Redial() {
+  for (world_process* one : processes_) {
+    for (const auto& address : one->dialled) Link(one->id, address.substr(0, address.find(':')));
+  }
+  events_.After(kRedial, [this] { Redial(); });
+}
+
+void batch_links::Deliver(std::string_view to, link_event event) {
+  world_process* target = Find(to);
+  if (target == nullptr || !target->alive) return;
+  const millis at = std::max(events_.now() + kNetwork, target->frozen_until);
+  events_.At(at, [this, target, life = target->life, event = std::move(event)]() mutable {
+    if (target->alive && target->life == life) hand_over_(*target, event);
+  });
+}
+
+void batch_links::Send(const std::string& from, const send_to_peer& message) {
+  const std::pair<std::string, std::string> link{std::min(from, message.peer),
+                                                 std::max(from, message.peer)};
+  if (!links_.contains(link)) return;
+  if (!Connected(*Find(from), *Find(message.peer))) return;
+  Deliver(message.peer, peer_said{from, message.message});
+}
+
+}  // namespace eelgrass
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -9,12 +9,7 @@
 constexpr millis kTick{50};
 constexpr millis kNetwork{1};
 constexpr millis kListTime{8};
-constexpr millis kSilence{700};  // until a connection that says nothing is given up
-constexpr millis kRedial{300};
 constexpr int64_t kWallOrigin = 1700000000000;
-constexpr int kDomains = 3;
-
-int DomainOf(int index) { return index % kDomains; }
 
 /** The operators' rows of the world: the configuration itself stays with the world. */
 class world_source : public operator_source {
@@ -91,7 +86,7 @@
   }
 
   bool Reaches(const store_caller& caller) const override {
-    return world_.ReachesStore(*world_.FindEntry(caller.entry));
+    return world_.links_.ReachesStore(*world_.FindEntry(caller.entry));
   }
 
   void Answer(const store_caller& caller, store_reply reply, millis delay) override {
@@ -128,6 +123,7 @@
 batch_world::batch_world(batch_world_options options)
     : options_(std::move(options)),
       random_(options_.seed),
+      links_(events_, [this](world_process& to, link_event& event) { Take(to, event); }),
       doors_(std::make_unique<entry_doors>(*this)),
       store_(events_, random_, *doors_),
       callers_(events_, check_,
@@ -144,16 +140,19 @@
     auto entry = std::make_unique<entry_process>();
     entry->id = EntryId(i);
     entry->index = i;
+    links_.Add(*entry);
     entries_.push_back(std::move(entry));
   }
   for (int i = 0; i < options_.workers; ++i) {
     auto vm = std::make_unique<machine>();
     vm->id = AgentId(i);
     vm->index = i;
+    vm->role = peer_role::kWorkerAgent;
     vm->door = std::make_unique<agent_door>(*this, *vm);
     vm->worker = std::make_unique<fake_worker>(
         SiteOf(i), events_, random_, worker_faults_, gangs_,
         [this](const runner_event& event) { check_.OnRunner(event); }, *vm->door);
+    links_.Add(*vm);
     machines_.emplace(i, std::move(vm));
   }
   for (auto& entry : entries_) StartEntry(*entry);
@@ -161,11 +160,11 @@
     StartAgent(*vm);
     vm->worker->Start();
   }
-  events_.After(kRedial, [this] { Redial(); });
+  links_.Begin();
 }
 
-batch_world::process* batch_world::FindProcess(std::string_view id) {
-  if (process* entry = FindEntry(id)) return entry;
+world_process* batch_world::FindProcess(std::string_view id) {
+  if (world_process* entry = FindEntry(id)) return entry;
   return FindMachine(id);
 }
 
@@ -211,16 +210,16 @@
   entry.life = ++last_life_;
   gateway_options gateway;
   gateway.node = entry.id;
-  gateway.peer_address = Address(entry.id);
+  gateway.peer_address = PeerAddress(entry.id);
   entry.gateway = std::make_unique<gateway_core>(gateway, *source_, *codec_);
   planner_options planner;
   planner.node = entry.id;
   planner.nonce = entry.id + "-" + std::to_string(entry.life);
-  planner.peer_address = Address(entry.id);
+  planner.peer_address = PeerAddress(entry.id);
   planner.tracking.grant = millis(4000);
   entry.planner = std::make_unique<planner_core>(planner, *codec_, *order_);
   for (const auto& other : entries_) {
-    if (other->id != entry.id) entry.dialled.insert(Address(other->id));
+    if (other->id != entry.id) entry.dialled.insert(PeerAddress(other->id));
   }
   Tick(entry.id, entry.life);
 }
@@ -228,14 +227,14 @@
 void batch_world::StartAgent(machine& vm) {
   vm.alive = true;
   vm.life = ++last_life_;
-  vm.agent = std::make_unique<agent_core>(std::vector<std::string>{Address(EntryId(0))});
+  vm.agent = std::make_unique<agent_core>(std::vector<std::string>{PeerAddress(EntryId(0))});
   Tick(vm.id, vm.life);
 }
 
 worker_site batch_world::SiteOf(int index) const {
   worker_site site;
   site.vm = index;
-  site.domain = "domain-" + std::to_string(DomainOf(index));
+  site.domain = "domain-" + std::to_string(index % kBatchDomains);
   site.agent = AgentId(index);
   site.day_ms = kWallOrigin;
   site.options = options_.worker;
@@ -245,7 +244,7 @@
 }
 
 void batch_world::Tick(const std::string& id, int64_t life) {
-  process* own = FindProcess(id);
+  world_process* own = FindProcess(id);
   if (own == nullptr || own->life != life || !own->alive) return;
   if (now() >= own->frozen_until) {
     if (entry_process* entry = FindEntry(id)) {
@@ -265,114 +264,16 @@
   events_.After(kTick, [this, id, life] { Tick(id, life); });
 }
 
-bool batch_world::Connected(const process& a, const process& b) const {
-  if (cut_.contains(a.id) || cut_.contains(b.id)) return false;
-  const int domain = DomainOf(a.index);
-  if (domain == DomainOf(b.index)) return true;
-  return !cut_domains_.contains(domain) && !cut_domains_.contains(DomainOf(b.index));
-}
-
-bool batch_world::ReachesStore(const process& one) const {
-  return !cut_.contains(one.id) && !cut_domains_.contains(DomainOf(one.index));
-}
-
-void batch_world::CutDomain(int domain, bool cut) {
-  if (!cut) {
-    cut_domains_.erase(domain);
-    return;
-  }
-  cut_domains_.insert(domain);
-  Unlink([this](const process& a, const process& b) { return !Connected(a, b); }, kSilence);
-}
-
-void batch_world::SetCut(const std::string& id, bool cut) {
-  if (!cut) {
-    cut_.erase(id);
-    return;
-  }
-  cut_.insert(id);
-  Unlink(id, kSilence);
-}
-
-void batch_world::Unlink(const std::string& id, millis delay) {
-  Unlink([&](const process& a, const process& b) { return a.id == id || b.id == id; }, delay);
-}
-
-/** Both sides of the connections that are gone learn of it. */
-void batch_world::Unlink(const std::function<bool(const process& a, const process& b)>& lost,
-                         millis delay) {
-  std::vector<std::pair<std::string, std::string>> gone;
-  for (const auto& link : links_) {
-    if (lost(*FindProcess(link.first), *FindProcess(link.second))) gone.push_back(link);
-  }
-  for (const auto& link : gone) links_.erase(link);
-  for (const auto& [a, b] : gone) {
-    events_.After(delay, [this, a = a, b = b] {
-      if (links_.contains({a, b})) return;
-      Deliver(a, peer_down{b, 0});
-      Deliver(b, peer_down{a, 0});
-    });
-  }
-}
-
-void batch_world::Dial(process& from, std::string_view address) {
-  from.dialled.insert(std::string(address));
-  Link(from.id, address.substr(0, address.find(':')));
-}
-
-void batch_world::Link(std::string_view from, std::string_view to) {
-  process* a = FindProcess(from);
-  process* b = FindProcess(to);
-  if (a == nullptr || b == nullptr || a == b || !a->alive) return;
-  if (!b->alive && Connected(*a, *b)) return Deliver(a->id, peer_refused{Address(b->id)});
-  if (!b->alive) return;
-  if (now() < a->frozen_until || now() < b->frozen_until || !Connected(*a, *b)) return;
-  if (!links_.insert({std::min(a->id, b->id), std::max(a->id, b->id)}).second) return;
-  const auto greet = [&](const process& who) {
-    hello greeting;
-    greeting.id = who.id;
-    greeting.incarnation = who.life;
-    greeting.address = Address(who.id);
-    greeting.role = FindEntry(who.id) != nullptr ? peer_role::kEntry : peer_role::kWorkerAgent;
-    return peer_up{greeting};
-  };
-  Deliver(a->id, greet(*b));
-  Deliver(b->id, greet(*a));
-}
-
-/** Connections that are wanted and can be had come up; those of suspended processes go silent. */
-void batch_world::Redial() {
-  for (auto& entry : entries_) {
-    for (const auto& address : entry->dialled) {
-      Link(entry->id, address.substr(0, address.find(':')));
-    }
+void batch_world::Take(const world_process& to, link_event& event) {
+  if (const auto* refused = std::get_if<peer_refused>(&event)) {
+    if (entry_process* entry = FindEntry(to.id)) ToPlanner(*entry, *refused);
+  } else if (const auto* up = std::get_if<peer_up>(&event)) {
+    ToAll(to.id, *up);
+  } else if (const auto* down = std::get_if<peer_down>(&event)) {
+    ToAll(to.id, *down);
+  } else if (const auto* said = std::get_if<peer_said>(&event)) {
+    ToAll(to.id, *said);
   }
-  for (auto& [index, vm] : machines_) {
-    for (const auto& address : vm->dialled) Link(vm->id, address.substr(0, address.find(':')));
-  }
-  events_.After(kRedial, [this] { Redial(); });
-}
-
-void batch_world::Deliver(std::string_view to, link_event event) {
-  process* target = FindProcess(to);
-  if (target == nullptr || !target->alive) return;
-  const int64_t life = target->life;
-  const millis at = std::max(now() + kNetwork, target->frozen_until);
-  events_.At(at, [this, id = target->id, life, event = std::move(event)]() mutable {
-    process* same = FindProcess(id);
-    if (same == nullptr || !same->alive || same->life != life) return;
-    if (std::holds_alternative<lane_lost>(event)) return;
-    entry_process* entry = FindEntry(id);
-    if (auto* refused = std::get_if<peer_refused>(&event)) {
-      if (entry != nullptr) ToPlanner(*entry, *refused);
-    } else if (auto* up = std::get_if<peer_up>(&event)) {
-      ToAll(id, *up);
-    } else if (auto* down = std::get_if<peer_down>(&event)) {
-      ToAll(id, *down);
-    } else {
-      ToAll(id, std::get<peer_said>(event));
-    }
-  });
 }
 
 /** Hands an event to whatever decides in a process. */
@@ -384,14 +285,6 @@
   ToPlanner(entry, event);
 }
 
-void batch_world::Send(const std::string& from, const send_to_peer& message) {
-  const std::pair<std::string, std::string> link{std::min(from, message.peer),
-                                                 std::max(from, message.peer)};
-  if (!links_.contains(link)) return;
-  if (!Connected(*FindProcess(from), *FindProcess(message.peer))) return;
-  Deliver(message.peer, peer_said{from, message.message});
-}
-
 void batch_world::ToGateway(entry_process& entry, gateway_event event) {
   std::vector<gateway_event> events;
   events.push_back(std::move(event));
@@ -424,9 +317,9 @@
     } else if (const auto* request = std::get_if<store_request>(&action)) {
       store_.Call({entry.id, entry.life, true}, *request);
     } else if (const auto* send = std::get_if<send_to_peer>(&action)) {
-      Send(entry.id, *send);
+      links_.Send(entry.id, *send);
     } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
-      Dial(entry, dial->address);
+      links_.Dial(entry, dial->address);
     } else if (auto* tell = std::get_if<tell_own_planner>(&action)) {
       events_.After(millis(0), [this, id = entry.id, life, message = tell->message] {
         entry_process* same = FindEntry(id);
@@ -450,7 +343,7 @@
     if (const auto* request = std::get_if<store_request>(&action)) {
       store_.Call({entry.id, entry.life, false}, *request);
     } else if (const auto* send = std::get_if<send_to_peer>(&action)) {
-      Send(entry.id, *send);
+      links_.Send(entry.id, *send);
     } else if (const auto* tell = std::get_if<tell_gateway>(&action)) {
       events_.After(millis(0), [this, id = entry.id, life, message = tell->message] {
         entry_process* same = FindEntry(id);
@@ -470,7 +363,7 @@
     vms.push_back({"vm-" + std::to_string(index), life != nullptr ? vm_state::kUp : vm_state::kDown,
                    life != nullptr ? life->self().id : std::string()});
   }
-  const vm_listing listing = vm_list_.List(request, ReachesStore(entry), vms);
+  const vm_listing listing = vm_list_.List(request, links_.ReachesStore(entry), vms);
   const int64_t life = entry.life;
   events_.After(kListTime, [this, id = entry.id, life, listing] {
     entry_process* same = FindEntry(id);
@@ -481,9 +374,9 @@
 void batch_world::CarryOut(machine& vm, std::vector<agent_action>& actions) {
   for (auto& action : actions) {
     if (const auto* send = std::get_if<send_to_peer>(&action)) {
-      Send(vm.id, *send);
+      links_.Send(vm.id, *send);
     } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
-      Dial(vm, dial->address);
+      links_.Dial(vm, dial->address);
     } else if (const auto* hold = std::get_if<hold_call>(&action)) {
       vm.worker->Call(*hold);
     } else if (const auto* start = std::get_if<start_call>(&action)) {
@@ -494,10 +387,10 @@
   }
 }
 
-void batch_world::StopProcess(process& stopped) {
+void batch_world::StopProcess(world_process& stopped) {
   stopped.alive = false;
   stopped.dialled.clear();
-  Unlink(stopped.id, kNetwork);
+  links_.Close(stopped.id);
 }
 
 void batch_world::KillEntry(int index, millis down) {
@@ -513,7 +406,7 @@
 void batch_world::FreezeEntry(int index, millis time) {
   entry_process& entry = *entries_.at(static_cast<size_t>(index));
   entry.frozen_until = std::max(entry.frozen_until, now() + time);
-  if (time > kSilence) Unlink(entry.id, kSilence);
+  if (time > batch_links::kSilence) links_.FallSilent(entry.id);
 }
 
 void batch_world::KillAgent(int worker, millis down) {
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -17,6 +17,7 @@
 #include "kernel/io/peer_hub.h"
 #include "standins/batch_check.h"
 #include "tests/world/batch_callers.h"
+#include "tests/world/batch_links.h"
 #include "tests/world/draws.h"
 #include "tests/world/fake_row_store.h"
 #include "tests/world/fake_vm_list.h"
@@ -59,12 +60,12 @@
 
   void KillEntry(int entry, millis down);
   void FreezeEntry(int entry, millis time);
-  void CutEntry(int entry, bool cut) { SetCut(EntryId(entry), cut); }
+  void CutEntry(int entry, bool cut) { links_.SetCut(EntryId(entry), cut); }
   void KillAgent(int worker, millis down);
-  void CutAgent(int worker, bool cut) { SetCut(AgentId(worker), cut); }
+  void CutAgent(int worker, bool cut) { links_.SetCut(AgentId(worker), cut); }
 
   /** Cuts a failure domain (0 to 2) off from the others and the store; inside, all is reachable. */
-  void CutDomain(int domain, bool cut);
+  void CutDomain(int domain, bool cut) { links_.CutDomain(domain, cut); }
   /** What happens at single workers: see fake_worker. */
   void CrashWorker(int index, millis down) { WorkerAt(index).Crash(down); }
   void DrainWorker(int index) { WorkerAt(index).Drain(); }
@@ -127,19 +128,11 @@
  private:
   class entry_doors;
   class agent_door;
-  struct process {
-    std::string id;
-    int index = 0;
-    bool alive = false;
-    millis frozen_until{0};
-    int64_t life = 0;  // counts starts; what was meant for an earlier one is dropped
-    std::set<std::string> dialled;
-  };
-  struct entry_process : process {
+  struct entry_process : world_process {
     std::unique_ptr<gateway_core> gateway;
     std::unique_ptr<planner_core> planner;
   };
-  struct machine : process {
+  struct machine : world_process {
     std::unique_ptr<agent_core> agent;
     std::unique_ptr<agent_door> door;
     std::unique_ptr<fake_worker> worker;
@@ -148,28 +141,17 @@
   worker_site SiteOf(int index) const;
   std::string EntryId(int index) const { return "entry-" + std::to_string(index); }
   std::string AgentId(int index) const { return "agent-" + std::to_string(index); }
-  std::string Address(std::string_view id) const { return std::string(id) + ":7000"; }
-  process* FindProcess(std::string_view id);
+  world_process* FindProcess(std::string_view id);
   entry_process* FindEntry(std::string_view id);
   machine* FindMachine(std::string_view id);
-  void SetCut(const std::string& id, bool cut);
-  bool Connected(const process& a, const process& b) const;
-  bool ReachesStore(const process& one) const;
 
   void StartEntry(entry_process& entry);
   void StartAgent(machine& vm);
-  void StopProcess(process& stopped);
+  void StopProcess(world_process& stopped);
   void Tick(const std::string& id, int64_t life);
-  void Link(std::string_view from, std::string_view to);
-  void Unlink(const std::string& id, millis delay);
-  void Unlink(const std::function<bool(const process& a, const process& b)>& lost, millis delay);
-  void Dial(process& from, std::string_view address);
-  void Redial();
-
-  void Deliver(std::string_view to, link_event event);
+  void Take(const world_process& to, link_event& event);
   template <typename Event>
   void ToAll(const std::string& id, const Event& event);
-  void Send(const std::string& from, const send_to_peer& message);
   void ToGateway(entry_process& entry, gateway_event event);
   void ToPlanner(entry_process& entry, planner_event event);
   void ToAgent(machine& vm, agent_event event);
@@ -181,6 +163,7 @@
   const batch_world_options options_;
   timeline events_;
   draws random_;
+  batch_links links_;
   std::unique_ptr<entry_doors> doors_;
   fake_row_store store_;
   standin_gangs gangs_;
@@ -192,9 +175,6 @@
   std::unique_ptr<unit_order> order_;
   std::vector<std::unique_ptr<entry_process>> entries_;
   std::map<int, std::unique_ptr<machine>> machines_;
-  std::set<std::pair<std::string, std::string>> links_;
-  std::set<std::string> cut_;
-  std::set<int> cut_domains_;
   fake_vm_list vm_list_;
   batch_config config_;
   int64_t last_life_ = 0;
