--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -11,51 +11,6 @@
 constexpr millis kListTime{8};
 constexpr int64_t kWallOrigin = 1700000000000;
 
-/** The operators' rows of the world: the configuration itself stays with the world. */
-class world_source : public operator_source {
- public:
-  explicit world_source(const batch_config& config) : config_(config) {}
-  std::string_view table() const override { return "operators"; }
-  row_key config_row() const override { return {"operators", "", "config"}; }
-
-  result<void> Apply(const row& change, millis, operator_state& state) const override {
-    if (change.at.key == "config") {
-      state.config = std::make_shared<const batch_config>(config_);
-      state.config_revision = change.revision;
-    } else if (change.deleted) {
-      state.evacuated.erase(change.at.key);
-    } else {
-      state.evacuated.insert(change.at.key);
-    }
-    return Ok();
-  }
-
- private:
-  const batch_config& config_;
-};
-
-batch_config UsualConfig() {
-  batch_config config;
-  config.version = 1;
-  const auto queue = [](const std::string& name, int priority, double stretch) {
-    batch_queue made;
-    made.name = name;
-    made.host = "site";
-    made.path_prefix = "/" + name + "/";
-    made.service = "drying";
-    made.priority = priority;
-    made.attempts = 3;
-    made.stretch = stretch;
-    made.target_latency = millis(1000);
-    return made;
-  };
-  config.queues = {queue("urgent", 0, 1.5), queue("usual", 1, 3), queue("batch", 2, 3)};
-  config.services.push_back({"drying", true, false});
-  config.organisations.push_back({"shops", {"key-shops"}, 16});
-  config.organisations.push_back({"brokers", {"key-brokers"}, 8});
-  return config;
-}
-
 }  // namespace
 
 batch_job MakeBatchJob(std::string_view id, std::string_view queue, int tasks, millis work,
@@ -126,16 +81,13 @@
       links_(events_, [this](world_process& to, link_event& event) { Take(to, event); }),
       doors_(std::make_unique<entry_doors>(*this)),
       store_(events_, random_, *doors_),
-      callers_(events_, check_,
-               [this](uint64_t turn, const caller_call& call) {
-                 entry_process& entry = *entries_.at(turn % entries_.size());
-                 if (entry.alive && now() >= entry.frozen_until) ToGateway(entry, call);
-               }),
-      config_(UsualConfig()) {
-  source_ = std::make_unique<world_source>(config_);
+      operators_(store_.rows()),
+      callers_(events_, check_, [this](uint64_t turn, const caller_call& call) {
+        entry_process& entry = *entries_.at(turn % entries_.size());
+        if (entry.alive && now() >= entry.frozen_until) ToGateway(entry, call);
+      }) {
   codec_ = std::move(record_codec_registry::Instance().Create("json").value());
   order_ = std::move(unit_order_registry::Instance().Create(options_.order).value());
-  Configure([](batch_config&) {});
   for (int i = 0; i < options_.entries; ++i) {
     auto entry = std::make_unique<entry_process>();
     entry->id = EntryId(i);
@@ -211,7 +163,7 @@
   gateway_options gateway;
   gateway.node = entry.id;
   gateway.peer_address = PeerAddress(entry.id);
-  entry.gateway = std::make_unique<gateway_core>(gateway, *source_, *codec_);
+  entry.gateway = std::make_unique<gateway_core>(gateway, operators_, *codec_);
   planner_options planner;
   planner.node = entry.id;
   planner.nonce = entry.id + "-" + std::to_string(entry.life);
@@ -437,23 +389,4 @@
   }
 }
 
-void batch_world::Configure(const std::function<void(batch_config&)>& edit) {
-  edit(config_);
-  ++config_.version;
-  row_transaction change;
-  change.writes.push_back({source_->config_row(), std::to_string(config_.version)});
-  store_.rows().Apply(change);
-}
-
-void batch_world::Evacuate(std::string_view domain, bool out) {
-  row_transaction change;
-  const row_key at{"operators", "", std::string(domain)};
-  if (out) {
-    change.writes.push_back({at, "{}"});
-  } else {
-    change.removals.push_back(at);
-  }
-  store_.rows().Apply(change);
-}
-
 }  // namespace eelgrass
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -19,6 +19,7 @@
 #include "tests/world/batch_callers.h"
 #include "tests/world/batch_links.h"
 #include "tests/world/draws.h"
+#include "tests/world/fake_operators.h"
 #include "tests/world/fake_row_store.h"
 #include "tests/world/fake_vm_list.h"
 #include "tests/world/fake_worker.h"
@@ -54,9 +55,8 @@
   void Cancel(std::string_view job) { callers_.Cancel(job); }
   void Watch(std::string_view job) { callers_.Watch(job); }
 
-  /** Writes a configuration; returns its revision. */
-  void Configure(const std::function<void(batch_config&)>& edit);
-  void Evacuate(std::string_view domain, bool out);
+  void Configure(const std::function<void(batch_config&)>& edit) { operators_.Configure(edit); }
+  void Evacuate(std::string_view domain, bool out) { operators_.Evacuate(domain, out); }
 
   void KillEntry(int entry, millis down);
   void FreezeEntry(int entry, millis time);
@@ -166,17 +166,16 @@
   batch_links links_;
   std::unique_ptr<entry_doors> doors_;
   fake_row_store store_;
+  fake_operators operators_;
   standin_gangs gangs_;
   worker_faults worker_faults_;
   batch_check check_;
   batch_callers callers_;
-  std::unique_ptr<operator_source> source_;
   std::unique_ptr<batch_record_codec> codec_;
   std::unique_ptr<unit_order> order_;
   std::vector<std::unique_ptr<entry_process>> entries_;
   std::map<int, std::unique_ptr<machine>> machines_;
   fake_vm_list vm_list_;
-  batch_config config_;
   int64_t last_life_ = 0;
 };
 
