--- a/tests/world/batch_links.cc
+++ b/tests/world/batch_links.cc
@@ -44,7 +44,8 @@
     return;
   }
   cut_domains_.insert(domain);
-  Drop([this](const world_process& a, const world_process& b) { return !Connected(a, b); }, kSilence);
+  Drop([this](const world_process& a, const world_process& b) { return !Connected(a, b); },
+       kSilence);
 }
 
 void batch_links::SetCut(const std::string& id, bool cut) {
@@ -57,12 +58,12 @@
 }
 
 void batch_links::Drop(const std::string& id, millis delay) {
-  Drop([&](const world_process& a, const world_process& b) { return a.id == id || b.id == id; }, delay);
+  Drop([&](const world_process& a, const world_process& b) { return a.id == id || b.id == id; },
+       delay);
 }
 
 /** Both sides of the connections that are gone learn of it. */
-void batch_links::Drop(const loss& lost,
-                         millis delay) {
+void batch_links::Drop(const loss& lost, millis delay) {
   std::vector<std::pair<std::string, std::string>> gone;
   for (const auto& link : links_) {
     if (lost(*Find(link.first), *Find(link.second))) gone.push_back(link);
@@ -88,7 +89,8 @@
   if (a == nullptr || b == nullptr || a == b || !a->alive) return;
   if (!b->alive && Connected(*a, *b)) return Deliver(a->id, peer_refused{PeerAddress(b->id)});
   if (!b->alive) return;
-  if (events_.now() < a->frozen_until || events_.now() < b->frozen_until || !Connected(*a, *b)) return;
+  const bool suspended = events_.now() < a->frozen_until || events_.now() < b->frozen_until;
+  if (suspended || !Connected(*a, *b)) return;
   if (!links_.insert({std::min(a->id, b->id), std::max(a->id, b->id)}).second) return;
   const auto greet = [&](const world_process& who) {
     hello greeting;
--- a/tests/world/batch_links.h
+++ b/tests/world/batch_links.h
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "kernel/io/peer_hub.h"
-#include "kernel/model/duty_events.h"
 #include "kernel/model/link_events.h"
 #include "tests/world/timeline.h"
 #include "tests/world/world_process.h"
