--- a/standins/runner_site.cc
+++ b/standins/runner_site.cc
@@ -94,8 +94,9 @@
     return AnswerJson(server, request.id, done ? http_status::kOk : http_status::kConflict,
                       answer.dump());
   }
-  if (request.path() != "/hold")
+  if (request.path() != "/hold") {
     return AnswerJson(server, request.id, http_status::kBadRequest, "{}");
+  }
   hold_call call;
   call.fence = fence;
   call.seen_upto = body.value("SeenUpto", int64_t{0});
--- a/standins/standin_fleet.cc
+++ b/standins/standin_fleet.cc
@@ -129,10 +129,12 @@
   std::lock_guard lock(mutex_);
   const millis now = clock_.Now();
   if (OnTest(server, request)) return;
-  if (request.path() == "/machines")
+  if (request.path() == "/machines") {
     return AnswerJson(server, request.id, http_status::kOk, VmList());
-  if (fault_ == "refuse")
+  }
+  if (fault_ == "refuse") {
     return AnswerJson(server, request.id, http_status::kServiceUnavailable, "{}");
+  }
   if (fault_ == "silent") return;  // the caller's own time-out ends it
   if (request.path() == "/rows-tx") return OnTransaction(server, request);
   if (request.path() == "/rows-get") {
