Repeat an insertion that got no answer at the pace of tries

A store that resets connections leaves a call without an answer within a few milliseconds, and an insertion without an answer was repeated at once, each time. Nothing else paced it: the pause between two tries was kept after refusals only. That it is resets and not conflicts shows in the entry's log (store-lost silent=1; a conflict counts as served).

The first repetition still comes at once, since only a kept connection may have ended. The next ones wait until kStoreRetryPause after the last try was sent, so that a try that took its whole time is repeated at once as before. The repetition is the same transaction; what callers are told is unchanged.

The story fails before (56 insertions in 0.5 s instead of at most 5).

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -147,6 +147,7 @@
   change.conditions.push_back({EpochRow(), call.term});
   change.writes.push_back({at, call.value});
   call.in_store = true;
+  call.sent = now;
   ++call.tries;
   out_->emplace_back(store_request{token, std::move(change), std::min(kStoreTimeout, left)});
 }
@@ -199,9 +200,7 @@
       return;
     case row_outcome::kUnknown:
     case row_outcome::kHistoryGone:
-      call.doubtful = true;
-      call.next_try = now;
-      return;
+      return OnUnanswered(call, now);
     case row_outcome::kNotDone:
       call.next_try = now + kStoreRetryPause;
       if (!call.doubtful && Hopeless(call, now)) GiveUp(call, now);
@@ -209,6 +208,15 @@
   }
 }
 
+/**
+ * Has an insertion without an answer repeated: at once the first time, as only a kept connection
+ * may have ended, then at the pace of tries, as a store that resets connections does so in no time.
+ */
+void gateway_core::OnUnanswered(open_call& call, millis now) {
+  call.next_try = call.doubtful ? std::max(now, call.sent + kStoreRetryPause) : now;
+  call.doubtful = true;
+}
+
 /** Tells the planner of a job that was stored: it may start before the store's feed brings it. */
 void gateway_core::Announce(const open_call& call, int64_t revision) {
   if (planner_.planner.empty()) return;
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -87,6 +87,7 @@
     bool in_store = false;  // a transaction is under way
     bool doubtful = false;  // an earlier try may have been done, or may still be
     bool asked = false;     // the planner may have received the inquiry
+    millis sent{0};         // the last try
     millis next_try{0};
     int tries = 0;
   };
@@ -109,6 +110,7 @@
   bool Hopeless(const open_call& call, millis now) const;
   void Hold(open_call& call, millis now);
   void OnInserted(open_call& call, const transaction_result& result, millis now);
+  void OnUnanswered(open_call& call, millis now);
   bool SettleConflict(open_call& call, const transaction_result& result, millis now);
   void Ask(int64_t id, open_call& call, millis now);
   void OnReply(const job_reply& reply, millis now);
--- a/tests/stories/late_call_story.cc
+++ b/tests/stories/late_call_story.cc
@@ -66,6 +66,19 @@
     result.outcome = outcome;
     Take(Decide({store_reply{insertion_, result}}, now));
   }
+  /** Until then the store ends each connection that brings a job, a few milliseconds later. */
+  void StoreResets(millis from, millis until) {
+    constexpr millis kRoundTrip{9};
+    int reset = 0;
+    for (millis at = from + kRoundTrip; at <= until; at += kRoundTrip) {
+      if (insertions_ == reset) {
+        Wait(at);
+      } else {
+        reset = insertions_;
+        StoreAnswers(row_outcome::kUnknown, at);
+      }
+    }
+  }
   /** The store answers the entry's standing call for changes of the configuration. */
   void StoreTells(row_outcome outcome, millis now) {
     rows_result rows;
@@ -78,6 +91,9 @@
   bool ready() const { return ready_; }
   int insertions() const { return insertions_; }
 
+  /** Whether each repetition was the first insertion again, byte for byte. */
+  bool same_insertion() const { return same_insertion_; }
+
   /** Answers to the last call; callers are owed one. */
   int answers() const { return answers_; }
   std::optional<call_answer> answer() const { return answer_; }
@@ -98,7 +114,11 @@
       const auto* request = std::get_if<store_request>(&action);
       if (request == nullptr) continue;
       if (std::holds_alternative<row_feed>(request->call)) feed_ = request->token;
-      if (!std::holds_alternative<row_transaction>(request->call)) continue;
+      const auto* change = std::get_if<row_transaction>(&request->call);
+      if (change == nullptr || change->writes.front().at.table != kJobsTable) continue;
+      const std::string& value = change->writes.front().value;
+      if (insertions_ == 0) inserted_ = value;
+      same_insertion_ = same_insertion_ && value == inserted_;
       insertion_ = request->token;
       ++insertions_;
     }
@@ -111,6 +131,8 @@
   uint64_t last_id_ = 0;
   int64_t feed_ = 0;
   int64_t insertion_ = 0;
+  std::string inserted_;
+  bool same_insertion_ = true;
   bool ready_ = false;
   int insertions_ = 0;
   int answers_ = 0;
@@ -293,5 +315,34 @@
   }
 }
 
+TEST_CASE("the store resets each connection that brings a job") {
+  constexpr millis kWait{3000};
+  constexpr millis kBegin{100};
+  constexpr millis kEnd{600};
+  lone_entry entry;
+  entry.HandIn(kBegin, kWait);
+  REQUIRE(entry.insertions() == 1);
+
+  SUBCASE("the first repetition comes at once: only a kept connection may have ended") {
+    entry.StoreAnswers(row_outcome::kUnknown, kBegin + millis(9));
+    CHECK(entry.insertions() == 2);
+  }
+  SUBCASE("the further ones keep the pause between two tries, as after a refusal") {
+    entry.StoreResets(kBegin, kEnd);
+    const auto paced = static_cast<int>((kEnd - kBegin).count() / kStoreRetryPause.count());
+    CHECK(entry.insertions() <= 2 + paced);
+    CHECK(entry.insertions() >= 1 + paced);
+    CHECK(entry.same_insertion());
+    REQUIRE_FALSE(entry.answer().has_value());
+    SUBCASE("and the job is accepted one pause after the store is back") {
+      const int before = entry.insertions();
+      entry.Wait(kEnd + kStoreRetryPause);
+      REQUIRE(entry.insertions() == before + 1);
+      entry.StoreAnswers(row_outcome::kDone, kEnd + kStoreRetryPause + millis(9));
+      CHECK(entry.answer() == call_answer::kAccepted);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace eelgrass
