A peer's address that is not IP:PORT calls nobody

The rows of the entries' table come from any writer. The transport read an address with atoi and gave an unusable host the value 0.0.0.0: "entry-1:7000" or ":7000" called port 7000 of the own machine, "127.0.0.1:7000x" and a port above 65535 some other port, every second or two for good, and without a line in the log.

The transport dials an IP with a port of 1 or more, and logs any other address once (peer-address-refused); other entries are dialled as before. An address to listen at that is not IP:PORT ends the start with an error.

Settings are a little stricter: "127.0.0.1:-0" and "127.0.0..1:80" were taken.

--- a/src/kernel/base/settings.cc
+++ b/src/kernel/base/settings.cc
@@ -8,13 +8,14 @@
 #include <iostream>
 #include <sstream>
 
+#include "kernel/base/address.h"
+
 namespace eelgrass {
 namespace {
 
 namespace po = boost::program_options;
 
 constexpr std::string_view kVariablePrefix = "EELGRASS_";
-constexpr int kMaxPort = 65535;
 
 bool ParseInt(std::string_view text, int64_t& value) {
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -31,26 +32,16 @@
   return parts;
 }
 
-bool IsIpNumber(std::string_view host) {
-  const auto parts = Split(host, '.');
-  if (parts.size() != 4) return false;
-  return std::all_of(parts.begin(), parts.end(), [](const std::string& part) {
-    int64_t value = 0;
-    return ParseInt(part, value) && value >= 0 && value <= 255;
-  });
-}
-
-bool IsAddress(std::string_view text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) return false;
-  int64_t port = 0;
-  if (!ParseInt(text.substr(colon + 1), port)) return false;
-  return port >= 0 && port <= kMaxPort && IsIpNumber(text.substr(0, colon));
+/** The product's programs listen at, and call, IPv4 addresses. */
+bool IsIpv4Address(std::string_view text) {
+  const auto parts = ParseAddress(text);
+  return parts && parts->form == host_form::kIpv4;
 }
 
 bool IsAddressList(std::string_view text) {
   const auto parts = Split(text, ',');
-  return std::all_of(parts.begin(), parts.end(), [](const auto& part) { return IsAddress(part); });
+  return std::all_of(parts.begin(), parts.end(),
+                     [](const auto& part) { return IsIpv4Address(part); });
 }
 
 std::string VariableName(std::string_view setting) {
@@ -102,7 +93,7 @@
                             std::string_view help) {
   const std::string allowed = list ? "IP:PORT, or several with commas" : "IP:PORT";
   auto check = [list](std::string_view text) {
-    return text.empty() || (list ? IsAddressList(text) : IsAddress(text));
+    return text.empty() || (list ? IsAddressList(text) : IsIpv4Address(text));
   };
   return {std::string(name), std::string(default_value), std::string(help), allowed, check};
 }
--- a/src/plugins/peer/asio/asio_hub.cc
+++ b/src/plugins/peer/asio/asio_hub.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <asio/post.hpp>
 
+#include "kernel/base/address.h"
 #include "kernel/base/digest.h"
 #include "kernel/base/log_event.h"
 
@@ -39,12 +40,14 @@
   return worker ? kWorkerPace : kRequestPace;
 }
 
-asio::ip::tcp::endpoint ParseEndpoint(std::string_view address) {
-  const size_t colon = address.rfind(':');
+/** Where an address is; nothing if it is not IP:PORT. */
+std::optional<asio::ip::tcp::endpoint> EndpointOf(std::string_view address) {
+  const auto parts = ParseAddress(address);
+  if (!parts || parts->form == host_form::kName) return std::nullopt;
   asio::error_code error;
-  const auto host = asio::ip::make_address(std::string(address.substr(0, colon)), error);
-  const int port = std::atoi(std::string(address.substr(colon + 1)).c_str());
-  return {host, static_cast<unsigned short>(port)};
+  const auto host = asio::ip::make_address(std::string(parts->host), error);
+  if (error) return std::nullopt;
+  return asio::ip::tcp::endpoint(host, static_cast<unsigned short>(parts->port));
 }
 
 }  // namespace
@@ -57,11 +60,12 @@
 result<void> asio_hub::Start(link_listener& listener) {
   listener_ = &listener;
   if (!options_.listen.empty()) {
-    const auto endpoint = ParseEndpoint(options_.listen);
+    const auto endpoint = EndpointOf(options_.listen);
+    if (!endpoint) return Fail(error_kind::kInvalid, "listen", options_.listen, "no IP:PORT");
     asio::error_code error;
-    acceptor_.open(endpoint.protocol(), error);
+    acceptor_.open(endpoint->protocol(), error);
     if (!error) acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-    if (!error) acceptor_.bind(endpoint, error);
+    if (!error) acceptor_.bind(*endpoint, error);
     if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
     if (error) return Fail(error_kind::kUnavailable, "listen", options_.listen, error.message());
     port_ = acceptor_.local_endpoint().port();
@@ -75,8 +79,12 @@
 
 void asio_hub::Dial(std::string_view address) {
   asio::post(context_, [this, key = std::string(address)] {
-    target& goal = targets_[key];
-    goal.wanted = true;
+    const auto [known, added] = targets_.try_emplace(key);
+    target& goal = known->second;
+    if (added && IsCallableIp(key)) goal.endpoint = EndpointOf(key);
+    if (added && !goal.endpoint) {
+      log_event("peer-address-refused", log_level::kWarning).With("address", key);
+    }
     KeepTarget(key, goal);
   });
 }
@@ -143,8 +151,7 @@
   });
 }
 
-void asio_hub::Connect(const std::string& address) {
-  ++targets_[address].connecting;
+void asio_hub::Connect(const std::string& address, const asio::ip::tcp::endpoint& endpoint) {
   auto socket = std::make_shared<asio::ip::tcp::socket>(context_);
   auto limit = std::make_shared<asio::steady_timer>(
       context_, std::chrono::milliseconds(kConnectTimeout.count()));
@@ -152,23 +159,22 @@
     asio::error_code ignored;
     if (!cancelled) socket->close(ignored);
   });
-  socket->async_connect(
-      ParseEndpoint(address), [this, address, socket, limit](asio::error_code error) {
-        limit->cancel();
-        if (!error && !socket->is_open()) error = asio::error::timed_out;
-        const auto goal = targets_.find(address);
-        if (goal == targets_.end() || stopping_) return;
-        --goal->second.connecting;
-        if (error) {
-          if (error == asio::error::connection_refused) listener_->OnLink(peer_refused{address});
-          const int doublings = std::min(goal->second.failures++, kMaxDoublings);
-          goal->second.next_dial =
-              clock_.Now() + std::min(kMaxBackoff, kFirstBackoff * (int64_t{1} << doublings));
-          return;
-        }
-        goal->second.failures = 0;
-        Open(std::move(*socket), true)->address = address;
-      });
+  socket->async_connect(endpoint, [this, address, socket, limit](asio::error_code error) {
+    limit->cancel();
+    if (!error && !socket->is_open()) error = asio::error::timed_out;
+    const auto goal = targets_.find(address);
+    if (goal == targets_.end() || stopping_) return;
+    --goal->second.connecting;
+    if (error) {
+      if (error == asio::error::connection_refused) listener_->OnLink(peer_refused{address});
+      const int doublings = std::min(goal->second.failures++, kMaxDoublings);
+      goal->second.next_dial =
+          clock_.Now() + std::min(kMaxBackoff, kFirstBackoff * (int64_t{1} << doublings));
+      return;
+    }
+    goal->second.failures = 0;
+    Open(std::move(*socket), true)->address = address;
+  });
 }
 
 std::shared_ptr<peer_lane> asio_hub::Open(asio::ip::tcp::socket socket, bool dialled) {
@@ -325,11 +331,12 @@
 }
 
 void asio_hub::KeepTarget(const std::string& address, target& goal) {
-  if (!goal.wanted || goal.connecting > 0 || clock_.Now() < goal.next_dial) return;
+  if (!goal.endpoint || goal.connecting > 0 || clock_.Now() < goal.next_dial) return;
   const lane_pace& pace = PaceOf(options_.self.role, options_.self.role);
   const bool enough = HealthyLanes(address) >= pace.lanes;
   if (enough || AllLanes(address) >= kMostLanesPerTarget) return;
-  Connect(address);
+  ++goal.connecting;
+  Connect(address, *goal.endpoint);
 }
 
 size_t asio_hub::HealthyLanes(const std::string& address) const {
--- a/src/plugins/peer/asio/asio_hub.h
+++ b/src/plugins/peer/asio/asio_hub.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -52,7 +53,7 @@
     int connecting = 0;
     int failures = 0;
     millis next_dial{0};
-    bool wanted = true;
+    std::optional<asio::ip::tcp::endpoint> endpoint;  // none: the address cannot be called
   };
 
   void OnFrame(peer_lane& lane, std::string_view frame) override;
@@ -61,7 +62,7 @@
   void CountBytes(size_t in, size_t out) override;
 
   void Accept();
-  void Connect(const std::string& address);
+  void Connect(const std::string& address, const asio::ip::tcp::endpoint& endpoint);
   std::shared_ptr<peer_lane> Open(asio::ip::tcp::socket socket, bool dialled);
   void SendHello(peer_lane& lane, bool with_proof);
   void OnHandshake(peer_lane& lane, const hello& message);
--- a/tests/stories/base_story.cc
+++ b/tests/stories/base_story.cc
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 
+#include "kernel/base/address.h"
 #include "kernel/base/digest.h"
 #include "kernel/base/error.h"
 #include "kernel/base/metrics.h"
@@ -46,6 +47,9 @@
     SUBCASE("are refused out of range") { CHECK(!ParseWords({"--slots", "101"}).has_value()); }
     SUBCASE("are refused when the host is not an IP number") {
       CHECK(!ParseWords({"--listen", "localhost:80"}).has_value());
+      CHECK(!ParseWords({"--listen", "127.0.0.1:-0"}).has_value());
+      CHECK(!ParseWords({"--listen", "127.0.0..1:80"}).has_value());
+      CHECK(ParseWords({"--listen", "127.0.0.1:0"}).has_value());
       CHECK(ParseWords({"--listen", "127.0.0.1:80"}).has_value());
     }
     SUBCASE("are refused when the word is not one of those allowed") {
@@ -57,6 +61,64 @@
   }
 }
 
+TEST_CASE("an address") {
+  SUBCASE("of an entry or a worker is HOST:PORT") {
+    CHECK(IsCallable("host-1.example:1"));
+    CHECK_FALSE(IsCallableIp("host-1.example:1"));
+    for (const auto* text : {"10.0.0.1:65535", "[::1]:8080"}) {
+      CAPTURE(std::string(text));
+      CHECK(IsCallable(text));
+      CHECK(IsCallableIp(text));
+    }
+    const auto parts = ParseAddress("[::1]:8080");
+    REQUIRE(parts);
+    CHECK(parts->host == "::1");
+    CHECK(parts->port == 8080);
+    CHECK(ParseAddress("10.0.0.1:80")->form == host_form::kIpv4);
+  }
+  SUBCASE("to listen at may leave the port open, one to call may not") {
+    REQUIRE(ParseAddress("127.0.0.1:0"));
+    CHECK_FALSE(IsCallable("127.0.0.1:0"));
+    CHECK_FALSE(IsCallableIp("127.0.0.1:0"));
+  }
+  SUBCASE("is nothing else") {
+    using std::string_view_literals::operator""sv;
+    for (const auto text : {"10.0.0.1"sv,
+                            "10.0.0.1:"sv,
+                            "10.0.0.1:65536"sv,
+                            "10.0.0.1:99999999999"sv,
+                            "10.0.0.1:-1"sv,
+                            "10.0.0.1:+1"sv,
+                            "10.0.0.1: 1"sv,
+                            "10.0.0.1:1 "sv,
+                            "10.0.0.1:0x1"sv,
+                            " 10.0.0.1:1"sv,
+                            ":1"sv,
+                            "1"sv,
+                            ""sv,
+                            "::1:80"sv,
+                            "[::1]"sv,
+                            "[::1:80"sv,
+                            "[]:80"sv,
+                            "[10.0.0.1]:80"sv,
+                            "[::g]:80"sv,
+                            "[::1\0]:80"sv,
+                            "10.0.0.1\0:80"sv,
+                            "a/b:80"sv,
+                            "a@b:80"sv}) {
+      CAPTURE(std::string(text));
+      CHECK_FALSE(ParseAddress(text));
+      CHECK_FALSE(IsCallableIp(text));
+    }
+    CHECK_FALSE(ParseAddress(std::string(1'000'000, 'a') + ":80"));
+  }
+  SUBCASE("of four numbers that are no IP stays a name") {
+    CHECK_FALSE(IsCallableIp("10.0.0.256:80"));
+    CHECK_FALSE(IsCallableIp("10.0.0:80"));
+    CHECK_FALSE(IsCallableIp("0:80"));
+  }
+}
+
 TEST_CASE("a plug-in") {
   SUBCASE("that was linked in is found by its name") {
     CHECK(placement_registry::Instance().Create("best_fit").has_value());
--- a/tests/stories/hub_threads_story.cc
+++ b/tests/stories/hub_threads_story.cc
@@ -11,6 +11,7 @@
 
 #include "kernel/base/system_clock.h"
 #include "kernel/io/peer_hub.h"
+#include "tests/world/line_collector.h"
 
 namespace eelgrass {
 namespace {
@@ -106,6 +107,33 @@
   CHECK(stranger.seen.CountNow<peer_up>() == 0);
 }
 
+TEST_CASE("a peer's address that is not IP:PORT calls nobody, and the others hold") {
+  station stranger("e1", peer_role::kEntry, "the-shared-key-of-all");
+  station entry("e2", peer_role::kEntry, "the-shared-key-of-all");
+  const std::string port = std::to_string(stranger.hub->port());
+  const std::string odd = "entry-1:" + port;
+  {
+    const line_collector lines;
+    station agent("u1", peer_role::kUpstreamAgent, "the-shared-key-of-all");
+    for (const std::string& address :
+         {odd, odd, port, ":" + port, "x y:" + port, "0:" + port, "127.0.0:" + port,
+          "127.0.0.1:" + port + "x", "127.0.0.1: " + port,
+          "127.0.0.1:" + std::to_string(stranger.hub->port() + 65536)}) {
+      agent.hub->Dial(address);
+    }
+    agent.hub->Dial(entry.address());
+    REQUIRE(entry.seen.WaitFor<peer_up>());
+    agent.hub->Dial(odd);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));  // two rounds of looking after it
+    agent.hub->Stop();
+    const size_t named = lines.text().find("address=" + odd);
+    CHECK(named != std::string::npos);
+    CHECK(lines.text().find("address=" + odd, named + 1) == std::string::npos);
+    CHECK(agent.seen.CountNow<peer_up>() == 1);
+  }
+  CHECK(stranger.seen.CountNow<peer_up>() == 0);
+}
+
 TEST_CASE("a connection that sends rubbish is closed and harms nobody") {
   station entry("e1", peer_role::kEntry, "the-shared-key-of-all");
   asio::io_context context;
