Only a refused connection shows that a worker is over

One call that was not sent also took a worker's lists away from its planner.

The HTTP client reports a refused connection as an error kind of its own (kRefused): no connection came about, ECONNREFUSED, and the port is not 0, where nobody can listen. A reset of a kept connection stays "unknown". Every other error that is known to have had no effect stays kNeverSent: safe to send again, and no proof. Uses of kNeverSent: starts, stops and holds repeat both after the same pause; the departure and the lists that count no more rest on kNobodyListens alone.

A refused connection says that nobody listened at that moment. That ends a life only if it has listened there before: one that has registered may listen a moment later, and one that has moved listens elsewhere. So the steward remembers where the life answered last, and believes a departure if that address, which it still has and to which the call went, refuses. A process that listens there later is another life, and announces itself with another birth.

--- a/src/kernel/base/error.cc
+++ b/src/kernel/base/error.cc
@@ -12,6 +12,8 @@
       return "not-found";
     case error_kind::kUnavailable:
       return "unavailable";
+    case error_kind::kRefused:
+      return "refused";
     case error_kind::kUnknown:
       return "unknown";
     case error_kind::kExhausted:
--- a/src/kernel/base/error.h
+++ b/src/kernel/base/error.h
@@ -18,6 +18,7 @@
   kConflict,     // Somebody else changed the same thing first.
   kNotFound,     // There is no such thing, or it is not the caller's.
   kUnavailable,  // Known to have had no effect; may be tried again.
+  kRefused,      // The same: the peer's machine refused the connection, since nobody listens.
   kUnknown,      // May or may not have had its effect.
   kExhausted,    // A bound was reached; known to have had no effect.
 };
--- a/src/kernel/batch/worker_calls.h
+++ b/src/kernel/batch/worker_calls.h
@@ -52,10 +52,11 @@
 /** What became of a call to a worker. */
 enum class call_outcome {
   kDone,
-  kRefused,   // answered: not done
-  kNoAnswer,  // may have been done, or may still be
-  kNeverSent,
-  kOtherLife,  // another life of the worker answers at that address
+  kRefused,        // answered: not done
+  kNoAnswer,       // may have been done, or may still be
+  kNeverSent,      // for whatever reason: proves nothing
+  kNobodyListens,  // never sent: the worker's machine refused the connection
+  kOtherLife,      // another life of the worker answers at that address
 };
 
 struct hold_answer {
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -35,8 +35,9 @@
 constexpr int64_t kSlowClockPercent = 98;
 constexpr int64_t kPercent = 100;
 
-bool Unanswered(call_outcome outcome) {
-  return outcome == call_outcome::kNoAnswer || outcome == call_outcome::kNeverSent;
+/** The call did not reach the worker. */
+bool Unsent(call_outcome outcome) {
+  return outcome == call_outcome::kNeverSent || outcome == call_outcome::kNobodyListens;
 }
 
 /** Reports whose grants may still come. */
@@ -184,19 +185,22 @@
   holding_ = false;
   answers_as_another_ = answer.outcome == call_outcome::kOtherLife ||
                         (answer.born_ms != 0 && answer.born_ms != profile_.self.born_ms);
-  const bool refused = answer.outcome == call_outcome::kNeverSent;
+  const bool refused = answer.outcome == call_outcome::kNobodyListens;
   if (refused != refused_connection_) changed_ = true;
   refused_connection_ = refused;
   if (answers_as_another_) TakeOtherLife(answer);
   if (departure_.open()) TakeDeparture(answer, now);
-  if (refused) failed_ = now;
+  if (Unsent(answer.outcome)) failed_ = now;
   if (answer.outcome != call_outcome::kDone || answers_as_another_) {
     next_hold_ = now + (departure_.open() ? departure_.pause() : kRetryPause);
     return;
   }
   last_answer_ = now;
   last_asked_ = answer.sent;
-  if (answer.born_ms == profile_.self.born_ms) proof_.Take(answer.sent, now);
+  if (answer.born_ms == profile_.self.born_ms) {
+    proof_.Take(answer.sent, now);
+    answered_at_ = hold_address_;
+  }
   if (answer.clock_ms > 0) {
     clock_ms_ = answer.clock_ms;
     clock_read_ = now;
@@ -204,10 +208,15 @@
   TakeLists(answer, now);
 }
 
+/** Whether a refused connection shows that this life is over: it has listened at that address. */
+bool worker_steward::RefusalProves() const {
+  return refused_connection_ && hold_address_ == answered_at_ && hold_address_ == address();
+}
+
 /** Only a call that was sent after the departure was heard tells whether the life is there. */
 void worker_steward::TakeDeparture(const hold_answer& answer, millis now) {
   if (answer.sent < departure_.heard()) return;
-  left_ = answer.outcome == call_outcome::kNeverSent || answers_as_another_;
+  left_ = RefusalProves() || answers_as_another_;
   const millis heard = departure_.heard();
   const bool answered = !left_ && answer.outcome == call_outcome::kDone;
   departure_.OnAnswer(answered);
@@ -325,7 +334,7 @@
   const auto found = starts_.find(answer.run);
   if (found == starts_.end()) return;
   ordered_start& start = found->second;
-  if (Unanswered(answer.outcome)) {
+  if (Unsent(answer.outcome) || answer.outcome == call_outcome::kNoAnswer) {
     failed_ = now;
     holding_ = false;
     AskAgain(now);
@@ -364,6 +373,7 @@
           .With("run", answer.run.run);
       return;
     case call_outcome::kNeverSent:
+    case call_outcome::kNobodyListens:
     case call_outcome::kOtherLife:
       start.phase = start_phase::kUnanswered;
       start.not_before = now + kRetryPause;
@@ -414,6 +424,7 @@
   if (holding_ || now < next_hold_) return;
   holding_ = true;
   hold_sent_ = now;
+  hold_address_ = profile_.address;
   hold_number_ = ++holds_begun_;
   const bool wait = confirmed() && ended_.empty() && !running_.empty() && !departure_.open();
   hold_call call{profile_.address, profile_.self, fence(), seen_upto_, DeadlineFor(now), millis(0)};
--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -99,6 +99,7 @@
   void AskUnderNewFence(millis now);
   /** Whether a hold that was sent after the latest failed call has been answered. */
   bool answers() const { return last_asked_ >= failed_; }
+  bool RefusalProves() const;
   void TakeDeparture(const hold_answer& answer, millis now);
   void TakeOtherLife(const hold_answer& answer);
   void TakeLists(const hold_answer& answer, millis now);
@@ -148,6 +149,8 @@
   int64_t hold_number_ = 0;  // of the hold under way
   millis hold_sent_{0};
   millis last_asked_{0};  // when the latest hold that was answered was sent
+  std::string hold_address_;  // to which it was sent
+  std::string answered_at_;   // where this life has answered last
   millis next_hold_{0};
   millis last_answer_{0};
   millis last_beat_{0};
--- a/src/kernel/io/http_client.h
+++ b/src/kernel/io/http_client.h
@@ -11,8 +11,9 @@
 namespace eelgrass {
 
 /**
- * Sends calls and reports each result once. A kUnavailable error means that the call was never
- * sent; kUnknown that it may have had its effect.
+ * Sends calls and reports each result once. A kUnknown error means that the call may have had its
+ * effect, any other that it was never sent; kRefused besides that nobody listened at the address,
+ * or at the last one of a name.
  */
 class http_client {
  public:
--- a/src/plugins/front/rest/rest_replies.cc
+++ b/src/plugins/front/rest/rest_replies.cc
@@ -218,6 +218,7 @@
     case error_kind::kNotFound:
       return 404;
     case error_kind::kUnavailable:
+    case error_kind::kRefused:
     case error_kind::kExhausted:
       return 503;
     case error_kind::kUnknown:
--- a/src/plugins/store/curl/curl_client.cc
+++ b/src/plugins/store/curl/curl_client.cc
@@ -5,11 +5,13 @@
 #include <pthread.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <memory>
 #include <thread>
 #include <unordered_map>
 #include <vector>
 
+#include "kernel/base/address.h"
 #include "kernel/base/bounded_ring.h"
 #include "kernel/io/http_client.h"
 
@@ -29,6 +31,14 @@
   bool sent = false;  // some of the request may have reached the server
 };
 
+/** What stands between the scheme and the path of a URL. */
+std::string_view AddressIn(std::string_view url) {
+  constexpr std::string_view kScheme = "http://";
+  if (!url.starts_with(kScheme)) return {};
+  url.remove_prefix(kScheme.size());
+  return url.substr(0, url.find('/'));
+}
+
 /** Called each time before a request is sent on a connection. */
 int NoteSent(void* user, char*, char*, int, int) {
   static_cast<transfer*>(user)->sent = true;
@@ -149,12 +159,26 @@
     }
   }
 
+  /** What a call that failed may have done, and what it proves. */
+  static error_kind KindOf(const transfer& item, CURLcode code) {
+    // The library sends a request again if a kept connection ends without an answer, so that the
+    // code of the last try says nothing of the ones before.
+    if (item.sent) return error_kind::kUnknown;
+    long reason = 0;
+    curl_easy_getinfo(item.handle, CURLINFO_OS_ERRNO, &reason);
+    const bool refused = code == CURLE_COULDNT_CONNECT && reason == ECONNREFUSED;
+    // Nobody can listen at port 0.
+    return refused && IsCallable(AddressIn(item.call.url)) ? error_kind::kRefused
+                                                           : error_kind::kUnavailable;
+  }
+
   void End(CURL* handle, CURLcode code) {
     const auto found = active_.find(handle);
     const std::unique_ptr<transfer> item = std::move(found->second);
     active_.erase(found);
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    const error_kind kind = KindOf(*item, code);
     curl_multi_remove_handle(multi_, handle);
     curl_easy_cleanup(handle);
     curl_slist_free_all(item->headers);
@@ -163,9 +187,6 @@
       item->done(std::move(item->response));
       return;
     }
-    // The library sends a request again if a kept connection ends without an answer, so that the
-    // code of the last try says nothing of the ones before.
-    const error_kind kind = item->sent ? error_kind::kUnknown : error_kind::kUnavailable;
     item->done(Fail(kind, "http-call", item->call.url, curl_easy_strerror(code)));
   }
 
--- a/tests/stories/odd_entries_story.cc
+++ b/tests/stories/odd_entries_story.cc
@@ -131,6 +131,47 @@
   }
 }
 
+TEST_CASE("a call that does not reach a worker") {
+  fake_client client;
+  const auto control =
+      std::move(worker_control_registry::Instance().Create("platform", client).value());
+  const auto hold = [&](error_kind kind, const std::string& address) {
+    client.answer = Fail(kind, "http-call", address, "a reason");
+    hold_call call;
+    call.worker = {"i-1", 17};
+    call.address = address;
+    hold_answer seen;
+    control->Hold(call, millis(100), [&](hold_answer answer) { seen = std::move(answer); });
+    return seen.outcome;
+  };
+  SUBCASE("shows that nobody listens if its connection was refused") {
+    CHECK(hold(error_kind::kRefused, "10.0.0.1:80") == call_outcome::kNobodyListens);
+    CHECK(hold(error_kind::kRefused, "[::1]:80") == call_outcome::kNobodyListens);
+  }
+  SUBCASE("shows nothing if the address is a name, which may stand for several machines") {
+    CHECK(hold(error_kind::kRefused, "host-1.example:80") == call_outcome::kNeverSent);
+  }
+  SUBCASE("shows nothing if it was never sent for another reason") {
+    for (const auto kind : {error_kind::kUnavailable, error_kind::kExhausted}) {
+      CHECK(hold(kind, "10.0.0.1:80") == call_outcome::kNeverSent);
+    }
+  }
+  SUBCASE("may have been carried out if a part of it was sent") {
+    CHECK(hold(error_kind::kUnknown, "10.0.0.1:80") == call_outcome::kNoAnswer);
+  }
+  SUBCASE("was not carried out, whichever call it is") {
+    client.answer = Fail(error_kind::kRefused, "http-call", "10.0.0.1:80", "a reason");
+    start_answer started;
+    control->Start({"10.0.0.1:80", {"i-1", 17}, 5, 0, {}}, millis(100),
+                   [&](start_answer answer) { started = std::move(answer); });
+    CHECK(started.outcome == call_outcome::kNobodyListens);
+    stop_answer stopped;
+    control->Stop({"10.0.0.1:80", {"i-1", 17}, 5, {}}, millis(100),
+                  [&](stop_answer answer) { stopped = std::move(answer); });
+    CHECK(stopped.outcome == call_outcome::kNobodyListens);
+  }
+}
+
 TEST_CASE("odd answers of workers") {
   fake_client client;
   const auto control =
--- a/tests/stories/worker_steward_story.cc
+++ b/tests/stories/worker_steward_story.cc
@@ -96,12 +96,21 @@
   SUBCASE("nobody listens at the worker's address: the planner hears of it at once") {
     answer(5, call_outcome::kDone, millis(10));
     CHECK(steward.Report(1, millis(10)).listed);
-    answer(5, call_outcome::kNeverSent, millis(20));
+    answer(5, call_outcome::kNobodyListens, millis(20));
     CHECK(steward.changed());
     CHECK_FALSE(steward.Report(2, millis(20)).listed);
     answer(5, call_outcome::kDone, millis(300));
     CHECK(steward.Report(3, millis(300)).listed);
   }
+  SUBCASE("calls are not sent for another reason: the worker's lists count as without an answer") {
+    answer(5, call_outcome::kDone, millis(10));
+    CHECK(steward.Report(1, millis(10)).listed);
+    answer(5, call_outcome::kNeverSent, millis(20));
+    CHECK_FALSE(steward.changed());
+    CHECK(steward.Report(2, millis(20)).listed);
+    CHECK(steward.Report(3, millis(1500)).listed);
+    CHECK_FALSE(steward.Report(4, millis(1520)).listed);
+  }
   SUBCASE("a start that the planner gave up while the VM was suspended is not carried out") {
     answer(5, call_outcome::kDone, millis(10));
     steward.Report(1, millis(10));
