Of two workers at one address the one that listed last is there

Two faults in who is taken for gone because another worker has its address.

The planner ordered workers in its pool by birth, a time of day that steps. When a VM's clock was stepped back, the new worker at an address did not end what the planner knew of the former one; and a report of the former one that is read late (an agent and an entry have several connections, which overtake) took the living worker for gone and started its runs elsewhere.

The planner also asked with a report that the tracker had ignored, of an old or an unlisted life, as long as the pool had some listing life under the id.

run_tracker::On says now whether a report was taken with lists under the present term, and only then anyone is taken for gone. Births are not read: the worker whose lists were taken is there, unless the same agent, which counts its reports across its workers, has reported the other one after it. An agent that has started again, or another agent, counts anew; its reports come after the earlier connection has ended.

Instead of going through the whole pool for every report, the planner keeps who has listed at each address in this term, usually one worker. Others have no runs that the planner knows of.

--- a/src/kernel/batch/lost_workers.cc
+++ b/src/kernel/batch/lost_workers.cc
@@ -17,10 +17,16 @@
 /** After a takeover agents have this long to report before their workers are in question. */
 constexpr millis kReportTime{400};
 
+/** Whether an agent has reported on the one after the other: connections may overtake. */
+bool ReportedAfter(const pool_worker& one, const pool_worker& other) {
+  return one.linked && one.agent == other.agent && one.report_sequence > other.report_sequence;
+}
+
 }  // namespace
 
 void lost_workers::Begin(millis now) {
   term_began_ = now;
+  listed_at_.clear();
   departures_.Reset();
 }
 
@@ -45,15 +51,22 @@
   return proved;
 }
 
-std::vector<std::string> lost_workers::ReplacedBy(const worker_profile& newest) const {
+std::vector<std::string> lost_workers::ReplacedBy(const pool_worker& newest) {
+  const worker_profile& profile = newest.profile;
   std::vector<std::string> replaced;
   for (const auto& [id, record] : journal_.expected()) {
-    if (Replaced(record, newest)) replaced.push_back(id);
-  }
-  for (const auto& [id, worker] : pool_.all()) {
-    const bool same_place = worker.profile.address == newest.address;
-    if (same_place && worker.profile.self.born_ms < newest.self.born_ms) replaced.push_back(id);
+    if (Replaced(record, profile)) replaced.push_back(id);
   }
+  // Only a worker that has listed under this term can have runs that the planner knows of.
+  std::set<std::string>& here = listed_at_[profile.address];
+  std::erase_if(here, [&](const std::string& id) {
+    const auto known = pool_.all().find(id);
+    if (known == pool_.all().end() || known->second.profile.address != profile.address) return true;
+    if (id == profile.self.id || ReportedAfter(known->second, newest)) return false;
+    replaced.push_back(id);
+    return true;
+  });
+  here.insert(profile.self.id);
   return replaced;
 }
 
--- a/src/kernel/batch/lost_workers.h
+++ b/src/kernel/batch/lost_workers.h
@@ -3,7 +3,9 @@
  */
 #pragma once
 
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,8 +28,11 @@
   /** A new term: nothing is known of earlier ones. */
   void Begin(millis now);
 
-  /** No other worker can be alive at the address of one that has just listed what it runs. */
-  std::vector<std::string> ReplacedBy(const worker_profile& newest) const;
+  /**
+   * Workers that have ended, since another one has their address: its lists under this term have
+   * just been taken.
+   */
+  std::vector<std::string> ReplacedBy(const pool_worker& newest);
 
   /**
    * Workers that are not reported any more, and have nothing that could run. The term was certainly
@@ -51,6 +56,7 @@
   const worker_pool& pool_;
   const planner_journal& journal_;
   departure_watch departures_;
+  std::map<std::string, std::set<std::string>, std::less<>> listed_at_;  // workers, by address
   millis term_began_{0};
 };
 
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -200,12 +200,12 @@
   }
   static const batch_config kNoConfig;
   const batch_config& config = operators_.config == nullptr ? kNoConfig : *operators_.config;
-  tracker_->On(agent, report, config, now);
+  const bool lists = tracker_->On(agent, report, config, now);
   const pool_worker* worker = pool_.Find(report.worker.self.id);
-  if (worker != nullptr && worker->listing) {
+  if (lists && worker != nullptr) {
     journal_.Heard(report.worker.self.id);
     lost_.OnHeard(report.worker.self.id);
-    Forget(lost_.ReplacedBy(report.worker), "another worker has its address", now);
+    Forget(lost_.ReplacedBy(*worker), "another worker has its address", now);
   }
   if (worker != nullptr && !worker->recorded && !worker->recording) journal_.Hurry();
 }
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -40,10 +40,10 @@
 
 int64_t run_tracker::NextRun() { return term_ * kRunsPerTerm + ++runs_begun_; }
 
-void run_tracker::On(std::string_view agent, const worker_report& report,
+bool run_tracker::On(std::string_view agent, const worker_report& report,
                      const batch_config& config, millis now) {
   const worker_identity& self = report.worker.self;
-  if (report.term > term_) return;
+  if (report.term > term_) return false;
   pool_worker* known = pool_.Find(self.id);
   if (!report.present) {
     if (known != nullptr && known->profile.self == self && report.term == term_) {
@@ -55,14 +55,16 @@
           .With("term", term_)
           .With("runs", static_cast<int64_t>(known->runs.size()));
     }
-    return;
+    return false;
   }
   pool_worker& worker = pool_.Get(self.id);
-  if (report.sequence <= worker.report_sequence && worker.agent == agent && worker.linked) return;
+  if (report.sequence <= worker.report_sequence && worker.agent == agent && worker.linked) {
+    return false;
+  }
   if (!(worker.profile.self == self)) {
     // Births are times of day, which do not order lives. Lists come from a life that answers.
     const bool lives = report.listed && report.term == term_;
-    if (!worker.profile.self.id.empty() && !lives) return;
+    if (!worker.profile.self.id.empty() && !lives) return false;
     BeginLife(worker, report, agent, now);
   }
   const bool was_usable = worker.listing && !worker.profile.draining;
@@ -77,13 +79,14 @@
   worker.leaves_at = leaving ? now + millis(report.worker.remaining_ms) : millis(0);
   worker.listing = report.listed && report.term == term_ && report.life == worker.life;
   worker.order_due = true;
-  if (!worker.listing) return;
+  if (!worker.listing) return false;
   if (!was_usable) ++changes_;
   TakeEnds(worker, report, config, now);
   TakeRunning(worker, report, now);
   TakeRefused(worker, report, now);
   DropUnlisted(worker, report, now);
   closer_.GiveUpFormer(worker, report, now);
+  return true;
 }
 
 /**
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -34,8 +34,11 @@
   /** A new term: orders count anew, and run numbers are above those of all earlier terms. */
   void Begin(int64_t term);
 
-  /** Takes a report. The configuration gives the attempts that a queue allows. */
-  void On(std::string_view agent, const worker_report& report, const batch_config& config,
+  /**
+   * Takes a report. The configuration gives the attempts that a queue allows. True when the report
+   * was taken and has lists under this term.
+   */
+  bool On(std::string_view agent, const worker_report& report, const batch_config& config,
           millis now);
   void OnAgentLost(std::string_view agent);
 
--- a/tests/stories/worker_lives_story.cc
+++ b/tests/stories/worker_lives_story.cc
@@ -305,6 +305,32 @@
   CHECK_FALSE(scene.Gone(next));
 }
 
+TEST_CASE("a report that overtook others tells of no worker that came after it") {
+  constexpr int kWorker = 1;
+  batch_world world;
+  world.RunFor(millis(5000));
+  SUBCASE("the clock of its VM goes right") {}
+  SUBCASE("the clock of its VM was ahead, and is stepped back") {
+    world.RestartWorker(kWorker, millis(300), millis(60000));
+    world.RunFor(millis(3000));
+    world.StepClock(kWorker, millis(-60000));
+  }
+  world.CrashWorker(kWorker, millis(300));
+  world.RunFor(millis(7000));
+  const batch_job job = MakeBatchJob("e1", "usual", 30, millis(9000), 1);
+  world.Submit(job);
+  world.Watch(job.id);
+  world.RunFor(millis(1500));
+  const size_t runs = world.worker(kWorker).running();
+  CHECK(runs > 0);
+  world.LateReport(kWorker);
+  world.RunFor(millis(4000));
+  CHECK(world.worker(kWorker).running() == runs);
+  world.RunFor(millis(30000));
+  CHECK(world.check().starts() == 30);
+  RequireKept(world);
+}
+
 TEST_CASE("workers that start again under their ids run no task twice") {
   constexpr int kWorker = 1;
   batch_world world;
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -323,9 +323,22 @@
   });
 }
 
+void batch_world::NoteLists(machine& vm, const send_to_peer& sent) {
+  const auto* report = std::get_if<worker_report>(&sent.message);
+  if (report == nullptr || !report->listed) return;
+  if (!(report->worker.self == vm.last_lists.worker.self)) vm.former_lists = vm.last_lists;
+  vm.last_lists = *report;
+}
+
+void batch_world::LateReport(int index) {
+  const machine& vm = *machines_.at(index);
+  links_.Send(vm.id, {EntryId(Planner()), vm.former_lists});
+}
+
 void batch_world::CarryOut(machine& vm, std::vector<agent_action>& actions) {
   for (auto& action : actions) {
     if (const auto* send = std::get_if<send_to_peer>(&action)) {
+      NoteLists(vm, *send);
       links_.Send(vm.id, *send);
     } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
       links_.Dial(vm, dial->address);
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -79,7 +79,11 @@
   void RestartWorker(int index, millis down, millis clock_step) {
     WorkerAt(index).Restart(down, clock_step);
   }
+  /** The clock of a worker's VM is stepped; a life that begins later is born by it. */
+  void StepClock(int index, millis step) { WorkerAt(index).StepClock(step); }
   void LateBeat(int index) { WorkerAt(index).LateBeat(); }
+  /** The last lists of a worker's former life come to the planner now. */
+  void LateReport(int index);
   void LateLeave(int index) { WorkerAt(index).LateLeave(); }
   void Leave(int index, millis away) { WorkerAt(index).Leave(away); }
   void TakeAway(int index, millis notice, millis away) { WorkerAt(index).TakeAway(notice, away); }
@@ -136,6 +140,8 @@
     std::unique_ptr<agent_core> agent;
     std::unique_ptr<agent_door> door;
     std::unique_ptr<fake_worker> worker;
+    worker_report last_lists;    // of the present life
+    worker_report former_lists;  // of the life that listed before
   };
   fake_worker& WorkerAt(int index) { return *machines_.at(index)->worker; }
   worker_site SiteOf(int index) const;
@@ -157,6 +163,7 @@
   void ToAgent(machine& vm, agent_event event);
   void CarryOut(entry_process& entry, std::vector<gateway_action>& actions);
   void CarryOut(entry_process& entry, std::vector<planner_action>& actions);
+  void NoteLists(machine& vm, const send_to_peer& sent);
   void CarryOut(machine& vm, std::vector<agent_action>& actions);
   void ListVms(const entry_process& entry, const vm_listing_request& request);
 
--- a/tests/world/fake_worker.h
+++ b/tests/world/fake_worker.h
@@ -64,6 +64,9 @@
   /** Crashes and starts again under its id, after its VM's clock was stepped. */
   void Restart(millis down, millis clock_step);
 
+  /** The VM's time of day is stepped; a life that begins later is born by it. */
+  void StepClock(millis step) { clock_step_ += step; }
+
   /** A heartbeat, or the departure, of the former life arrives now. */
   void LateBeat();
   void LateLeave();
