--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -148,7 +148,7 @@
   int64_t holds_begun_ = 0;
   int64_t hold_number_ = 0;  // of the hold under way
   millis hold_sent_{0};
-  millis last_asked_{0};  // when the latest hold that was answered was sent
+  millis last_asked_{0};      // when the latest hold that was answered was sent
   std::string hold_address_;  // to which it was sent
   std::string answered_at_;   // where this life has answered last
   millis next_hold_{0};
