Revert "Tell a caller after a second that its job's outcome is unknown"

Cause: the store is silent for all entries from 18.0 s to 22.2 s. A caller that is told early of an unknown outcome finds no other entry that could take its job, while a call that waits is stored when the store is back.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -29,12 +29,6 @@
 /** An insertion is not begun with less time left; an idle store takes half of that. */
 constexpr millis kLeastInsertTime{30};
 
-/**
- * A job whose outcome is unknown is settled here for this long: a third of what callers usually
- * wait, which leaves time for two other entries.
- */
-constexpr millis kSettleTime{1000};
-
 /** The store may leave a caller, or this entry, unserved for this long before callers are told. */
 constexpr millis kInsertPatience{1500};
 
@@ -182,8 +176,6 @@
 
 /** A caller that is refused early can still try another entry, which the store may serve. */
 bool gateway_core::Hopeless(const open_call& call, millis now) const {
-  // Callers hand a job in again whose outcome is unknown: it is the same transaction anywhere.
-  if (call.doubtful) return now - call.arrived >= kSettleTime;
   return Unserved(now) || now - call.arrived > kInsertPatience;
 }
 
@@ -211,7 +203,7 @@
       return OnUnanswered(call, now);
     case row_outcome::kNotDone:
       call.next_try = now + kStoreRetryPause;
-      if (Hopeless(call, now)) GiveUp(call, now);
+      if (!call.doubtful && Hopeless(call, now)) GiveUp(call, now);
       return;
   }
 }
@@ -223,7 +215,6 @@
 void gateway_core::OnUnanswered(open_call& call, millis now) {
   call.next_try = call.doubtful ? std::max(now, call.sent + kStoreRetryPause) : now;
   call.doubtful = true;
-  if (Hopeless(call, now)) GiveUp(call, now);
 }
 
 /** Tells the planner of a job that was stored: it may start before the store's feed brings it. */
