One question for what holds once the term is confirmed

The wait for earlier planners' leases and the end of a recovery in which a stored worker was forgotten asked the same in two ways: whether the term was held after a time that is past, and if not, to have it confirmed.

--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -313,14 +313,20 @@
   planned_changes_ = -1;
 }
 
+/** Whether the term was certainly held after a past time; if not, has it confirmed. */
+bool planner_core::HeldAfter(millis past) {
+  if (term_.confirmed() > past) return true;
+  journal_.ConfirmAfter(past);
+  return false;
+}
+
 /**
  * Whether the leases that earlier planners may have granted lapsed while this one held the term:
  * a later one may prolong them.
  */
 bool planner_core::EarlierLeasesOver(millis now) {
   const millis over = term_began_ + kTermTrust + LeaseBound(options_.tracking.grant);
-  if (now > over) journal_.ConfirmAfter(over);
-  return term_.confirmed() > over;
+  return now > over && HeldAfter(over);
 }
 
 /** Whether all runs of earlier terms are known or over. */
@@ -333,11 +339,8 @@
     for (auto& [source, report] : reports) TakeReport(source.first, report, now);
   }
   if (!journal_.expected().empty() && !EarlierLeasesOver(now)) return false;
-  if (term_.confirmed() <= forgotten_) {
-    // A later planner may have heard how the runs there ended.
-    journal_.ConfirmAfter(forgotten_);
-    return false;
-  }
+  // A later planner may have heard how the runs at a forgotten worker ended.
+  if (!HeldAfter(forgotten_)) return false;
   planning_ = true;
   log_event("planning-begins")
       .With("term", term_.fence())
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -108,6 +108,7 @@
   void Reply(const std::string& asker, const job_reply& reply);
   void TakeWritten();
   void OnAccepted(const job_accepted& news, millis now);
+  bool HeldAfter(millis past);
   bool EarlierLeasesOver(millis now);
   bool Recovered(millis now);
   void Plan(millis now, millis wall_now);
