One way to ask a worker anew, and one to make orders in its story

The agent gave up the hold under way in two places, once by a function that was named after one of its callers and once by hand.

--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -94,7 +94,7 @@
   term_ = term;
   life_ = 0;
   order_sequence_ = 0;
-  AskUnderNewFence(now);
+  AskAnew(now);
   // The new planner decides from the lists. What is still under way to the worker either shows
   // there or has a fence that the worker will not take any more.
   starts_.clear();
@@ -103,10 +103,10 @@
   refused_.clear();
 }
 
-/** The hold under way may wait for an end; its answer has an earlier fence and says nothing. */
-void worker_steward::AskUnderNewFence(millis now) {
+/** Asks again without the answer to the hold under way, which may wait for an end. */
+void worker_steward::AskAnew(millis at) {
   holding_ = false;
-  next_hold_ = now;
+  next_hold_ = at;
 }
 
 void worker_steward::On(const worker_order& order, millis now) {
@@ -115,7 +115,7 @@
   order_sequence_ = order.sequence;
   if (order.life > life_) {
     life_ = order.life;
-    AskUnderNewFence(now);
+    AskAnew(now);
   }
   for (const auto& known : reports_) {
     if (known.sequence != order.grant_sequence || order.grant_ms <= 0) continue;
@@ -336,8 +336,7 @@
   ordered_start& start = found->second;
   if (Unsent(answer.outcome) || answer.outcome == call_outcome::kNoAnswer) {
     failed_ = now;
-    holding_ = false;
-    AskAgain(now);
+    AskAnew(now + kRetryPause);
   }
   switch (answer.outcome) {
     case call_outcome::kDone:
--- a/src/kernel/batch/worker_steward.h
+++ b/src/kernel/batch/worker_steward.h
@@ -96,7 +96,7 @@
 
   int64_t fence() const { return FenceOf(term_, life_); }
   bool confirmed() const { return confirmed_term_ == term_ && confirmed_life_ == life_; }
-  void AskUnderNewFence(millis now);
+  void AskAnew(millis at);
   /** Whether a hold that was sent after the latest failed call has been answered. */
   bool answers() const { return last_asked_ >= failed_; }
   bool RefusalProves() const;
--- a/tests/stories/worker_steward_story.cc
+++ b/tests/stories/worker_steward_story.cc
@@ -1,10 +1,34 @@
 #include <doctest/doctest.h>
 
+#include <span>
+#include <vector>
+
 #include "kernel/batch/worker_lives.h"
 
 namespace eelgrass {
 namespace {
 
+/** Those of one kind. */
+template <typename Call>
+std::vector<Call> Only(std::span<const worker_call> calls) {
+  std::vector<Call> found;
+  for (const auto& call : calls) {
+    if (const auto* wanted = std::get_if<Call>(&call)) found.push_back(*wanted);
+  }
+  return found;
+}
+
+/** The planner's order that answers a report, with a lease. */
+worker_order OrderFor(int64_t report) {
+  worker_order order;
+  order.term = 5;
+  order.sequence = report;
+  order.worker = {"w1", 17};
+  order.grant_sequence = report;
+  order.grant_ms = 4000;
+  return order;
+}
+
 TEST_CASE("an agent beside a worker follows a new planner") {
   worker_beat beat;
   beat.worker.self = {"w1", 17};
@@ -15,11 +39,7 @@
   const auto holds = [&](millis now) {
     calls.clear();
     steward.Tick(now, calls);
-    std::vector<hold_call> found;
-    for (const auto& call : calls) {
-      if (const auto* hold = std::get_if<hold_call>(&call)) found.push_back(*hold);
-    }
-    return found;
+    return Only<hold_call>(calls);
   };
   const auto answer = [&](int64_t term, call_outcome outcome, millis now, millis sent = millis(0),
                           int64_t life = 0) {
@@ -114,39 +134,22 @@
   SUBCASE("a start that the planner gave up while the VM was suspended is not carried out") {
     answer(5, call_outcome::kDone, millis(10));
     steward.Report(1, millis(10));
-    worker_order before;
-    before.term = 5;
-    before.sequence = 1;
-    before.worker = {"w1", 17};
+    worker_order before = OrderFor(1);
     before.starts.push_back({"a.0.0.0", 1, "", ""});
-    before.grant_sequence = 1;
-    before.grant_ms = 4000;
     steward.On(before, millis(6000));  // read after the suspension: the grant is over
     steward.Report(2, millis(6000));
-    worker_order now;
-    now.term = 5;
-    now.sequence = 2;
-    now.worker = {"w1", 17};
-    now.grant_sequence = 2;
-    now.grant_ms = 4000;
-    steward.On(now, millis(6010));
+    steward.On(OrderFor(2), millis(6010));
     calls.clear();
     steward.Tick(millis(6010), calls);
-    CHECK(std::none_of(calls.begin(), calls.end(),
-                       [](const auto& call) { return std::holds_alternative<start_call>(call); }));
+    CHECK(Only<start_call>(calls).empty());
   }
   SUBCASE(
       "a later life under the worker's id gets a fence above all that was sent to former ones") {
     answer(5, call_outcome::kDone, millis(10));
     steward.Report(1, millis(10));
-    worker_order order;
-    order.term = 5;
+    worker_order order = OrderFor(1);
     order.life = 1;
-    order.sequence = 1;
-    order.worker = {"w1", 17};
     order.starts.push_back({"a.0.0.0", 1, "", ""});
-    order.grant_sequence = 1;
-    order.grant_ms = 4000;
     steward.On(order, millis(20));
     const auto next = holds(millis(20));
     REQUIRE(next.size() == 1);
@@ -160,31 +163,21 @@
       CHECK(steward.Report(3, millis(40)).life == 1);
       calls.clear();
       steward.Tick(millis(40), calls);
-      const auto start = std::find_if(calls.begin(), calls.end(), [](const auto& call) {
-        return std::holds_alternative<start_call>(call);
-      });
-      REQUIRE(start != calls.end());
-      CHECK(std::get<start_call>(*start).fence == next[0].fence);
+      const auto starts = Only<start_call>(calls);
+      REQUIRE_FALSE(starts.empty());
+      CHECK(starts[0].fence == next[0].fence);
     }
   }
   SUBCASE("a start that was not answered is repeated once the life has answered again") {
     answer(5, call_outcome::kDone, millis(10));
-    const int64_t sequence = 1;
-    steward.Report(sequence, millis(10));
-    worker_order order;
-    order.term = 5;
-    order.sequence = 1;
-    order.worker = {"w1", 17};
+    steward.Report(1, millis(10));
+    worker_order order = OrderFor(1);
     order.starts.push_back({"a.0.0.0", 1, "", ""});
-    order.grant_sequence = sequence;
-    order.grant_ms = 4000;
     steward.On(order, millis(20));
     const auto starts = [&](millis now) {
       calls.clear();
       steward.Tick(now, calls);
-      return std::count_if(calls.begin(), calls.end(), [](const auto& call) {
-        return std::holds_alternative<start_call>(call);
-      });
+      return Only<start_call>(calls).size();
     };
     REQUIRE(starts(millis(20)) == 1);
     steward.On(
@@ -192,11 +185,9 @@
         millis(25));
     CHECK(starts(millis(30)) == 0);
     CHECK(starts(millis(300)) == 0);
-    const auto asked = std::find_if(calls.begin(), calls.end(), [](const auto& call) {
-      return std::holds_alternative<hold_call>(call);
-    });
-    REQUIRE(asked != calls.end());
-    CHECK(std::get<hold_call>(*asked).sent == millis(300));
+    const auto asked = Only<hold_call>(calls);
+    REQUIRE_FALSE(asked.empty());
+    CHECK(asked[0].sent == millis(300));
     SUBCASE("and the answer to an earlier call does not count") {
       answer(5, call_outcome::kDone, millis(305), millis(0));
       CHECK(starts(millis(306)) == 0);
