--- a/bench/fuzz_platform.cc
+++ b/bench/fuzz_platform.cc
@@ -6,10 +6,6 @@
 #include <string>
 
 #include "kernel/batch/batch_records.h"
-#include "kernel/batch/operator_source.h"
-#include "kernel/io/row_store.h"
-#include "kernel/io/vm_directory.h"
-#include "kernel/io/worker_control.h"
 #include "tests/world/platform_fakes.h"
 
 namespace {
@@ -21,20 +17,11 @@
   fake_server server;
   fake_workers workers;
   fake_client client;
-  std::unique_ptr<beat_front> beats =
-      std::move(beat_front_registry::Instance().Create("platform", server).value());
-  std::unique_ptr<vm_directory> vms =
-      std::move(vm_directory_registry::Instance()
-                    .Create("platform", vm_directory_options{"10.0.0.9:80"}, client)
-                    .value());
-  std::unique_ptr<worker_control> control =
-      std::move(worker_control_registry::Instance().Create("platform", client).value());
-  std::unique_ptr<row_store> store =
-      std::move(row_store_registry::Instance()
-                    .Create("platform", row_store_options{"10.0.0.9:1"}, client)
-                    .value());
-  std::unique_ptr<operator_source> operators =
-      std::move(operator_source_registry::Instance().Create("platform").value());
+  std::unique_ptr<beat_front> beats = PlatformBeats(server);
+  std::unique_ptr<vm_directory> vms = PlatformVms(client);
+  std::unique_ptr<worker_control> control = PlatformControl(client);
+  std::unique_ptr<row_store> store = PlatformStore(client);
+  std::unique_ptr<operator_source> operators = PlatformOperators();
   std::unique_ptr<batch_record_codec> records =
       std::move(record_codec_registry::Instance().Create("json").value());
 
--- a/tests/stories/odd_entries_story.cc
+++ b/tests/stories/odd_entries_story.cc
@@ -4,12 +4,7 @@
 
 #include "kernel/batch/batch_records.h"
 #include "kernel/batch/departure_watch.h"
-#include "kernel/batch/operator_source.h"
-#include "kernel/io/job_front.h"
 #include "kernel/io/peer_codec.h"
-#include "kernel/io/row_store.h"
-#include "kernel/io/vm_directory.h"
-#include "kernel/io/worker_control.h"
 #include "tests/world/odd_texts.h"
 #include "tests/world/platform_fakes.h"
 
@@ -19,7 +14,7 @@
 TEST_CASE("another writer's heartbeat among those of the workers") {
   fake_server server;
   fake_workers workers;
-  auto front = std::move(beat_front_registry::Instance().Create("platform", server).value());
+  auto front = PlatformBeats(server);
   REQUIRE(front->Start(workers));
   const std::string good =
       R"({"Service":"s","Addr":"10.0.0.1:80","Zone":"z","State":"ready","Seq":4,"born":17,
@@ -83,10 +78,7 @@
 
 TEST_CASE("another writer's entry in the list of VMs") {
   fake_client client;
-  const auto directory =
-      std::move(vm_directory_registry::Instance()
-                    .Create("platform", vm_directory_options{"10.0.0.9:80"}, client)
-                    .value());
+  const auto directory = PlatformVms(client);
   const auto list = [&](const std::string& entry) {
     client.answer = http_response{200,
                                   {},
@@ -133,8 +125,7 @@
 
 TEST_CASE("a call that does not reach a worker") {
   fake_client client;
-  const auto control =
-      std::move(worker_control_registry::Instance().Create("platform", client).value());
+  const auto control = PlatformControl(client);
   const auto hold = [&](error_kind kind, const std::string& address) {
     client.answer = Fail(kind, "http-call", address, "a reason");
     hold_call call;
@@ -174,8 +165,7 @@
 
 TEST_CASE("odd answers of workers") {
   fake_client client;
-  const auto control =
-      std::move(worker_control_registry::Instance().Create("platform", client).value());
+  const auto control = PlatformControl(client);
   hold_answer seen;
   const auto hold = [&](const std::string& body) {
     client.answer = http_response{200, {}, {body}, false};
@@ -221,7 +211,7 @@
 TEST_CASE("odd bodies of callers") {
   fake_server server;
   fake_callers callers;
-  auto front = std::move(job_front_registry::Instance().Create("platform", server).value());
+  auto front = PlatformJobs(server);
   REQUIRE(front->Start(callers));
   const std::string good = R"({"Spec":"x","Times":1,"Steps":[{"Count":2,"Cpu":500},
                                {"Count":1,"After":[0]}]})";
@@ -256,9 +246,7 @@
 
 TEST_CASE("odd rows in the store") {
   fake_client client;
-  auto store = std::move(row_store_registry::Instance()
-                             .Create("platform", row_store_options{"10.0.0.9:1"}, client)
-                             .value());
+  auto store = PlatformStore(client);
   rows_result seen;
   const auto read = [&](const std::string& entry) {
     client.answer =
@@ -291,7 +279,7 @@
 }
 
 TEST_CASE("odd rows of operators") {
-  auto source = std::move(operator_source_registry::Instance().Create("platform").value());
+  auto source = PlatformOperators();
   operator_state state;
   const auto apply = [&](std::string key, std::string value) {
     return source->Apply({{"op", "", std::move(key)}, std::move(value), 5, false}, millis(5),
--- a/tests/stories/platform_story.cc
+++ b/tests/stories/platform_story.cc
@@ -4,11 +4,7 @@
 
 #include "kernel/batch/departure_watch.h"
 #include "kernel/batch/gateway_core.h"
-#include "kernel/batch/operator_source.h"
 #include "kernel/io/deployment.h"
-#include "kernel/io/job_front.h"
-#include "kernel/io/row_store.h"
-#include "kernel/io/vm_directory.h"
 #include "tests/world/platform_fakes.h"
 
 namespace eelgrass {
@@ -17,7 +13,7 @@
 TEST_CASE("callers' requests on the platform") {
   fake_server server;
   fake_callers callers;
-  auto front = std::move(job_front_registry::Instance().Create("platform", server).value());
+  auto front = PlatformJobs(server);
   REQUIRE(front->Start(callers));
 
   SUBCASE("a job is decoded once, unknown fields are ignored") {
@@ -68,10 +64,7 @@
 
 TEST_CASE("the platform's list of VMs") {
   fake_client client;
-  const auto directory =
-      std::move(vm_directory_registry::Instance()
-                    .Create("platform", vm_directory_options{"10.0.0.9:80"}, client)
-                    .value());
+  const auto directory = PlatformVms(client);
   const auto list = [&](std::string_view body) {
     client.answer = http_response{200, {}, {std::string(body)}, false};
     vm_listing read;
@@ -112,7 +105,7 @@
 }
 
 TEST_CASE("an entry that cannot serve a caller sends it elsewhere") {
-  const auto source = std::move(operator_source_registry::Instance().Create("platform").value());
+  const auto source = PlatformOperators();
   const auto codec = std::move(record_codec_registry::Instance().Create("json").value());
   gateway_core gateway(gateway_options{"e1", "10.0.0.1:7000"}, *source, *codec);
   caller_call call;
@@ -132,7 +125,7 @@
 TEST_CASE("heartbeats on the platform") {
   fake_server server;
   fake_workers workers;
-  auto front = std::move(beat_front_registry::Instance().Create("platform", server).value());
+  auto front = PlatformBeats(server);
   REQUIRE(front->Start(workers));
   const std::string good =
       R"({"Service":"s","Addr":"10.0.0.1:80","Zone":"z","State":"ready","Seq":4,"born":17,
@@ -173,9 +166,7 @@
 
 TEST_CASE("the platform's store") {
   fake_client client;
-  auto store = std::move(row_store_registry::Instance()
-                             .Create("platform", row_store_options{"10.0.0.9:1"}, client)
-                             .value());
+  auto store = PlatformStore(client);
   transaction_result seen;
   const auto take = [&](transaction_result result) { seen = std::move(result); };
   row_transaction change;
@@ -218,7 +209,7 @@
 }
 
 TEST_CASE("what operators write on the platform") {
-  auto source = std::move(operator_source_registry::Instance().Create("platform").value());
+  auto source = PlatformOperators();
   operator_state state;
   const auto apply = [&](std::string key, std::string value, int64_t revision,
                          bool deleted = false) {
--- a/tests/world/platform_fakes.h
+++ b/tests/world/platform_fakes.h
@@ -3,14 +3,19 @@
  */
 #pragma once
 
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "kernel/base/error.h"
+#include "kernel/batch/operator_source.h"
 #include "kernel/io/http_client.h"
 #include "kernel/io/http_front.h"
 #include "kernel/io/job_front.h"
+#include "kernel/io/row_store.h"
+#include "kernel/io/vm_directory.h"
+#include "kernel/io/worker_control.h"
 
 namespace eelgrass {
 
@@ -79,4 +84,31 @@
   result<http_response> answer = http_response{200, {}, {"{}"}, false};
 };
 
+/** The platform's plug-ins, at addresses that nobody calls. */
+inline std::unique_ptr<job_front> PlatformJobs(http_front& server) {
+  return std::move(job_front_registry::Instance().Create("platform", server).value());
+}
+
+inline std::unique_ptr<beat_front> PlatformBeats(http_front& server) {
+  return std::move(beat_front_registry::Instance().Create("platform", server).value());
+}
+
+inline std::unique_ptr<worker_control> PlatformControl(http_client& client) {
+  return std::move(worker_control_registry::Instance().Create("platform", client).value());
+}
+
+inline std::unique_ptr<vm_directory> PlatformVms(http_client& client) {
+  const vm_directory_options options{"10.0.0.9:80"};
+  return std::move(vm_directory_registry::Instance().Create("platform", options, client).value());
+}
+
+inline std::unique_ptr<row_store> PlatformStore(http_client& client) {
+  const row_store_options options{"10.0.0.9:1"};
+  return std::move(row_store_registry::Instance().Create("platform", options, client).value());
+}
+
+inline std::unique_ptr<operator_source> PlatformOperators() {
+  return std::move(operator_source_registry::Instance().Create("platform").value());
+}
+
 }  // namespace eelgrass
