The log collector of the stories may be read while threads log

Cause: the story of odd peer addresses reads the collected lines while the hub of another station still logs "lane-lost" on its thread; the collector had no lock of its own, and the logging library holds its lock for the writer only. The race is in the test, not in the product.

The collector locks now and hands out a copy. The checks are the same.

--- a/tests/stories/hub_threads_story.cc
+++ b/tests/stories/hub_threads_story.cc
@@ -126,9 +126,10 @@
     agent.hub->Dial(odd);
     std::this_thread::sleep_for(std::chrono::milliseconds(500));  // two rounds of looking after it
     agent.hub->Stop();
-    const size_t named = lines.text().find("address=" + odd);
+    const std::string logged = lines.text();
+    const size_t named = logged.find("address=" + odd);
     CHECK(named != std::string::npos);
-    CHECK(lines.text().find("address=" + odd, named + 1) == std::string::npos);
+    CHECK(logged.find("address=" + odd, named + 1) == std::string::npos);
     CHECK(agent.seen.CountNow<peer_up>() == 1);
   }
   CHECK(stranger.seen.CountNow<peer_up>() == 0);
--- a/tests/world/line_collector.h
+++ b/tests/world/line_collector.h
@@ -8,7 +8,10 @@
 
 namespace eelgrass {
 
-/** Collects log lines while it exists. The logging library stays out: it has a CHECK of its own. */
+/**
+ * Collects the log lines of all threads while it exists. The logging library stays out: it has a
+ * CHECK of its own.
+ */
 class line_collector {
  public:
   line_collector();
@@ -17,7 +20,7 @@
   line_collector& operator=(const line_collector&) = delete;
 
   /** All lines so far, each ended by a line feed. */
-  const std::string& text() const;
+  std::string text() const;
 
  private:
   class sink;
