A job is shown as completed when no other run of its tasks may start

Callers saw a job completed of which a task then started again.

A run that was not heard of through a recovery lists its end `done` while the next run of its unit has been ordered and not answered. The end is true, and the job was shown as completed at once, though the ordered start may be carried out seconds later.

A job all of whose units are done is now completed when no run of it is open beside the ones that were done. The other run is stopped at once, as before; the stop bars a late start, and its answer, its end or the end of its lease completes the job. Further members of the run that was done do not count, so a gang is shown as early as before. A job that is stored with all units done and was not shown belongs to a planner that waited; the next one completes it when it has recovered.

--- a/src/kernel/batch/job_book.cc
+++ b/src/kernel/batch/job_book.cc
@@ -57,11 +57,12 @@
     const unit_ref ref{progress.job, task.occurrence, task.step, task.index};
     unit_state* unit = Find(ref);
     if (unit == nullptr) continue;
-    if (task.done && !unit->done) OnDone(ref, job->accepted);
+    if (task.done && !unit->done) OnDone(ref, 0, job->accepted);
     unit->failed_runs = {task.failed_runs.begin(), task.failed_runs.end()};
     unit->saved = task.saved;
   }
   if (!progress.tasks.empty()) job->begun = true;
+  if (const auto done = done_.find(progress.job); done != done_.end()) done->second = true;
   if (IsFinal(progress.state)) Finish(*job, progress.state);
   job->stored = true;
   dirty_.erase(progress.job);
@@ -134,11 +135,12 @@
   job->state = batch_state::kRunning;
 }
 
-void job_book::OnDone(const unit_ref& ref, millis now) {
+void job_book::OnDone(const unit_ref& ref, int64_t run, millis now) {
   tracked_job* job = Find(ref.job);
   unit_state* unit = Find(ref);
   if (job == nullptr || unit == nullptr || unit->done || IsFinal(job->state)) return;
   unit->done = true;
+  unit->done_run = run;
   dirty_.insert(ref.job);
   occurrence_state& occurrence = job->occurrences[static_cast<size_t>(ref.occurrence)];
   step_state& step = occurrence.steps[static_cast<size_t>(ref.step)];
@@ -147,9 +149,12 @@
     if (step.released) ReleaseSteps(*job, occurrence, now);
     return;
   }
-  if (++job->done == static_cast<int>(job->occurrences.size())) {
-    Finish(*job, batch_state::kCompleted);
-  }
+  if (++job->done == static_cast<int>(job->occurrences.size())) done_.emplace(ref.job, false);
+}
+
+void job_book::Complete(std::string_view id) {
+  tracked_job* job = Find(id);
+  if (job != nullptr && done_.contains(id)) Finish(*job, batch_state::kCompleted);
 }
 
 void job_book::OnFailed(const unit_ref& ref, int64_t run, int attempts, std::string_view worker) {
@@ -186,6 +191,7 @@
   job.state = state;
   job.stored = false;
   finished_ = true;
+  done_.erase(job.job.id);
   dirty_.insert(job.job.id);
   open_.erase(job.job.id);
 }
--- a/src/kernel/batch/job_book.h
+++ b/src/kernel/batch/job_book.h
@@ -33,8 +33,9 @@
 /** One unit's progress. */
 struct unit_state {
   bool done = false;
-  int64_t run = 0;    // number of the latest run; 0: none by this planner
-  int open_runs = 0;  // members whose run has not certainly ended
+  int64_t done_run = 0;  // number of the run that ended well; 0: not heard by this planner
+  int64_t run = 0;       // number of the latest run; 0: none by this planner
+  int open_runs = 0;     // members whose run has not certainly ended
   std::set<int64_t> failed_runs;
   int64_t given_up_run = 0;        // latest run whose end was not heard: it does not count any more
   millis given_up{INT64_MIN / 4};  // when that run was over
@@ -113,8 +114,14 @@
   /** Some task of the unit has begun. */
   void OnBegun(const unit_ref& unit);
 
-  /** A unit's run ended well. */
-  void OnDone(const unit_ref& unit, millis now);
+  /** A unit's run ended well. A job all of whose units are done is completed by Complete(). */
+  void OnDone(const unit_ref& unit, int64_t run, millis now);
+
+  /** Jobs all of whose units are done and that are not final; true: that was so in the store. */
+  const std::map<std::string, bool, std::less<>>& done() const { return done_; }
+
+  /** Nothing of a job that is done can start any more: it has ended. */
+  void Complete(std::string_view id);
 
   /** A unit's run failed through its own or its worker's fault. */
   void OnFailed(const unit_ref& unit, int64_t run, int attempts, std::string_view worker);
@@ -145,6 +152,7 @@
   const millis early_;
   std::map<std::string, tracked_job, std::less<>> jobs_;
   std::set<std::string> open_;
+  std::map<std::string, bool, std::less<>> done_;
   std::set<std::string> dirty_;
   bool finished_ = false;
 };
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -354,7 +354,9 @@
 
 void planner_core::Plan(millis now, millis wall_now) {
   const bool recovered = Recovered(now);
-  if (!journal_.loaded() || operators_.config == nullptr) return;
+  if (!journal_.loaded()) return;
+  tracker_->CompleteJobs(recovered);
+  if (operators_.config == nullptr) return;
   book_->Release(now, wall_now);
   if (const auto end = tracker_->Tick(now, term_.confirmed())) journal_.ConfirmAfter(*end);
   Forget(lost_.Unreported(now, term_.confirmed()), "gone", now);
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -185,7 +185,7 @@
   if (!step.long_running && end.how == run_end::kDone) {
     Note(worker, true, now);
     if (known) LearnSpeed(worker, record->second, step, now);
-    book_.OnDone(unit, now);
+    book_.OnDone(unit, end.run, now);
   }
   if (counts && end.how == run_end::kFailed) {
     const batch_queue* queue = config.FindQueueByName(job->job.queue);
@@ -412,6 +412,26 @@
   for (const auto& unit : overdue) Stop(unit, "not begun in time", now);
 }
 
+/** Whether a run of the job is open beside the one of its unit that was done. */
+bool run_tracker::MayStartAgain(std::string_view job) const {
+  for (const auto& [id, worker] : pool_.all()) {
+    for (const auto& [ref, record] : worker.runs) {
+      if (record.unit.job != job) continue;
+      const unit_state* unit = book_.Find(record.unit);
+      if (unit != nullptr && unit->done_run != ref.run) return true;
+    }
+  }
+  return false;
+}
+
+void run_tracker::CompleteJobs(bool recovered) {
+  std::vector<std::string> over;
+  for (const auto& [id, stored] : book_.done()) {
+    if ((recovered || !stored) && !MayStartAgain(id)) over.push_back(id);
+  }
+  for (const auto& id : over) book_.Complete(id);
+}
+
 std::optional<millis> run_tracker::Tick(millis now, millis confirmed) {
   const std::optional<millis> unsure = closer_.GiveUpLapsed(now, confirmed);
   std::set<unit_ref> ended;
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -58,6 +58,12 @@
    */
   std::optional<millis> Tick(millis now, millis confirmed);
 
+  /**
+   * Ends the jobs all of whose units are done, unless another run of one may still start. What is
+   * stored as done and was not shown waits until the runs of earlier terms are known.
+   */
+  void CompleteJobs(bool recovered);
+
   /** Runs that were taken for over without a listed end or a bar, in this term. */
   int64_t given_up() const { return closer_.given_up(); }
 
@@ -77,6 +83,7 @@
   void LearnSpeed(const pool_worker& worker, const run_record& record, const batch_step& step,
                   millis now);
   void ReleaseHeld(millis now);
+  bool MayStartAgain(std::string_view job) const;
   void StopOverdue(millis now);
   int64_t NextRun();
   void Note(pool_worker& worker, bool good, millis now);
--- a/tests/stories/run_tracker_story.cc
+++ b/tests/stories/run_tracker_story.cc
@@ -131,5 +131,88 @@
   }
 }
 
+TEST_CASE("a job is not shown as completed while another run of its task may still start") {
+  constexpr int64_t kTerm = 7;
+  job_book book(millis(250));
+  worker_pool pool;
+  worker_speeds speeds;
+  run_tracker tracker({}, book, pool, speeds);
+  const batch_config config;
+  const batch_job job = MakeBatchJob("a1", "usual", 1, millis(1000), 1);
+  const batch_job gang = MakeBatchJob("a2", "usual", 2, millis(1000), 1, true);
+  book.Add(job, millis(0));
+  book.Add(gang, millis(0));
+  tracker.Begin(kTerm);
+  const std::string task = job.id + ".0.0.0";
+  std::map<std::string, int64_t> sequences;
+  const auto report = [&](const std::string& worker, std::vector<listed_run> running,
+                          std::vector<listed_end> ended, std::vector<refused_start> refused = {}) {
+    worker_report said;
+    said.term = kTerm;
+    said.sequence = ++sequences[worker];
+    said.present = said.listed = true;
+    said.worker.self = {worker, 1};
+    said.worker.capacity = RoomOf(job.steps[0]);
+    said.running = std::move(running);
+    said.ended = std::move(ended);
+    said.refused = std::move(refused);
+    tracker.On("agent-" + worker, said, config, millis(10));
+  };
+  const auto state = [&](const batch_job& of) {
+    tracker.CompleteJobs(true);
+    return book.Find(of.id)->state;
+  };
+  const auto start = [&](const batch_job& of, std::vector<std::string> workers) {
+    start_plan plan;
+    plan.starts.push_back({{of.id, 0, 0, 0}, std::move(workers), {}});
+    tracker.Apply(plan, millis(20));
+    return book.Find(unit_ref{of.id, 0, 0, 0})->run;
+  };
+  report("w1", {}, {});
+  report("w2", {}, {});
+
+  SUBCASE("that was ordered before the run of an earlier planner was heard of") {
+    const int64_t second = start(job, {"w2"});
+    report("w1", {}, {{1, task, 101, run_end::kDone, ""}});
+    CHECK(book.Find(unit_ref{job.id, 0, 0, 0})->done);
+    CHECK(state(job) != batch_state::kCompleted);
+    tracker.Tick(millis(30), millis(30));
+    REQUIRE(pool.Find("w2")->runs.size() == 1);
+    CHECK(pool.Find("w2")->runs.begin()->second.phase == run_phase::kStopping);
+    SUBCASE("until it is barred") {
+      report("w2", {}, {}, {{task, second, start_refusal::kBarred}});
+      CHECK(state(job) == batch_state::kCompleted);
+    }
+    SUBCASE("until it has ended") {
+      report("w2", {}, {{1, task, second, run_end::kStopped, ""}});
+      CHECK(state(job) == batch_state::kCompleted);
+    }
+    SUBCASE("until it is given up") {
+      tracker.Drop("w2", "its VM is down", millis(40));
+      CHECK(state(job) == batch_state::kCompleted);
+    }
+    SUBCASE("unless the job is cancelled meanwhile") {
+      book.Cancel(job.id);
+      CHECK(state(job) == batch_state::kCancelled);
+    }
+  }
+  SUBCASE("and is shown at once when its only run is done") {
+    const int64_t run = start(job, {"w1"});
+    report("w1", {}, {{1, task, run, run_end::kDone, ""}});
+    CHECK(state(job) == batch_state::kCompleted);
+  }
+  SUBCASE("and a gang is shown when one of its members has listed the end of all") {
+    const int64_t run = start(gang, {"w1", "w2"});
+    report("w1", {}, {{1, gang.id + ".0.0.0", run, run_end::kDone, ""}});
+    CHECK(state(gang) == batch_state::kCompleted);
+  }
+  SUBCASE("which a new planner knows only once it has recovered") {
+    book.Restore({job.id, batch_state::kRunning, {{0, 0, 0, true, {}, ""}}});
+    tracker.CompleteJobs(false);
+    CHECK(book.Find(job.id)->state != batch_state::kCompleted);
+    CHECK(state(job) == batch_state::kCompleted);
+  }
+}
+
 }  // namespace
 }  // namespace eelgrass
