The world of the stories ends runs when their lease does

Trace: a worker carries out starts and answers none. Run 9500016 starts at 36123 ms under a lease that ends at 39439 ms by the worker's own clock; the planner gives it up after 39856 ms and starts the next run at 39877 ms. So the first run was over by then: the worker lists it as `lapsed`. The stand-in noticed a lapsed lease only at the next call or heartbeat, here more than a second later, and the checker counted until then.

The stand-in's worker now ends its runs when the lease does. The check is the same, and compares true times.

--- a/standins/standin_runner.cc
+++ b/standins/standin_runner.cc
@@ -49,6 +49,10 @@
   return kClockOrigin + (now - started_).count();
 }
 
+millis standin_runner::LeaseLeft(millis now) const {
+  return std::max(millis(0), millis(deadline_ms_ - ClockAt(now)));
+}
+
 bool standin_runner::TakeFence(int64_t fence) {
   if (fence < fence_) return false;
   fence_ = fence;
--- a/standins/standin_runner.h
+++ b/standins/standin_runner.h
@@ -99,6 +99,9 @@
   const worker_identity& self() const { return self_; }
   const runner_options& options() const { return options_; }
   int64_t ClockAt(millis now) const;
+
+  /** How long the lease of what runs lasts; 0: it has lapsed, or nobody has granted one. */
+  millis LeaseLeft(millis now) const;
   int64_t fence() const { return fence_; }
   size_t running() const { return runs_.size(); }
 
--- a/tests/stories/batch_hunt_story.cc
+++ b/tests/stories/batch_hunt_story.cc
@@ -150,6 +150,9 @@
   SUBCASE("a replaced planner started what its successor had heard to be done") {
     PlayDay(60235, worker_ids::kNew);
   }
+  SUBCASE("a worker that answers no more ends its runs with their lease") {
+    PlayDay(201275, worker_ids::kNew);
+  }
 }
 
 TEST_CASE("days on which workers start again under their ids keep the promises") {
--- a/tests/world/fake_worker.cc
+++ b/tests/world/fake_worker.cc
@@ -98,11 +98,19 @@
     return WaitForEnd(call, answer, millis(0));
   }
   runner_->Hold(call, now());
+  WatchLease();
   answer.born_ms = runner_->self().born_ms;
   answer.outcome = call.fence < runner_->fence() ? call_outcome::kRefused : call_outcome::kDone;
   WaitForEnd(call, answer, now() + call.wait);
 }
 
+void fake_worker::WatchLease() {
+  constexpr millis kPast{1};  // a lease has lapsed when its end is past
+  events_.After(runner_->LeaseLeft(now()) + kPast, [this, born = born_ms_] {
+    if (runner_ != nullptr && born_ms_ == born) runner_->Advance(now());
+  });
+}
+
 void fake_worker::WaitForEnd(const hold_call& call, hold_answer answer, millis until) {
   const bool there = Is(call.worker) && runner_->self().born_ms == answer.born_ms;
   if (there) runner_->Advance(now());
@@ -146,8 +154,12 @@
 void fake_worker::Call(const start_call& call) {
   start_answer answer{call.worker, {call.run.task, call.run.run}, call.fence};
   Order(std::move(answer), [this, call](start_answer& out) {
-    out.outcome =
-        Is(call.worker) ? runner_->Start(call, now(), out.refusal) : call_outcome::kNeverSent;
+    if (!Is(call.worker)) {
+      out.outcome = call_outcome::kNeverSent;
+      return;
+    }
+    out.outcome = runner_->Start(call, now(), out.refusal);
+    WatchLease();
   });
 }
 
--- a/tests/world/fake_worker.h
+++ b/tests/world/fake_worker.h
@@ -86,6 +86,8 @@
   bool Is(const worker_identity& meant) const;
   void Beat();
   worker_beat MakeBeat();
+  /** Ends what runs when its lease does, not only when the worker is called next. */
+  void WatchLease();
   void WaitForEnd(const hold_call& call, hold_answer answer, millis until);
   template <typename Answer, typename Carry>
   void Order(Answer answer, const Carry& carry);
