--- a/tests/stories/run_tracker_story.cc
+++ b/tests/stories/run_tracker_story.cc
@@ -214,5 +214,89 @@
   }
 }
 
+TEST_CASE("a start without an answer waits for its worker's next life, though its VM is down") {
+  constexpr int64_t kTerm = 7;
+  job_book book(millis(250));
+  worker_pool pool;
+  worker_speeds speeds;
+  run_tracker tracker({}, book, pool, speeds);
+  const batch_config config;
+  const batch_job job = MakeBatchJob("a1", "usual", 1, millis(1000), 1);
+  const unit_ref unit{job.id, 0, 0, 0};
+  book.Add(job, millis(0));
+  tracker.Begin(kTerm);
+  worker_report said;
+  const auto report = [&](millis now) {
+    ++said.sequence;
+    tracker.On("agent-1", said, config, now);
+  };
+  said.term = kTerm;
+  said.present = said.listed = true;
+  said.worker.self = {"w1", 100};
+  said.worker.capacity = RoomOf(job.steps[0]);
+  report(millis(10));
+  start_plan plan;
+  plan.starts.push_back({unit, {"w1"}, {}});
+  tracker.Apply(plan, millis(20));
+  const run_ref run{job.id + ".0.0.0", book.Find(unit)->run};
+  const auto open = [&] { return book.Find(unit)->open_runs; };
+
+  SUBCASE("not if its call was answered or has no fate that is unknown") {
+    tracker.Drop("w1", "its VM is down", millis(600));
+    CHECK(open() == 0);
+  }
+  SUBCASE("which may carry it out") {
+    said.unanswered = {run};
+    report(millis(520));
+    SUBCASE("also when it has begun by then, as one of its calls may still be under way") {
+      said.unanswered.clear();
+      said.running = {{run.task, run.run, "", 100, 0}};
+      report(millis(560));
+      REQUIRE(pool.Find("w1")->runs.begin()->second.phase == run_phase::kRunning);
+    }
+    tracker.Drop("w1", "its VM is down", millis(600));
+    CHECK(open() == 1);
+    CHECK(pool.Find("w1") == nullptr);
+    said.worker.self.born_ms = 2000;
+    said.unanswered.clear();
+
+    SUBCASE("until that has confirmed its own fence without it") {
+      report(millis(2000));
+      CHECK(open() == 1);
+      said.life = 1;
+      report(millis(2010));
+      CHECK(open() == 0);
+    }
+    SUBCASE("so that it is stopped there before the task starts again") {
+      said.life = 1;
+      said.running = {{run.task, run.run, "", 100, 0}};
+      report(millis(2000));
+      report(millis(2010));
+      CHECK(open() == 1);
+      REQUIRE(pool.Find("w1")->runs.size() == 1);
+      CHECK(pool.Find("w1")->runs.begin()->second.phase == run_phase::kStopping);
+      said.running.clear();
+      said.ended = {{1, run.task, run.run, run_end::kStopped, ""}};
+      report(millis(2100));
+      CHECK(open() == 0);
+    }
+    SUBCASE("until no call can be that late") {
+      tracker.Tick(millis(12000), millis(12000));
+      CHECK(open() == 1);
+      tracker.Tick(millis(12100), millis(12100));
+      CHECK(open() == 0);
+      CHECK(tracker.given_up() == 1);
+    }
+    SUBCASE("while a job that is done by another run is not shown as completed") {
+      book.OnDone(unit, 1, millis(700));
+      tracker.CompleteJobs(true);
+      CHECK(book.Find(job.id)->state != batch_state::kCompleted);
+      tracker.Tick(millis(12100), millis(12100));
+      tracker.CompleteJobs(true);
+      CHECK(book.Find(job.id)->state == batch_state::kCompleted);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace eelgrass
