--- a/src/kernel/batch/run_closer.cc
+++ b/src/kernel/batch/run_closer.cc
@@ -6,12 +6,6 @@
 #include "kernel/base/log_event.h"
 
 namespace eelgrass {
-namespace {
-
-/** A start that was not answered is carried out within this time, or not at all. */
-constexpr millis kLateStart{12000};
-
-}  // namespace
 
 void run_closer::Close(pool_worker& worker, const run_ref& ref) {
   const auto found = worker.runs.find(ref);
@@ -50,50 +44,6 @@
   }
 }
 
-void run_closer::SetAside(pool_worker& worker) {
-  for (auto run = worker.runs.begin(); run != worker.runs.end();) {
-    const auto next = std::next(run);
-    if (run->second.unanswered) {
-      log_event("start-set-aside")
-          .With("task", run->first.task)
-          .With("run", run->first.run)
-          .With("worker", worker.profile.self.id)
-          .With("term", term_);
-      pool_worker& gone = set_aside_[worker.profile.self.id];
-      gone.profile.self = worker.profile.self;
-      gone.runs.insert(worker.runs.extract(run));
-    }
-    run = next;
-  }
-}
-
-std::map<run_ref, run_record> run_closer::TakeBack(std::string_view worker) {
-  const auto found = set_aside_.find(worker);
-  if (found == set_aside_.end()) return {};
-  std::map<run_ref, run_record> runs = std::move(found->second.runs);
-  set_aside_.erase(found);
-  return runs;
-}
-
-void run_closer::GiveUpSetAside(millis now) {
-  for (auto& [id, worker] : set_aside_) {
-    std::vector<run_ref> over;
-    for (const auto& [ref, record] : worker.runs) {
-      if (now - record.since > kLateStart) over.push_back(ref);
-    }
-    for (const auto& ref : over) GiveUp(worker, ref, "no later life carried it out", now);
-  }
-  std::erase_if(set_aside_, [](const auto& entry) { return entry.second.runs.empty(); });
-}
-
-bool run_closer::HasSetAside(std::string_view job) const {
-  return std::any_of(set_aside_.begin(), set_aside_.end(), [&](const auto& entry) {
-    const auto& runs = entry.second.runs;
-    return std::any_of(runs.begin(), runs.end(),
-                       [&](const auto& run) { return run.second.unit.job == job; });
-  });
-}
-
 void run_closer::GiveUpFormer(pool_worker& worker, const worker_report& report, millis now) {
   std::vector<run_ref> over;
   for (const auto& [ref, record] : worker.runs) {
--- a/src/kernel/batch/run_closer.h
+++ b/src/kernel/batch/run_closer.h
@@ -3,9 +3,7 @@
  */
 #pragma once
 
-#include <map>
 #include <optional>
-#include <string>
 #include <string_view>
 
 #include "kernel/base/millis.h"
@@ -32,21 +30,6 @@
   /** Everything on a worker is over since a time. */
   void GiveUpAll(pool_worker& worker, std::string_view reason, millis over);
 
-  /**
-   * Keeps the runs of which a worker that is gone has left a start unanswered: a call names its id
-   * only, so that the next life under it may carry it out, until that has confirmed its own fence.
-   */
-  void SetAside(pool_worker& worker);
-
-  /** What was set aside for this id, for its next life. */
-  std::map<run_ref, run_record> TakeBack(std::string_view worker);
-
-  /** Gives up starts that were set aside and would have been carried out by now. */
-  void GiveUpSetAside(millis now);
-
-  /** Whether a start of the job was set aside. */
-  bool HasSetAside(std::string_view job) const;
-
   /** What a former life had and this one, under its own fence, does not list is over. */
   void GiveUpFormer(pool_worker& worker, const worker_report& report, millis now);
 
@@ -68,7 +51,6 @@
 
   job_book& book_;
   worker_pool& pool_;
-  std::map<std::string, pool_worker, std::less<>> set_aside_;  // by id
   int64_t term_ = 0;
   int64_t changes_ = 0;
   int64_t given_up_ = 0;
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -79,7 +79,6 @@
   worker.leaves_at = leaving ? now + millis(report.worker.remaining_ms) : millis(0);
   worker.listing = report.listed && report.term == term_ && report.life == worker.life;
   worker.order_due = true;
-  if (report.term == term_) TakeUnanswered(worker, report);
   if (!worker.listing) return false;
   if (!was_usable) ++changes_;
   TakeEnds(worker, report, config, now);
@@ -99,7 +98,6 @@
   const int64_t born_before = worker.profile.self.born_ms;
   const int64_t reported_ago = born_before == 0 ? -1 : (now - worker.reported).count();
   std::map<run_ref, run_record> runs = std::move(worker.runs);
-  runs.merge(closer_.TakeBack(report.worker.self.id));
   for (auto& [ref, record] : runs) {
     record.former_life = true;
     record.phase = run_phase::kStopping;
@@ -141,7 +139,6 @@
 void run_tracker::Drop(std::string_view id, std::string_view reason, millis now) {
   pool_worker* worker = pool_.Find(id);
   if (worker == nullptr) return;
-  closer_.SetAside(*worker);
   closer_.GiveUpAll(*worker, reason, now);
   log_event("worker-forgotten").With("worker", id).With("reason", reason);
   pool_.Erase(id);
@@ -286,15 +283,6 @@
   return true;
 }
 
-/** Takes note of the starts whose calls may still be on their way to the worker. */
-void run_tracker::TakeUnanswered(pool_worker& worker, const worker_report& report) {
-  for (const auto& ref : report.unanswered) {
-    if (const auto run = worker.runs.find(ref); run != worker.runs.end()) {
-      run->second.unanswered = true;
-    }
-  }
-}
-
 void run_tracker::TakeRefused(pool_worker& worker, const worker_report& report, millis now) {
   for (const auto& refused : report.refused) {
     const run_ref ref{refused.task, refused.run};
@@ -426,7 +414,6 @@
 
 /** Whether a run of the job is open beside the one of its unit that was done. */
 bool run_tracker::MayStartAgain(std::string_view job) const {
-  if (closer_.HasSetAside(job)) return true;
   for (const auto& [id, worker] : pool_.all()) {
     for (const auto& [ref, record] : worker.runs) {
       if (record.unit.job != job) continue;
@@ -446,7 +433,6 @@
 }
 
 std::optional<millis> run_tracker::Tick(millis now, millis confirmed) {
-  closer_.GiveUpSetAside(now);
   const std::optional<millis> unsure = closer_.GiveUpLapsed(now, confirmed);
   std::set<unit_ref> ended;
   for (auto& [id, worker] : pool_.all()) {
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -76,7 +76,6 @@
   void TakeEnds(pool_worker& worker, const worker_report& report, const batch_config& config,
                 millis now);
   void TakeRunning(pool_worker& worker, const worker_report& report, millis now);
-  void TakeUnanswered(pool_worker& worker, const worker_report& report);
   void TakeRefused(pool_worker& worker, const worker_report& report, millis now);
   void DropUnlisted(pool_worker& worker, const worker_report& report, millis now);
   bool Adopt(pool_worker& worker, const listed_run& listed, millis now);
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -36,7 +36,6 @@
   std::string saved;
   bool timed = false;        // placed by this planner with all its work before it
   std::string ticket;        // from the advice that the queue's policy demands
-  bool unanswered = false;   // its worker has not answered the start
   bool former_life = false;  // ordered to an earlier life under the worker's id
 };
 
--- a/src/kernel/batch/worker_steward.cc
+++ b/src/kernel/batch/worker_steward.cc
@@ -366,7 +366,6 @@
       start.doubtful = true;
       start.phase = start_phase::kUnanswered;
       start.not_before = now + kRetryPause;
-      changed_ = true;
       log_event("start-unanswered")
           .With("worker", profile_.self.id)
           .With("task", answer.run.task)
@@ -497,9 +496,6 @@
   report.running = running_;
   TimeRuns(report.running, now);
   report.ended = ended_;
-  for (const auto& [ref, start] : starts_) {
-    if (start.doubtful) report.unanswered.push_back(ref);
-  }
   for (const auto& [ref, reason] : refused_) report.refused.push_back({ref.task, ref.run, reason});
   return report;
 }
