The agent fences a worker's next incarnation off from earlier calls by its first hold

What callers saw: TWICE. A start got no answer, was repeated and its task done; its worker started again under its id and carried out the first call. The same with a run that was barred, or given up and started elsewhere, while the agent could not reach the planner.

Cause: a call names a worker's id and no incarnation. The fence that makes the next incarnation reject it was raised by the planner alone, which had to hear of the incarnation and to answer. Until then the agent called it under the fence of the calls still under way, for seconds while there was no planner or no way to it.

Change: the agent, the only sender of calls to its worker, gives each incarnation a higher number than all that it has called under the id in this term, and sends its first hold under that fence. The planner takes the number over and numbers later ones above it. If a hold to an outdated heartbeat's incarnation reaches the present one, that one follows.

Why it works: lower fences are rejected from the first hold on, and that one needs nobody but the agent beside the worker. What remains is the time until then, and an agent that is not there.

--- a/src/kernel/batch/incarnation_numbers.cc
+++ b/src/kernel/batch/incarnation_numbers.cc
@@ -1,5 +1,7 @@
 #include "kernel/batch/incarnation_numbers.h"
 
+#include <algorithm>
+
 namespace eelgrass {
 
 int64_t incarnation_numbers::Of(const worker_identity& worker) {
@@ -10,4 +12,9 @@
   return latest.number;
 }
 
+void incarnation_numbers::Raise(const worker_identity& worker, int64_t number) {
+  const int64_t known = Of(worker);
+  latest_[worker.id].number = std::max(known, number);
+}
+
 }  // namespace eelgrass
--- a/src/kernel/batch/incarnation_numbers.h
+++ b/src/kernel/batch/incarnation_numbers.h
@@ -23,6 +23,9 @@
   /** Number of earlier incarnations of the worker's id; registers a new incarnation. */
   int64_t Of(const worker_identity& worker);
 
+  /** Raises the number of the worker's latest incarnation to one that its agent has used. */
+  void Raise(const worker_identity& worker, int64_t number);
+
  private:
   struct numbered_incarnation {
     int64_t born_ms = 0;
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -68,6 +68,10 @@
     if (!worker.profile.self.id.empty() && !listed_in_term) return false;
     BeginIncarnation(worker, report, agent, now);
   }
+  if (report.term == term_ && report.life > worker.incarnation) {
+    worker.incarnation = report.life;
+    incarnations_.Raise(self, report.life);
+  }
   const bool was_usable = worker.listing && !worker.profile.draining;
   worker.agent = agent;
   worker.linked = true;
--- a/src/kernel/batch/worker_controller.cc
+++ b/src/kernel/batch/worker_controller.cc
@@ -106,6 +106,12 @@
   refused_.clear();
 }
 
+void worker_controller::RaiseIncarnation(int64_t number, millis now) {
+  if (number <= incarnation_) return;
+  incarnation_ = number;
+  RestartHold(now);
+}
+
 /** Sends the next hold without waiting for the pending one, which may wait for a run's end. */
 void worker_controller::RestartHold(millis at) {
   hold_pending_ = false;
@@ -116,10 +122,7 @@
   if (order.term != term_ || order.sequence <= order_sequence_) return;
   if (!(order.worker == profile_.self)) return;
   order_sequence_ = order.sequence;
-  if (order.life > incarnation_) {
-    incarnation_ = order.life;
-    RestartHold(now);
-  }
+  RaiseIncarnation(order.life, now);
   for (const auto& known : reports_) {
     if (known.sequence != order.grant_sequence || order.grant_ms <= 0) continue;
     const millis until = known.at + millis(order.grant_ms);
--- a/src/kernel/batch/worker_controller.h
+++ b/src/kernel/batch/worker_controller.h
@@ -39,6 +39,14 @@
 
   /** Follows a new planner. The worker has to confirm its fence before any other call. */
   void SetTerm(int64_t term, millis now);
+
+  /**
+   * Numbers this incarnation within the term. The worker then has to confirm a higher fence, under
+   * which it rejects calls that were sent with a lower number.
+   */
+  void RaiseIncarnation(int64_t number, millis now);
+  int64_t incarnation() const { return incarnation_; }
+
   void On(const worker_order& order, millis now);
 
   /** Appends the calls that are due. */
--- a/src/kernel/batch/worker_incarnations.cc
+++ b/src/kernel/batch/worker_incarnations.cc
@@ -48,12 +48,14 @@
 void worker_incarnations::AddCandidate(const worker_heartbeat& heartbeat, millis now) {
   worker_controller incarnation(heartbeat, now);
   incarnation.SetTerm(term_, now);
+  FenceCandidate(incarnation, now);
   if (HasNoConflict(heartbeat.worker)) return MakePresent(std::move(incarnation));
   for (const auto& [id, other] : present_) {
     if (!Conflict(incarnation.self(), incarnation.address(), other)) continue;
     log_event("incarnation-announced")
         .With("worker", incarnation.self().id)
         .With("born", incarnation.self().born_ms)
+        .With("life", incarnation.incarnation())
         .With("address", incarnation.address())
         .With("present", id)
         .With("present_born", other.self().born_ms)
@@ -82,6 +84,7 @@
     controller->On(answer, now);
     if (!controller->departed()) return;
     ended_incarnations_.push_back(answer.worker);
+    NoteRemoved(*controller);
     present_.erase(answer.worker.id);
     return;
   }
@@ -94,7 +97,8 @@
 /** Makes a candidate present if it was certainly alive after all that it conflicts with. */
 void worker_incarnations::EvaluateCandidate(const worker_identity& incarnation, millis now) {
   worker_controller& controller = *FindCandidate(incarnation);
-  if (controller.other_incarnation_answers()) return DropCandidate(incarnation, "another answers");
+  if (controller.other_incarnation_answers())
+    return DropCandidate(incarnation, "another answers", now);
   const bool latest = std::all_of(present_.begin(), present_.end(), [&](const auto& entry) {
     return !Conflict(incarnation, controller.address(), entry.second) ||
            controller.proof().IsAfter(entry.second.proof());
@@ -116,6 +120,7 @@
                                         : -1)
         .With("answered_in_ms", (proved.proof().received() - proved.proof().sent()).count());
     ended_incarnations_.push_back(other.self());
+    NoteRemoved(other);
     return true;
   });
   MakePresent(std::move(proved));
@@ -126,25 +131,60 @@
   log_event("incarnation-present")
       .With("worker", self.id)
       .With("born", self.born_ms)
+      .With("life", incarnation.incarnation())
       .With("address", incarnation.address())
       .With("service", incarnation.service())
       .With("answered", incarnation.proof().known() ? 1 : 0);
   present_.emplace(self.id, std::move(incarnation));
 }
 
-void worker_incarnations::DropCandidate(const worker_identity& incarnation,
-                                        std::string_view reason) {
+/** A dropped candidate's holds may have raised the fence of the present incarnation. */
+void worker_incarnations::DropCandidate(const worker_identity& incarnation, std::string_view reason,
+                                        millis now) {
   log_event("incarnation-dropped")
       .With("worker", incarnation.id)
       .With("born", incarnation.born_ms)
       .With("reason", reason);
+  const int64_t number = HighestNumber(incarnation.id);
   std::erase_if(candidates_, [&](const auto& other) { return other.self() == incarnation; });
+  if (worker_controller* present = Find(incarnation.id)) present->RaiseIncarnation(number, now);
+}
+
+/** The highest number under which an incarnation of the worker was called in this term; -1: none.
+ */
+int64_t worker_incarnations::HighestNumber(std::string_view worker) const {
+  int64_t highest = -1;
+  if (const auto found = removed_.find(worker); found != removed_.end()) highest = found->second;
+  if (const auto found = present_.find(worker); found != present_.end()) {
+    highest = std::max(highest, found->second.incarnation());
+  }
+  for (const auto& candidate : candidates_) {
+    if (candidate.self().id == worker) highest = std::max(highest, candidate.incarnation());
+  }
+  return highest;
+}
+
+void worker_incarnations::NoteRemoved(const worker_controller& controller) {
+  int64_t& highest = removed_[controller.self().id];
+  highest = std::max(highest, controller.incarnation());
+}
+
+/**
+ * Gives a candidate a higher fence than all calls under its id, so that its first hold makes it
+ * reject those that are still in transit.
+ */
+void worker_incarnations::FenceCandidate(worker_controller& candidate, millis now) {
+  candidate.RaiseIncarnation(HighestNumber(candidate.self().id) + 1, now);
 }
 
 void worker_incarnations::SetTerm(int64_t term, millis now) {
+  if (term > term_) removed_.clear();
   term_ = term;
   for (auto& [id, controller] : present_) controller.SetTerm(term, now);
-  for (auto& controller : candidates_) controller.SetTerm(term, now);
+  for (auto& controller : candidates_) {
+    controller.SetTerm(term, now);
+    FenceCandidate(controller, now);
+  }
 }
 
 void worker_incarnations::Tick(millis now, std::vector<worker_call>& calls) {
@@ -152,8 +192,12 @@
   for (const auto& controller : candidates_) {
     if (controller.heartbeat_expired(now)) unresponsive.push_back(controller.self());
   }
-  for (const auto& incarnation : unresponsive) DropCandidate(incarnation, "no answer");
-  std::erase_if(present_, [&](const auto& entry) { return entry.second.expired(now); });
+  for (const auto& incarnation : unresponsive) DropCandidate(incarnation, "no answer", now);
+  std::erase_if(present_, [&](const auto& entry) {
+    const bool expired = entry.second.expired(now);
+    if (expired) NoteRemoved(entry.second);
+    return expired;
+  });
   for (auto& [id, controller] : present_) controller.Tick(now, calls);
   for (auto& controller : candidates_) controller.Tick(now, calls);
 }
--- a/src/kernel/batch/worker_incarnations.h
+++ b/src/kernel/batch/worker_incarnations.h
@@ -46,11 +46,15 @@
   void AddCandidate(const worker_heartbeat& heartbeat, millis now);
   void EvaluateCandidate(const worker_identity& incarnation, millis now);
   void MakePresent(worker_controller incarnation);
-  void DropCandidate(const worker_identity& incarnation, std::string_view reason);
+  void DropCandidate(const worker_identity& incarnation, std::string_view reason, millis now);
+  int64_t HighestNumber(std::string_view worker) const;
+  void NoteRemoved(const worker_controller& controller);
+  void FenceCandidate(worker_controller& candidate, millis now);
 
   controllers present_;
   std::vector<worker_controller> candidates_;
   std::vector<worker_identity> ended_incarnations_;
+  std::map<std::string, int64_t, std::less<>> removed_;  // highest number in this term, by id
   int64_t term_ = 0;
 };
 
--- a/tests/stories/run_tracker_story.cc
+++ b/tests/stories/run_tracker_story.cc
@@ -112,6 +112,17 @@
       CHECK_FALSE(pool.Find("w1")->listing);
     }
   }
+  SUBCASE("lists under a number that its agent has given are believed at once") {
+    report(50, 3, true, {}, 1);
+    CHECK(pool.Find("w1")->listing);
+    CHECK(tracker.given_up() == 1);
+    SUBCASE("and the next life gets a higher one") {
+      report(50, 4, true, {}, 3);
+      report(200, 5, true, {});
+      CHECK(pool.Find("w1")->incarnation == 4);
+      CHECK_FALSE(pool.Find("w1")->listing);
+    }
+  }
   SUBCASE("a life that is announced and has not answered ends nothing") {
     report(200, 3, false, {});
     CHECK(born() == 100);
--- a/tests/stories/worker_incarnations_story.cc
+++ b/tests/stories/worker_incarnations_story.cc
@@ -184,6 +184,52 @@
   }
 }
 
+TEST_CASE("an incarnation is asked under a higher fence than all calls to its id before") {
+  agent_beside_worker scene;
+  const worker_identity next{"w1", 300};
+  const int64_t before = scene.holds.back().fence;
+  scene.Beat(next, millis(100));
+  REQUIRE(scene.Holds(next) == 1);
+  const hold_call asked = scene.holds.back();
+  CHECK(asked.fence > before);
+  CHECK(asked.fence < FenceOf(kTerm + 1, 0));
+
+  SUBCASE("which its lists then have, without a word of the planner") {
+    scene.Answer(asked, millis(100), call_outcome::kDone, next.born_ms, millis(105));
+    REQUIRE(scene.Listed(next));
+    CHECK(FenceOf(kTerm, scene.reports.back().life) == asked.fence);
+    SUBCASE("and the one after it under a still higher one") {
+      scene.Beat({"w1", 400}, millis(200));
+      CHECK(scene.holds.back().fence > asked.fence);
+    }
+  }
+  SUBCASE("also after a departure, when none is present") {
+    scene.Tell(worker_departure{kPresent.id}, millis(110));
+    scene.Answer(scene.holds[1], millis(20), call_outcome::kNoAnswer, 0, millis(112));
+    scene.Answer(asked, millis(100), call_outcome::kDone, next.born_ms, millis(113));
+    scene.Tell(worker_departure{next.id}, millis(120));
+    const hold_call last = scene.holds.back();
+    scene.Answer(last, millis(120), call_outcome::kConnectionRefused, 0, millis(121));
+    scene.Beat({"w1", 500}, millis(400));
+    CHECK(scene.holds.back().worker.born_ms == 500);
+    CHECK(scene.holds.back().fence > asked.fence);
+  }
+  SUBCASE("also under a new term") {
+    planner_notice notice;
+    notice.term = kTerm + 1;
+    notice.planner = "entry-1";
+    scene.Tell(peer_said{"entry-1", notice}, millis(101));
+    CHECK(scene.holds.back().worker == next);
+    CHECK(scene.holds.back().fence > FenceOf(kTerm + 1, 0));
+  }
+  SUBCASE("the present one follows if it was asked itself, as its heartbeat was outdated") {
+    scene.Answer(asked, millis(100), call_outcome::kDone, kPresent.born_ms, millis(105));
+    scene.Pass(millis(110));
+    CHECK(scene.holds.back().worker == kPresent);
+    CHECK(scene.holds.back().fence == asked.fence);
+  }
+}
+
 TEST_CASE("a departure is believed once nobody answers for the life any more") {
   agent_beside_worker scene;
   REQUIRE(scene.Holds(kPresent) == 2);
