A unit waits while a worker that cannot be asked may still start it

A start got no answer, its run was given up with its VM or its lease, and its unit started elsewhere; then the worker started again under its id, with no agent beside it, and carried the call out.

Cause: that an incarnation is over does not mean that the calls to its id are. The planner kept what it knew of a call with the run, and forgot both when it gave the run up.

Change: the agent keeps the starts that it has sent by worker id, over terms and incarnations, and reports those without an answer with the time that is left; a repetition does not prolong an earlier call's. The planner keeps them apart from runs and workers (open_starts), also those of an agent that has gone, and assumes one for a run that is given up before it was listed. A unit with such a start waits only while its worker does not list: until an incarnation under the id lists under its own fence, another worker lists on its VM, or the call cannot be carried out any more (12.5 s from its sending: the platform carries calls out up to 12 s late). A worker that lists has rejected it, so that its unit need not wait.

--- a/src/kernel/batch/agent_core.cc
+++ b/src/kernel/batch/agent_core.cc
@@ -22,9 +22,10 @@
   std::vector<worker_call> calls;
   incarnations_.Tick(now, calls);
   for (auto& call : calls) {
+    if (const auto* start = std::get_if<start_call>(&call)) sent_starts_.OnSent(*start, now);
     std::visit([&](auto& c) { out_->emplace_back(std::move(c)); }, call);
   }
-  ReportEndedWorkers();
+  ReportEndedWorkers(now);
   SendReports(now);
   out_ = nullptr;
 }
@@ -37,22 +38,27 @@
   incarnations_.On(departure, now);
 }
 
-void agent_core::ReportEndedWorkers() {
-  for (const auto& incarnation : incarnations_.TakeEnded()) ReportEndedWorker(incarnation);
+void agent_core::ReportEndedWorkers(millis now) {
+  for (const auto& incarnation : incarnations_.TakeEnded()) ReportEndedWorker(incarnation, now);
 }
 
-void agent_core::ReportEndedWorker(const worker_identity& worker) {
+void agent_core::ReportEndedWorker(const worker_identity& worker, millis now) {
   if (planner_.empty()) return;
   worker_report report;
   report.term = term_;
   report.sequence = ++report_sequence_;
   report.worker.self = worker;
+  report.unanswered = sent_starts_.Unanswered(worker.id, now);
   out_->emplace_back(send_to_peer{planner_, std::move(report)});
 }
 
-void agent_core::On(const hold_answer& answer, millis now) { incarnations_.On(answer, now); }
+void agent_core::On(const hold_answer& answer, millis now) {
+  sent_starts_.On(answer);
+  incarnations_.On(answer, now);
+}
 
 void agent_core::On(const start_answer& answer, millis now) {
+  sent_starts_.On(answer);
   if (worker_controller* controller = incarnations_.Find(answer.worker.id)) {
     controller->On(answer, now);
   }
@@ -107,9 +113,10 @@
   if (planner_.empty()) return;
   const bool due = now >= next_report_;
   for (auto& [id, controller] : incarnations_.present()) {
-    if (due || controller.changed()) {
-      out_->emplace_back(send_to_peer{planner_, controller.Report(++report_sequence_, now)});
-    }
+    if (!due && !controller.changed()) continue;
+    worker_report report = controller.Report(++report_sequence_, now);
+    report.unanswered = sent_starts_.Unanswered(id, now);
+    out_->emplace_back(send_to_peer{planner_, std::move(report)});
   }
   if (due) next_report_ = now + kReportInterval;
 }
--- a/src/kernel/batch/agent_core.h
+++ b/src/kernel/batch/agent_core.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "kernel/batch/sent_starts.h"
 #include "kernel/batch/worker_incarnations.h"
 #include "kernel/model/link_events.h"
 
@@ -42,12 +43,13 @@
   void On(const peer_said& event, millis now);
   void OnNotice(std::string_view peer, const planner_notice& notice, millis now);
   void SetTerm(int64_t term, std::string_view planner, millis now);
-  void ReportEndedWorker(const worker_identity& worker);
+  void ReportEndedWorker(const worker_identity& worker, millis now);
   void SendReports(millis now);
   void Dial(std::span<const std::string> addresses);
-  void ReportEndedWorkers();
+  void ReportEndedWorkers(millis now);
 
   worker_incarnations incarnations_;
+  sent_starts sent_starts_;
   std::set<std::string> dialled_;
   std::vector<std::string> initial_entries_;
   std::vector<agent_action>* out_ = nullptr;
--- /dev/null
+++ b/src/kernel/batch/open_starts.h
@@ -0,0 +1,63 @@
+/** \file
+ * The starts that workers may still carry out.
+ */
+#pragma once
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kernel/base/millis.h"
+#include "kernel/batch/job_table.h"
+#include "kernel/model/worker_messages.h"
+
+namespace eelgrass {
+
+/**
+ * Keeps the unanswered starts by worker id, apart from runs and workers, which may be removed
+ * before: the next incarnation under the id may carry them out until it has confirmed its fence.
+ * Each entry has an end that reports do not extend beyond the sending of its last call.
+ */
+class open_starts {
+ public:
+  /** Applies an agent's complete statement about the starts that it sent under a worker's id. */
+  void Report(std::string_view agent, const worker_profile& worker,
+              std::span<const unanswered_start> starts, millis now);
+
+  /** Keeps what the agent has stated; a new process of it does not know its calls. */
+  void OnAgentDisconnected(std::string_view agent);
+
+  /** Adds a start that was ordered and of which the agent has stated nothing. */
+  void Assume(const worker_profile& worker, std::string_view task, millis until);
+
+  /** A listing worker carries out no calls to other ids that lived on its VM or at its address. */
+  void OnListed(const worker_profile& worker);
+
+  /** Ids of the workers that may still start a task of the unit. */
+  std::vector<std::string_view> WorkersOf(const unit_ref& unit, const batch_step& step,
+                                          millis now) const;
+
+  /** Removes the starts that cannot be carried out any more. */
+  void Expire(millis now);
+
+ private:
+  struct open_start {
+    task_ref task;
+    millis until{0};
+    bool stated = false;  // by the agent's present process
+  };
+  struct worker_starts {
+    std::string agent;  // that has stated; empty: none
+    std::string address;
+    std::string vm;
+    std::vector<open_start> starts;
+  };
+
+  worker_starts& Get(const worker_profile& worker);
+
+  std::map<std::string, worker_starts, std::less<>> workers_;  // by id
+};
+
+}  // namespace eelgrass
--- a/src/kernel/batch/run_closer.cc
+++ b/src/kernel/batch/run_closer.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "kernel/base/log_event.h"
+#include "kernel/batch/worker_calls.h"
 
 namespace eelgrass {
 
@@ -28,9 +29,13 @@
       .With("born", worker.profile.self.born_ms)
       .With("term", term_)
       .With("reason", reason);
+  const run_record& record = worker.runs.at(run);
+  if (!record.began && record.phase != run_phase::kHeld) {
+    pool_.starts().Assume(worker.profile, run.task, worker.lease_end + kLatestExecution);
+  }
   ++given_up_;
   last_given_up_ = std::max(last_given_up_, over);
-  if (unit_state* unit = jobs_.Find(worker.runs.at(run).unit)) {
+  if (unit_state* unit = jobs_.Find(record.unit)) {
     unit->given_up_run = std::max(unit->given_up_run, run.run);
     unit->given_up = std::max(unit->given_up, over);
   }
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -46,6 +46,7 @@
   if (report.term > term_) return false;
   pool_worker* known = pool_.Find(self.id);
   if (!report.present) {
+    pool_.starts().Report(agent, report.worker, report.unanswered, now);
     if (known != nullptr && known->profile.self == self && report.term == term_) {
       known->listing = false;
       known->lease_end = std::min(known->lease_end, now + kDepartureGrace);
@@ -73,6 +74,7 @@
     incarnations_.Raise(self, report.life);
   }
   const bool was_usable = worker.listing && !worker.profile.draining;
+  pool_.starts().Report(agent, report.worker, report.unanswered, now);
   worker.agent = agent;
   worker.linked = true;
   worker.report_sequence = report.sequence;
@@ -85,6 +87,7 @@
   worker.listing = report.listed && report.term == term_ && report.life == worker.incarnation;
   worker.order_due = true;
   if (!worker.listing) return false;
+  pool_.starts().OnListed(worker.profile);
   if (!was_usable) ++changes_;
   ApplyEnds(worker, report, config, now);
   ApplyRunning(worker, report, now);
@@ -134,6 +137,7 @@
 }
 
 void run_tracker::OnAgentDisconnected(std::string_view agent) {
+  pool_.starts().OnAgentDisconnected(agent);
   for (auto& [id, worker] : pool_.all()) {
     if (worker.agent != agent) continue;
     worker.linked = false;
@@ -440,6 +444,7 @@
 }
 
 std::optional<millis> run_tracker::Tick(millis now, millis confirmed) {
+  pool_.starts().Expire(now);
   const std::optional<millis> confirm_after = closer_.GiveUpLapsed(now, confirmed);
   std::set<unit_ref> ended;
   for (auto& [id, worker] : pool_.all()) {
--- /dev/null
+++ b/src/kernel/batch/sent_starts.cc
@@ -0,0 +1,62 @@
+#include "kernel/batch/sent_starts.h"
+
+#include <algorithm>
+
+namespace eelgrass {
+
+sent_starts::sent_run* sent_starts::Find(std::string_view worker, const run_ref& run) {
+  const auto found = runs_.find({std::string(worker), run});
+  return found == runs_.end() ? nullptr : &found->second;
+}
+
+void sent_starts::OnSent(const start_call& call, millis now) {
+  runs_[{call.worker.id, {call.run.task, call.run.run}}].calls.push_back({call.fence, now});
+}
+
+void sent_starts::On(const start_answer& answer) {
+  sent_run* run = Find(answer.worker.id, answer.run);
+  if (run == nullptr) return;
+  const auto call = std::find_if(run->calls.begin(), run->calls.end(), [&](const sent_call& sent) {
+    return sent.pending && sent.fence == answer.fence;
+  });
+  if (call == run->calls.end()) return;
+  if (answer.outcome == call_outcome::kNoAnswer) {
+    call->pending = false;
+    return;
+  }
+  run->answered = run->answered || answer.outcome == call_outcome::kDone;
+  run->calls.erase(call);
+}
+
+void sent_starts::On(const hold_answer& answer) {
+  const auto note = [&](const auto& list) {
+    for (const auto& entry : list) {
+      if (sent_run* run = Find(answer.worker.id, {entry.task, entry.run})) run->listed = true;
+    }
+  };
+  note(answer.running);
+  note(answer.ended);
+}
+
+std::vector<unanswered_start> sent_starts::Unanswered(std::string_view worker, millis now) {
+  std::vector<unanswered_start> unanswered;
+  for (auto entry = runs_.begin(); entry != runs_.end();) {
+    sent_run& run = entry->second;
+    std::erase_if(run.calls,
+                  [&](const sent_call& call) { return now - call.at >= kLatestExecution; });
+    if (run.calls.empty()) {
+      entry = runs_.erase(entry);
+      continue;
+    }
+    const run_ref& ref = entry->first.second;
+    const size_t carried_out = run.listed && !run.answered ? 1 : 0;
+    if (entry->first.first == worker && run.calls.size() > carried_out) {
+      const millis until = run.calls.back().at + kLatestExecution;
+      unanswered.push_back({ref.task, ref.run, (until - now).count()});
+    }
+    ++entry;
+  }
+  return unanswered;
+}
+
+}  // namespace eelgrass
--- a/src/kernel/batch/start_planner.cc
+++ b/src/kernel/batch/start_planner.cc
@@ -91,6 +91,7 @@
           if (view.confirmed <= state.given_up) continue;
           ready_unit unit;
           unit.unit = {id, static_cast<int>(k), static_cast<int>(s), static_cast<int>(u)};
+          if (view.pool.MayStillStart(unit.unit, job.job.steps[s], view.now)) continue;
           unit.job = &job;
           unit.step = &job.job.steps[s];
           unit.queue = queue;
--- a/src/kernel/batch/worker_calls.h
+++ b/src/kernel/batch/worker_calls.h
@@ -23,6 +23,12 @@
   millis sent{0};           // agent's clock
 };
 
+/**
+ * A call without an answer is carried out within this time of its sending, or never: the platform
+ * carries calls out up to 12 s late, and a call that has not arrived within 0.5 s is broken off.
+ */
+inline constexpr millis kLatestExecution{12500};
+
 /** Starts a run. */
 struct start_call {
   std::string address;
--- a/src/kernel/batch/worker_pool.cc
+++ b/src/kernel/batch/worker_pool.cc
@@ -33,4 +33,12 @@
   if (found != workers_.end()) workers_.erase(found);
 }
 
+bool worker_pool::MayStillStart(const unit_ref& unit, const batch_step& step, millis now) const {
+  const auto workers = starts_.WorkersOf(unit, step, now);
+  return std::any_of(workers.begin(), workers.end(), [this](std::string_view id) {
+    const auto found = workers_.find(id);
+    return found == workers_.end() || !found->second.linked || !found->second.listing;
+  });
+}
+
 }  // namespace eelgrass
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "kernel/batch/job_table.h"
+#include "kernel/batch/open_starts.h"
 #include "kernel/model/worker_messages.h"
 
 namespace eelgrass {
@@ -81,8 +82,18 @@
   pool_worker& Get(std::string_view id) { return workers_[std::string(id)]; }
   void Erase(std::string_view id);
 
+  /** Starts that may still be carried out, also those of workers that were removed. */
+  open_starts& starts() { return starts_; }
+
+  /**
+   * Whether a worker that is not listing may still start a task of the unit. One that is listing
+   * has confirmed its fence and rejects such calls.
+   */
+  bool MayStillStart(const unit_ref& unit, const batch_step& step, millis now) const;
+
  private:
   std::map<std::string, pool_worker, std::less<>> workers_;
+  open_starts starts_;
 };
 
 }  // namespace eelgrass
--- a/src/kernel/model/worker_messages.h
+++ b/src/kernel/model/worker_messages.h
@@ -84,6 +84,13 @@
   start_refusal reason = start_refusal::kRoom;
 };
 
+/** A start without an answer, which a worker under the id that it names may still carry out. */
+struct unanswered_start {
+  std::string task;
+  int64_t run = 0;
+  int64_t left_ms = 0;  // from the report on; it is not carried out after that
+};
+
 /** Agent to entries: everything about its worker. Sent when it changes, and as a heartbeat. */
 struct worker_report {
   int64_t term = 0;      // whose fence the worker has confirmed; 0: not yet any
@@ -96,6 +103,7 @@
   std::vector<listed_run> running;
   std::vector<listed_end> ended;
   std::vector<refused_start> refused;
+  std::vector<unanswered_start> unanswered;  // to any incarnation under the worker's id
 };
 
 /** A run that the planner wants on the worker. */
