A candidate that becomes the present incarnation is a candidate no longer

What was seen: an agent held and reported a worker without an id after an incarnation had replaced another, up to 20 s long; planners awaited it in recoveries and asked the list of VMs for it.

Cause: the candidate was searched by its id after it had been moved from, so that it was not found and stayed.

Change: it is erased by its place. Evidence: the new story failed before (a hold without an id), and passes. It works since nothing is searched after the move.

--- a/src/kernel/batch/worker_incarnations.cc
+++ b/src/kernel/batch/worker_incarnations.cc
@@ -96,7 +96,10 @@
 
 /** Makes a candidate present if it was certainly alive after all that it conflicts with. */
 void worker_incarnations::EvaluateCandidate(const worker_identity& incarnation, millis now) {
-  worker_controller& controller = *FindCandidate(incarnation);
+  const auto found =
+      std::find_if(candidates_.begin(), candidates_.end(),
+                   [&](const auto& candidate) { return candidate.self() == incarnation; });
+  worker_controller& controller = *found;
   if (controller.other_incarnation_answers())
     return DropCandidate(incarnation, "another answers", now);
   const bool latest = std::all_of(present_.begin(), present_.end(), [&](const auto& entry) {
@@ -106,7 +109,7 @@
   if (!controller.proof().known()) return;
   if (!latest) return controller.RetryHold(now);
   worker_controller proved = std::move(controller);
-  std::erase_if(candidates_, [&](const auto& other) { return other.self() == incarnation; });
+  candidates_.erase(found);
   std::erase_if(present_, [&](const auto& entry) {
     const worker_controller& other = entry.second;
     if (!Conflict(incarnation, proved.address(), other)) return false;
--- a/tests/stories/worker_incarnations_story.cc
+++ b/tests/stories/worker_incarnations_story.cc
@@ -135,6 +135,19 @@
       CHECK(scene.Gone(kPresent));
       CHECK(scene.Listed(next));
       CHECK(scene.reports.back().running.empty());
+      SUBCASE("and nothing else is asked or reported from then on") {
+        const size_t reports = scene.reports.size();
+        scene.Answer(scene.holds.back(), millis(105), call_outcome::kDone, next.born_ms,
+                     millis(110));
+        for (millis now(150); now < millis(3000); now += millis(50)) {
+          const size_t holds = scene.holds.size();
+          scene.Pass(now);
+          for (size_t i = holds; i < scene.holds.size(); ++i) CHECK(scene.holds[i].worker == next);
+        }
+        for (size_t i = reports; i < scene.reports.size(); ++i) {
+          CHECK(scene.reports[i].worker.self == next);
+        }
+      }
     }
     SUBCASE("an answer of the former one that came meanwhile has it asked again") {
       scene.Answer(scene.holds[1], millis(20), call_outcome::kDone, kPresent.born_ms, millis(103));
