An agent whose hold is refused raises its worker's number until it is accepted

What callers would have seen: a worker that is there and gets no task until the next term.

Cause: since agents number incarnations themselves, a process of the agent could end after it had raised the worker's fence and before the planner heard of it; the next process, and the planner's order, used lower numbers for ever. A candidate that is dropped beside another one had the same effect.

Change: a hold that is refused is repeated under the next number. The planner takes over what the worker confirms, as before. The story failed before. It ends, since each try is one number higher, and a term's numbers are below the next term's fence.

--- a/src/kernel/batch/worker_controller.cc
+++ b/src/kernel/batch/worker_controller.cc
@@ -198,6 +198,8 @@
   if (departure_.pending()) CheckDeparture(answer, now);
   if (NotDelivered(answer.outcome)) last_failure_ = now;
   if (answer.outcome != call_outcome::kDone || other_incarnation_answers_) {
+    // A process of this agent that has ended may have used a higher number.
+    if (answer.outcome == call_outcome::kRefused) ++incarnation_;
     next_hold_ = now + (departure_.pending() ? departure_.retry_delay() : kRetryPause);
     return;
   }
--- a/tests/stories/worker_incarnations_story.cc
+++ b/tests/stories/worker_incarnations_story.cc
@@ -235,6 +235,16 @@
     CHECK(scene.holds.back().worker == next);
     CHECK(scene.holds.back().fence > FenceOf(kTerm + 1, 0));
   }
+  SUBCASE("and under a still higher one while it refuses, as an ended process has used more") {
+    scene.Answer(asked, millis(100), call_outcome::kRefused, 0, millis(105));
+    scene.Pass(millis(310));
+    const hold_call again = scene.holds.back();
+    REQUIRE(again.worker == next);
+    CHECK(again.fence > asked.fence);
+    scene.Answer(again, millis(310), call_outcome::kDone, next.born_ms, millis(315));
+    CHECK(scene.Listed(next));
+    CHECK(FenceOf(kTerm, scene.reports.back().life) == again.fence);
+  }
   SUBCASE("the present one follows if it was asked itself, as its heartbeat was outdated") {
     scene.Answer(asked, millis(100), call_outcome::kDone, kPresent.born_ms, millis(105));
     scene.Pass(millis(110));
