A worker that another has replaced on its VM delays none of its units

What callers saw: after a crash, tasks that had been ordered there waited up to a second more, until the new worker's next report.

Cause: the new worker's lists closed the open starts of the earlier one first, and only then were its runs given up and their starts assumed open.

Change: they are closed after the earlier worker is forgotten. The comments say why a worker that lists need not be waited for, and when an entry ends.

--- a/src/kernel/batch/open_starts.h
+++ b/src/kernel/batch/open_starts.h
@@ -18,7 +18,8 @@
 /**
  * Keeps the unanswered starts by worker id, apart from runs and workers, which may be removed
  * before: the next incarnation under the id may carry them out until it has confirmed its fence.
- * Each entry has an end that reports do not extend beyond the sending of its last call.
+ * An entry ends kLatestExecution after its last call was sent or, if that is not known, after the
+ * last lease under which it can have been sent.
  */
 class open_starts {
  public:
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -214,6 +214,7 @@
     journal_.OnWorkerReported(report.worker.self.id);
     lost_.OnWorkerReported(report.worker.self.id);
     Forget(lost_.ReplacedBy(*worker), "another worker has its address", now);
+    pool_.starts().OnListed(worker->profile);
   }
   if (worker != nullptr && !worker->recorded && !worker->recording) journal_.RequestWrite();
 }
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -86,8 +86,9 @@
   open_starts& starts() { return starts_; }
 
   /**
-   * Whether a worker that is not listing may still start a task of the unit. One that is listing
-   * has confirmed its fence and rejects such calls.
+   * Whether a worker that is not listing may still start a task of the unit. A listing worker
+   * rejects calls to its former incarnations by their fence, and calls to itself by their lease or
+   * by a stop.
    */
   bool MayStillStart(const unit_ref& unit, const batch_step& step, millis now) const;
 
--- a/tests/stories/unanswered_start_story.cc
+++ b/tests/stories/unanswered_start_story.cc
@@ -55,6 +55,17 @@
   }
 }
 
+TEST_CASE("a worker that another has replaced on its VM delays none of its units") {
+  batch_world world;
+  StartUnanswered(world, millis(9000));
+  world.SetVmList(false);
+  world.CrashWorker(kWorker, millis(300));
+  world.RunFor(millis(1000));
+  CHECK(world.check().starts() == kTasks);
+  world.RunFor(millis(60000));
+  RequireKept(world);
+}
+
 TEST_CASE("a start that was repeated and is done is not carried out by the next incarnation") {
   std::function<void(batch_world&)> part;
   SUBCASE("though its agent is cut off from the planner") {
