--- a/src/kernel/batch/worker_incarnations.cc
+++ b/src/kernel/batch/worker_incarnations.cc
@@ -100,8 +100,9 @@
       std::find_if(candidates_.begin(), candidates_.end(),
                    [&](const auto& candidate) { return candidate.self() == incarnation; });
   worker_controller& controller = *found;
-  if (controller.other_incarnation_answers())
+  if (controller.other_incarnation_answers()) {
     return DropCandidate(incarnation, "another answers", now);
+  }
   const bool latest = std::all_of(present_.begin(), present_.end(), [&](const auto& entry) {
     return !Conflict(incarnation, controller.address(), entry.second) ||
            controller.proof().IsAfter(entry.second.proof());
