Entries tell each other which starts may still be carried out

Cause: an agent tells all entries of a start without an answer. Change: an entry sends what it knows to each entry that connects and to each next planner. What it says has an upper bound, and a malformed entry of it is left out. Result: the new part of "a start that the next incarnation under the id carries out runs beside no other run" fails without the sending and passes with it; "an entry that knows of unanswered starts ..." is new.

--- a/src/kernel/batch/open_starts.h
+++ b/src/kernel/batch/open_starts.h
@@ -34,11 +34,17 @@
   void Report(std::string_view agent, const worker_profile& worker,
               std::span<const unanswered_start> starts, millis now);
 
+  /** Adds what another entry knows, which outlasts the agent's next statement. */
+  void Learn(const open_starts_notice& notice, millis now);
+
+  /** What another entry has to know. */
+  open_starts_notice Notice(millis now) const;
+
   /** Keeps what the agent has stated; a new process of it does not know its calls. */
   void OnAgentDisconnected(std::string_view agent);
 
   /** Adds a start that was ordered and of which the agent has stated nothing. */
-  void Assume(const worker_profile& worker, std::string_view task, millis until, millis now);
+  void Assume(const worker_profile& worker, const run_ref& run, millis until, millis now);
 
   /** A listing worker carries out no calls to other ids that lived on its VM or at its address. */
   void OnListed(const worker_profile& worker);
@@ -52,6 +58,7 @@
  private:
   struct open_start {
     task_ref task;
+    int64_t run = 0;
     millis until{0};
     bool stated = false;  // by the agent's present process
   };
@@ -63,7 +70,7 @@
     std::map<std::string, millis> since;  // by task
   };
 
-  worker_starts& Get(const worker_profile& worker);
+  worker_starts& Get(std::string_view id, std::string_view address, std::string_view vm);
 
   std::map<std::string, worker_starts, std::less<>> workers_;  // by id
 };
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -78,6 +78,7 @@
     entries_[event.peer.id] = event.peer.address;
     disconnected_entries_.erase(event.peer.id);
     term_.OnConnected(event.peer.id, now);
+    SendOpenStarts(event.peer.id, now);
   } else {
     agents_.insert(event.peer.id);
   }
@@ -109,17 +110,27 @@
     ApplyReport(event.peer, *report, now);
   } else if (const auto* notice = std::get_if<planner_notice>(&event.message)) {
     term_.OnNotice(event.peer, *notice, now);
-    ForwardNotice(*notice);
+    ForwardNotice(*notice, now);
   } else if (const auto* inquiry = std::get_if<job_inquiry>(&event.message)) {
     AnswerInquiry(event.peer, *inquiry, now);
   } else if (const auto* accepted_job = std::get_if<job_accepted>(&event.message)) {
     OnAccepted(*accepted_job, now);
+  } else if (const auto* known = std::get_if<open_starts_notice>(&event.message)) {
+    pool_.starts().Learn(*known, now);
   }
 }
 
+/** Tells another entry which starts may still be carried out, as far as this entry knows. */
+void planner_core::SendOpenStarts(const std::string& entry, millis now) {
+  open_starts_notice known = pool_.starts().Notice(now);
+  if (!known.workers.empty()) out_->emplace_back(send_to_peer{entry, std::move(known)});
+}
+
 /** Forwards another planner's notice to the connected agents, which may not know its address. */
-void planner_core::ForwardNotice(const planner_notice& notice) {
+void planner_core::ForwardNotice(const planner_notice& notice, millis now) {
   if (notice.term < received_notice_.term) return;
+  const bool next_planner = notice.term > received_notice_.term && !notice.planner.empty();
+  if (next_planner) SendOpenStarts(notice.planner, now);
   const bool same = notice.term == received_notice_.term &&
                     notice.planner == received_notice_.planner &&
                     notice.entries == received_notice_.entries;
--- a/src/kernel/batch/run_closer.cc
+++ b/src/kernel/batch/run_closer.cc
@@ -31,7 +31,7 @@
       .With("reason", reason);
   const run_record& record = worker.runs.at(run);
   if (!record.began && record.phase != run_phase::kHeld) {
-    pool_.starts().Assume(worker.profile, run.task, worker.lease_end + kLatestExecution, over);
+    pool_.starts().Assume(worker.profile, run, worker.lease_end + kLatestExecution, over);
   }
   ++given_up_;
   last_given_up_ = std::max(last_given_up_, over);
--- a/src/kernel/model/worker_messages.h
+++ b/src/kernel/model/worker_messages.h
@@ -110,6 +110,22 @@
   std::vector<unanswered_start> unanswered;  // to any incarnation under the worker's id
 };
 
+/** What an entry knows of the starts that may still be carried out under one worker's id. */
+struct worker_open_starts {
+  std::string worker;   // id
+  std::string address;  // empty: not known
+  std::string vm;       // on which it lived; empty: not known
+  std::vector<unanswered_start> starts;
+};
+
+/**
+ * Entry to entry, when they connect: an entry that has just started, or was out of reach, may plan
+ * next, and the agent that sent these calls may have ended.
+ */
+struct open_starts_notice {
+  std::vector<worker_open_starts> workers;
+};
+
 /** A run that the planner wants on the worker. */
 struct wanted_run {
   std::string task;
--- a/src/plugins/peer/cbor/cbor_codec.cc
+++ b/src/plugins/peer/cbor/cbor_codec.cc
@@ -82,6 +82,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_inquiry, id, question, job, queue)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_accepted, job, record, revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_reply, id, outcome, state, waiting)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_open_starts, worker, address, vm, starts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(open_starts_notice, workers)
 
 namespace {
 
--- a/tests/stories/open_starts_story.cc
+++ b/tests/stories/open_starts_story.cc
@@ -141,6 +141,53 @@
   }
 }
 
+TEST_CASE("an entry that knows of unanswered starts tells the entries that connect") {
+  const batch_job job = MakeBatchJob("a1", "usual", 2, millis(1000), 1);
+  const batch_step& step = job.steps[0];
+  const unit_ref unit{job.id, 0, 0, 0};
+  const std::string task = job.id + ".0.0.0";
+  worker_profile worker;
+  worker.self = {"w1", 100};
+  worker.address = "w1:80";
+  worker.vm = "vm-1";
+  open_starts known;
+  open_starts told;
+  CHECK(known.Notice(millis(10)).workers.empty());
+  known.Report("agent-w1", worker, std::vector<unanswered_start>{{task, 701, 9000}}, millis(10));
+  const open_starts_notice notice = known.Notice(millis(1010));
+  REQUIRE(notice.workers.size() == 1);
+  told.Learn(notice, millis(1010));
+
+  SUBCASE("which hold the task until the call cannot be carried out any more") {
+    CHECK(told.Of(unit, step, millis(9009)).size() == 1);
+    CHECK(told.Of(unit, step, millis(9010)).empty());
+  }
+  SUBCASE("which keep it though the agent's next process does not know the call") {
+    told.Report("agent-w1", worker, {}, millis(1020));
+    CHECK(told.Of(unit, step, millis(1030)).size() == 1);
+  }
+  SUBCASE("which drop it when another worker lists at that address") {
+    worker_profile other = worker;
+    other.self = {"w2", 200};
+    told.OnListed(other);
+    CHECK(told.Of(unit, step, millis(1030)).empty());
+  }
+  SUBCASE("once, however often they connect") {
+    told.Learn(known.Notice(millis(2010)), millis(2010));
+    CHECK(told.Of(unit, step, millis(2020)).size() == 1);
+    CHECK(told.Of(unit, step, millis(9010)).empty());
+  }
+  SUBCASE("not of what cannot be carried out any more") {
+    CHECK(known.Notice(millis(9010)).workers.empty());
+  }
+  SUBCASE("who take no statement that cannot be read or has no bound") {
+    open_starts odd;
+    odd.Learn({{{"w1", "", "", {{"not a task", 1, 9000}, {task, 701, INT64_MAX}}}}}, millis(10));
+    CHECK(odd.Of(unit, step, millis(20)).size() == 1);
+    CHECK(odd.Of(unit, step, kLatestExecution * 2 + millis(10)).empty());
+  }
+}
+
 TEST_CASE("a task that a worker may still start is started there and nowhere else") {
   tracked_workers workers;
   worker_report& report = workers.reports.at("w2");
--- a/tests/stories/unanswered_start_story.cc
+++ b/tests/stories/unanswered_start_story.cc
@@ -51,6 +51,20 @@
       world.RestartWorker(kWorker, millis(1000), millis(0));
     };
   }
+  SUBCASE("its agent has ended, and an entry that has started since then takes over") {
+    restart = [](batch_world& world) {
+      world.RunFor(millis(400));
+      world.KillAgent(kWorker, millis(14000));
+      const int planner = world.Planner();
+      const int next = (planner + 1) % world.entries();
+      world.KillEntry(next, millis(200));
+      world.RunFor(millis(1500));
+      for (int entry = 0; entry < world.entries(); ++entry) {
+        if (entry != next) world.KillEntry(entry, millis(16000));
+      }
+      world.RestartWorker(kWorker, millis(1000), millis(0));
+    };
+  }
   SUBCASE("its agent is cut off from the planner, which gives the run up") {
     restart = [](batch_world& world) {
       world.CutAgent(kWorker, true);
