Many entries change their planner once, and the strongest plans

What a planner had said of itself, that it had lost the store, or that its process had ended, was taken for any row that an entry then read, also for that of the next planner: after a silent store three entries took the term within 60 ms, each deposing the one before. 2. All entries claimed a free term together, and the first one planned, often one with 0.12 of a core, which planning for 160 workers fills. Change: such a sign counts for the term of which it was given only. The settings' share of a core is told at the handshake; the connected entries claim in turn, those with more processor first, 60 ms apart and 300 ms at most. A process that has not heard of any planner waits 300 ms for the others.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -165,6 +165,7 @@
   planning.node = place_.node;
   planning.nonce = RandomHex(kNonceBytes);
   planning.peer_address = hub.self.address;
+  planning.processor = place_.processor;
   planning.early = place_.bounds.early;
   planning.tracking.grant = std::min(kGrant, place_.bounds.longest_hold * kGrantPercent / kPercent);
   planner_ = std::make_unique<planner_core>(planning, *records_, *order_);
--- a/src/daemons/node/batch_peers.cc
+++ b/src/daemons/node/batch_peers.cc
@@ -21,6 +21,7 @@
   options.self.incarnation = time.WallNow().count();
   options.self.role = role;
   options.self.domain = place.domain;
+  options.self.processor = place.processor;
   options.shared_key = kPeerKey;
   if (role == peer_role::kEntry) {
     options.listen = PeerAddress(place.ip + ":0", place.first_port);
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -30,7 +30,7 @@
 planner_core::planner_core(planner_options options, const batch_record_codec& codec,
                            const unit_order& order)
     : options_(std::move(options)),
-      term_(options_.node, options_.nonce, codec),
+      term_({options_.node, options_.nonce, options_.processor}, codec),
       journal_(codec, term_),
       lost_(pool_, journal_),
       starts_(order) {
@@ -77,7 +77,7 @@
   if (event.peer.role == peer_role::kEntry) {
     entries_[event.peer.id] = event.peer.address;
     disconnected_entries_.erase(event.peer.id);
-    term_.OnConnected(event.peer.id, now);
+    term_.OnConnected(event.peer.id, event.peer.processor, now);
     SendOpenStarts(event.peer.id, now);
   } else {
     agents_.insert(event.peer.id);
--- a/src/kernel/batch/term_election.cc
+++ b/src/kernel/batch/term_election.cc
@@ -16,13 +16,25 @@
 /** A holder without a confirmed write for this long requests a takeover. */
 constexpr millis kStoreLost{2300};
 
+/** Wait of each place in the order of claims: a claim and its notice to the others, and a tick. */
+constexpr millis kClaimInterval{60};
+
+/** The last places in the order claim together. */
+constexpr int kClaimPlaces = 5;
+
+/** A process that has not heard of a planner claims nothing before it can have met the others. */
+constexpr millis kMeetingTime{300};
+
 /** An entry can reach the store if it had an answer within this time. */
 constexpr millis kStoreContactTimeout{3000};
 
 }  // namespace
 
-term_election::term_election(std::string node, std::string nonce, const batch_record_codec& codec)
-    : node_(std::move(node)), nonce_(std::move(nonce)), codec_(codec) {}
+term_election::term_election(term_candidate self, const batch_record_codec& codec)
+    : node_(std::move(self.node)),
+      nonce_(std::move(self.nonce)),
+      processor_(self.processor),
+      codec_(codec) {}
 
 row_key term_election::Row() const {
   return {std::string(kTermTable), "", std::string(kHolderKey)};
@@ -38,6 +50,15 @@
   return holder_notified_ && connected_.contains(holder_) && !holder_store_lost_;
 }
 
+/** How long this entry lets the connected entries claim first that precede it. */
+millis term_election::ClaimDelay() const {
+  const auto before = std::count_if(connected_.begin(), connected_.end(), [this](const auto& one) {
+    const auto& [id, processor] = one;
+    return id != holder_ && std::pair(-processor, id) < std::pair(-processor_, node_);
+  });
+  return kClaimInterval * std::min<int64_t>(before, kClaimPlaces);
+}
+
 bool term_election::TermValid(millis now) const {
   return holding_ && now - confirmed_ < kTermValidity;
 }
@@ -47,7 +68,10 @@
 }
 
 std::optional<store_request> term_election::Next(millis now) {
+  if (!started_) started_ = now;
+  if (fence_ == 0 && now < *started_ + kMeetingTime) return std::nullopt;
   if (holding_ || call_pending_ || now < next_) return std::nullopt;
+  if (step_ == step::kTaking && PlannerAlive()) step_ = step::kWatching;
   if (step_ == step::kWatching) {
     if (PlannerAlive()) return std::nullopt;
     const bool takeover_requested =
@@ -98,12 +122,14 @@
 
 void term_election::BeginTakeover(const term_record& record, std::string_view reason, millis now) {
   step_ = step::kTaking;
+  next_ = now + ClaimDelay();
   const auto written = record.sent_ms > 0 ? clock_.OwnAt(millis(record.sent_ms)) : std::nullopt;
   log_event("term-claimed")
       .With("holder", record.holder)
       .With("term", record.fence)
       .With("revision", revision_)
       .With("written_ago_ms", written ? (now - *written).count() : -1)
+      .With("delay_ms", ClaimDelay().count())
       .With("reason", reason);
 }
 
@@ -115,10 +141,12 @@
     const auto read = codec_.DecodeTerm(found->value);
     if (read) record = read.value();
   }
-  const bool ended = holder_ended_ && record.holder == holder_;
-  const bool abandoned =
-      record.holder.empty() || record.holder == node_ || holder_store_lost_ || ended;
-  if (abandoned) return BeginTakeover(record, "the holder ended or gave it up", now);
+  // What is known of a holder is about its term: a row of a later one is another planner's.
+  const bool same_term =
+      record.holder == holder_ && (record.fence == fence_ || revision_ == fence_);
+  const bool left = same_term && (holder_store_lost_ || holder_ended_);
+  if (record.holder.empty() || record.holder == node_ || left)
+    return BeginTakeover(record, "the holder ended or gave it up", now);
   if (observed_ && *observed_ == revision_ && now - observed_at_ >= kRewriteTimeout) {
     return BeginTakeover(record, "it was not rewritten", now);
   }
@@ -172,8 +200,8 @@
   log_event("term-taken").With("term", fence_).With("took_ms", (now - sent_).count());
 }
 
-void term_election::OnConnected(std::string_view entry, millis) {
-  connected_.insert(std::string(entry));
+void term_election::OnConnected(std::string_view entry, double processor, millis) {
+  connected_[std::string(entry)] = processor;
   if (entry == holder_) holder_ended_ = false;
 }
 
--- a/src/kernel/batch/term_election.h
+++ b/src/kernel/batch/term_election.h
@@ -3,8 +3,8 @@
  */
 #pragma once
 
+#include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 
@@ -28,22 +28,34 @@
 /** The outcome of a write under the term. */
 enum class term_write { kDone, kTryAgain, kLost };
 
+/** An entry that may plan. */
+struct term_candidate {
+  std::string node;
+  std::string nonce;     // different for each start of the process
+  double processor = 0;  // cores, or share of one; 0: not known
+};
+
 /**
  * Holds or follows the term, a row in the store whose holder is the planner. The revision of the
  * takeover is the fence of all orders. Every write of the holder also rewrites this row on
  * condition of its last revision. Therefore a holder that was suspended or partitioned cannot write
  * after a takeover, and a write whose answer was lost takes effect at most once however often it is
  * sent.
+ *
+ * The connected entries claim a free term in an order that each of them knows beforehand: those
+ * with more processor first, as planning takes more of it than all else, then by their ids. The
+ * others wait for a moment, in which the first one's notice reaches them.
  */
 class term_election {
  public:
-  term_election(std::string node, std::string nonce, const batch_record_codec& codec);
+  term_election(term_candidate self, const batch_record_codec& codec);
 
   /** The call that is due, if any: a read of the row or a takeover. */
   std::optional<store_request> Next(millis now);
   void On(const store_reply& reply, millis now);
 
-  void OnConnected(std::string_view entry, millis now);
+  /** Handles a connection to an entry with this much processor, see term_candidate. */
+  void OnConnected(std::string_view entry, double processor, millis now);
   void OnDisconnected(std::string_view entry, millis now);
 
   /** Handles the certain end of an entry's process. */
@@ -84,6 +96,7 @@
   enum class step { kWatching, kReading, kObserving, kTaking };
 
   bool PlannerAlive() const;
+  millis ClaimDelay() const;
   row_key Row() const;
   const row* FindRow(std::span<const row> rows) const;
   void OnRead(const rows_result& answer, millis now);
@@ -94,6 +107,7 @@
 
   const std::string node_;
   const std::string nonce_;
+  const double processor_;
   const batch_record_codec& codec_;
   step step_ = step::kWatching;
   bool call_pending_ = false;
@@ -104,8 +118,9 @@
   std::string holder_;
   bool holder_notified_ = false;  // a notice of the holder itself was received
   bool holder_store_lost_ = false;
-  bool holder_ended_ = false;  // its process has ended
-  std::set<std::string> connected_;
+  bool holder_ended_ = false;                // its process has ended
+  std::map<std::string, double> connected_;  // entries: processor by id
+  std::optional<millis> started_;
   millis no_planner_since_{0};  // no connected planner is known since then
   millis next_{0};
   std::optional<int64_t> observed_;  // revision of the previous read
--- a/src/kernel/io/deployment.h
+++ b/src/kernel/io/deployment.h
@@ -26,6 +26,7 @@
   std::string node;  // unique name of the VM
   std::string ip;
   std::string domain;           // failure domain
+  double processor = 0;         // cores, or share of one; 0: not known
   std::string front_address;    // entries: for callers
   std::string ready_address;    // entries: for the balancer
   std::string control_address;  // agents: for their workers
--- a/src/kernel/model/messages.h
+++ b/src/kernel/model/messages.h
@@ -33,8 +33,9 @@
   peer_role role = peer_role::kEntry;
   std::string address;  // where the peer accepts connections; IP:PORT
   std::string domain;
-  std::string nonce;  // fresh random text
-  std::string mac;    // HMAC-SHA256 over the other side's nonce and this message
+  std::string nonce;     // fresh random text
+  std::string mac;       // HMAC-SHA256 over the other side's nonce and this message
+  double processor = 0;  // cores, or share of one; 0: not known. A hint that `mac` does not cover
 };
 
 /** An agent's announcement of what it offers. Sent when it changes and to each new entry. */
--- a/src/plugins/peer/cbor/cbor_codec.cc
+++ b/src/plugins/peer/cbor/cbor_codec.cc
@@ -23,7 +23,7 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(header_field, name, value)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(hello, id, incarnation, role, address, domain,
-                                                nonce, mac)
+                                                nonce, mac, processor)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(announce, service, slots, rack, region, capacity,
                                                 leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(slot_demand, wanted)
--- a/tests/stories/lost_worker_detector_story.cc
+++ b/tests/stories/lost_worker_detector_story.cc
@@ -43,7 +43,7 @@
   run_tracker tracker_{{}, book_, pool_, speeds_};
   std::unique_ptr<batch_record_codec> codec_ =
       std::move(record_codec_registry::Instance().Create("json").value());
-  term_election term_{"entry-0", "nonce", *codec_};
+  term_election term_{{"entry-0", "nonce"}, *codec_};
   planner_journal journal_{*codec_, term_};
   lost_worker_detector lost_{pool_, journal_};
 };
--- a/tests/stories/takeover_story.cc
+++ b/tests/stories/takeover_story.cc
@@ -11,8 +11,8 @@
 
 TEST_CASE("an entry judges from the planner's row whether the planner is alive") {
   const auto codec = std::move(record_codec_registry::Instance().Create("json").value());
-  term_election keeper("b", "nonce-b", *codec);
-  keeper.OnConnected("a", millis(0));
+  term_election keeper({"b", "nonce-b"}, *codec);
+  keeper.OnConnected("a", 0, millis(0));
   planner_notice notice;
   notice.term = 5;
   notice.planner = "a";
@@ -58,6 +58,108 @@
   }
 }
 
+TEST_CASE("a planner says that it has lost the store") {
+  const auto codec = std::move(record_codec_registry::Instance().Create("json").value());
+  term_election keeper({"b", "nonce-b"}, *codec);
+  keeper.OnConnected("a", 0, millis(0));
+  planner_notice notice;
+  notice.term = 5;
+  notice.planner = "a";
+  notice.store_lost = true;
+  keeper.OnNotice("a", notice, millis(0));
+  keeper.OnStoreContact(millis(900));
+  REQUIRE(keeper.Next(millis(1000)).has_value());
+  const auto answer = [&](const term_record& record, int64_t revision) {
+    rows_result rows;
+    rows.outcome = row_outcome::kDone;
+    rows.store_now = millis(51000);
+    rows.rows.push_back({{std::string(kTermTable), "", std::string(kHolderKey)},
+                         codec->Encode(record),
+                         revision,
+                         false});
+    keeper.On({0, rows}, millis(1010));
+  };
+  const auto takes_over = [&] {
+    const auto call = keeper.Next(millis(1010));
+    return call && std::holds_alternative<row_transaction>(call->call);
+  };
+  SUBCASE("and the row is of its term: the entry takes over at once") {
+    answer({"a", "nonce-a", 5, 9, 50900}, 70);
+    CHECK(takes_over());
+  }
+  SUBCASE("and it has written nothing since it took over: the entry takes over at once") {
+    answer({"a", "nonce-a", 0, 0, 0}, 5);
+    CHECK(takes_over());
+  }
+  SUBCASE("but another entry has taken over since: that one is left to plan") {
+    answer({"c", "nonce-c", 0, 0, 0}, 71);
+    CHECK_FALSE(takes_over());
+  }
+  SUBCASE("but has taken over itself since: it is left to plan") {
+    answer({"a", "nonce-a", 0, 0, 0}, 71);
+    CHECK_FALSE(takes_over());
+  }
+}
+
+/** Counts the takeovers while the time passes, by the row that each of them writes. */
+int CountTakeovers(batch_world& world, millis time) {
+  const auto revision = [&world] {
+    const auto read =
+        world.rows().Read(row_range{std::string(kTermTable), "", std::string(kEpochKey)});
+    return read.rows.empty() ? int64_t{0} : read.rows.front().revision;
+  };
+  int takeovers = 0;
+  int64_t last = revision();
+  for (const millis end = world.now() + time; world.now() < end;) {
+    world.RunFor(millis(1));
+    if (revision() != last) ++takeovers;
+    last = revision();
+  }
+  return takeovers;
+}
+
+TEST_CASE("many entries lose their planner once, and it changes once") {
+  constexpr int kEntries = 35;
+  constexpr int kStrong = 7;  // of them, the last ones, have more processor than the others
+  batch_world_options options;
+  options.entries = kEntries;
+  for (int i = 0; i < kEntries; ++i) options.processor[i] = i < kEntries - kStrong ? 0.12 : 0.5;
+  const auto is_strong = [](int entry) { return entry >= kEntries - kStrong; };
+  batch_world world(options);
+  CHECK(CountTakeovers(world, millis(5000)) == 1);
+  CHECK(is_strong(world.Planner()));
+  const batch_job job = MakeBatchJob("c5", "usual", 20, millis(9000), 1);
+  world.Submit(job);
+  world.Watch(job.id);
+  world.RunFor(millis(500));
+
+  SUBCASE("when the store has been silent") {
+    world.SetStore(store_fault::kSilent);
+    world.RunFor(millis(5700));
+    world.SetStore(store_fault::kNone);
+    CHECK(CountTakeovers(world, millis(4000)) == 1);
+  }
+  SUBCASE("when the planner ends") {
+    world.KillEntry(world.Planner(), millis(3000));
+    CHECK(CountTakeovers(world, millis(4000)) == 1);
+  }
+  SUBCASE("when the planner is cut off") {
+    const int planner = world.Planner();
+    world.CutEntry(planner, true);
+    CHECK(CountTakeovers(world, millis(4000)) == 1);
+    world.CutEntry(planner, false);
+  }
+  SUBCASE("when the store turns the planner away") {
+    const int planner = world.Planner();
+    world.SetStoreFor(planner, store_fault::kSilent);
+    CHECK(CountTakeovers(world, millis(5000)) == 1);
+    world.SetStoreFor(planner, store_fault::kNone);
+  }
+  CHECK(is_strong(world.Planner()));
+  world.RunFor(millis(30000));
+  RequireKept(world);
+}
+
 TEST_CASE("a planner takes over while a worker is out of reach") {
   batch_world world;
   world.RunFor(millis(5000));
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -30,6 +30,7 @@
 struct batch_world_options {
   int entries = 3;
   int workers = 6;
+  std::map<int, double> processor;  // of single entries; 0 at the others
   runner_options worker;
   std::map<int, int> time_percent;  // of work at single workers; 100 at the others
   std::string order = "deadline";
--- a/tests/world/world_process.h
+++ b/tests/world/world_process.h
@@ -17,6 +17,7 @@
   std::string id;
   int index = 0;
   peer_role role = peer_role::kEntry;
+  double processor = 0;  // entries: see term_candidate
   bool alive = false;
   millis frozen_until{0};
   int64_t life = 0;  // counts starts; what was meant for an earlier one is dropped
