An agent stays connected to the planner and four other entries

Cause: each agent kept a connection to every entry, and got each planner's notice from all of them: its bytes, wake-ups and connections grew with the fleet (28, 39, 69 connections at 30, 100 and 300 machines), and an entry's with the number of agents. Change: entry_selection ranks the entries in an order of the agent's own, dials the first ones until four besides the planner are connected, reaches further while some are missing, and gives up the rest. With no connection left it dials its seeds again. Unanswered starts reach every planner through those entries, which pass them on.

--- a/src/daemons/node/batch_agent.cc
+++ b/src/daemons/node/batch_agent.cc
@@ -37,7 +37,7 @@
   scraper.listen = MetricsAddress(place_);
   metrics_server_ = BOOST_OUTCOME_TRYX(front_registry::Instance().Create("restinio", scraper));
   metrics_page_ = std::make_unique<status_page>(*metrics_server_, counters_);
-  core_ = std::make_unique<agent_core>(SeedAddresses(place_));
+  core_ = std::make_unique<agent_core>(place_.node, SeedAddresses(place_));
   duty_ = std::make_unique<duty<agent_event>>(duty_options{"agent", kRingCapacity, 64, kTick},
                                               clock_, *this);
   links_ = std::make_unique<agent_links<agent_event>>(*duty_);
@@ -70,6 +70,8 @@
     hub_->Send(send->peer, send->message);
   } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
     hub_->Dial(dial->address);
+  } else if (const auto* undial = std::get_if<undial_peer>(&action)) {
+    hub_->Undial(undial->address);
   } else if (const auto* hold = std::get_if<hold_call>(&action)) {
     counters_.Count("worker_calls_total{call=\"hold\"}");
     control_->Hold(*hold, hold->wait + kHoldSlack, deliver);
--- a/src/kernel/batch/agent_core.cc
+++ b/src/kernel/batch/agent_core.cc
@@ -10,12 +10,12 @@
 
 }  // namespace
 
-agent_core::agent_core(std::vector<std::string> entries) : initial_entries_(std::move(entries)) {}
+agent_core::agent_core(std::string node, std::vector<std::string> entries)
+    : entries_(std::move(node), std::move(entries)) {}
 
 void agent_core::Decide(std::span<agent_event> events, millis now,
                         std::vector<agent_action>& actions) {
   out_ = &actions;
-  if (dialled_.empty()) Dial(initial_entries_);
   for (const auto& event : events) {
     std::visit([&](const auto& e) { On(e, now); }, event);
   }
@@ -25,6 +25,7 @@
     if (const auto* start = std::get_if<start_call>(&call)) sent_starts_.OnSent(*start, now);
     std::visit([&](auto& c) { out_->emplace_back(std::move(c)); }, call);
   }
+  AdjustLinks(now);
   ReportEndedWorkers(now);
   SendReports(now);
   out_ = nullptr;
@@ -64,12 +65,12 @@
   }
   if (answer.outcome != call_outcome::kNoAnswer) return;
   next_report_ = now;
-  for (const auto& entry : connected_) SendUnanswered(entry, answer.worker.id, now);
+  for (const auto& entry : entries_.connected()) SendUnanswered(entry.first, answer.worker.id, now);
 }
 
 /**
  * Any entry may plan next, when this agent may have ended. An entry that does not plan takes only
- * the unanswered starts from a report.
+ * the unanswered starts from a report, and passes them on to the next planner.
  */
 void agent_core::SendUnanswered(std::string_view entry, std::string_view worker, millis now) {
   const worker_controller* controller = incarnations_.Find(worker);
@@ -93,14 +94,14 @@
 
 void agent_core::On(const peer_up& event, millis now) {
   if (event.peer.id == planner_) next_report_ = millis(0);
-  connected_.insert(event.peer.id);
+  entries_.OnConnected(event.peer.id, event.peer.address);
   for (const auto& [id, controller] : incarnations_.present()) {
     SendUnanswered(event.peer.id, id, now);
   }
 }
 
 void agent_core::On(const peer_down& event, millis) {
-  connected_.erase(event.peer);
+  entries_.OnDisconnected(event.peer);
   if (event.peer == planner_) log_event("planner-unreachable").With("planner", planner_);
 }
 
@@ -117,7 +118,7 @@
 }
 
 void agent_core::OnNotice(std::string_view peer, const planner_notice& notice, millis now) {
-  Dial(notice.entries);
+  entries_.OnNotice(notice);
   if (notice.term < term_ || notice.planner != peer) return;
   SetTerm(notice.term, notice.planner, now);
 }
@@ -143,10 +144,10 @@
   if (due) next_report_ = now + kReportInterval;
 }
 
-void agent_core::Dial(std::span<const std::string> addresses) {
-  for (const auto& address : addresses) {
-    if (dialled_.insert(address).second) out_->emplace_back(dial_peer{address});
-  }
+void agent_core::AdjustLinks(millis now) {
+  link_changes changes = entries_.Next(now);
+  for (auto& address : changes.dial) out_->emplace_back(dial_peer{std::move(address)});
+  for (auto& address : changes.undial) out_->emplace_back(undial_peer{std::move(address)});
 }
 
 }  // namespace eelgrass
--- a/src/kernel/batch/agent_core.h
+++ b/src/kernel/batch/agent_core.h
@@ -3,12 +3,12 @@
  */
 #pragma once
 
-#include <set>
 #include <span>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "kernel/batch/entry_selection.h"
 #include "kernel/batch/sent_starts.h"
 #include "kernel/batch/worker_incarnations.h"
 #include "kernel/model/link_events.h"
@@ -18,16 +18,16 @@
 using agent_event = std::variant<worker_heartbeat, worker_departure, hold_answer, start_answer,
                                  stop_answer, pace_answer, peer_up, peer_down, peer_said>;
 using agent_action =
-    std::variant<hold_call, start_call, stop_call, pace_call, send_to_peer, dial_peer>;
+    std::variant<hold_call, start_call, stop_call, pace_call, send_to_peer, dial_peer, undial_peer>;
 
 /**
  * Reports the workers on this VM to the planner with the highest term, passes its orders on to them
- * and keeps connections to all entries.
+ * and keeps connections to some entries.
  */
 class agent_core {
  public:
-  /** `entries`: addresses of the entries to connect to first. */
-  explicit agent_core(std::vector<std::string> entries);
+  /** `node`: id of this agent; `entries`: addresses of the entries to connect to first. */
+  agent_core(std::string node, std::vector<std::string> entries);
 
   void Decide(std::span<agent_event> events, millis now, std::vector<agent_action>& actions);
 
@@ -46,17 +46,15 @@
   void ReportEndedWorker(const worker_identity& worker, millis now);
   void SendReports(millis now);
   void SendUnanswered(std::string_view entry, std::string_view worker, millis now);
-  void Dial(std::span<const std::string> addresses);
+  void AdjustLinks(millis now);
   void ReportEndedWorkers(millis now);
 
   worker_incarnations incarnations_;
   sent_starts sent_starts_;
-  std::set<std::string> dialled_;
-  std::vector<std::string> initial_entries_;
+  entry_selection entries_;
   std::vector<agent_action>* out_ = nullptr;
   int64_t term_ = 0;
-  std::string planner_;              // id of the planner's entry; empty: none known
-  std::set<std::string> connected_;  // ids of entries
+  std::string planner_;  // id of the planner's entry; empty: none known
   int64_t report_sequence_ = 0;
   millis next_report_{0};
 };
--- /dev/null
+++ b/tests/stories/entry_selection_story.cc
@@ -0,0 +1,155 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "kernel/batch/entry_selection.h"
+#include "tests/world/batch_world.h"
+#include "tests/world/require_kept.h"
+
+namespace eelgrass {
+namespace {
+
+std::string Address(int entry) { return "10.0.0." + std::to_string(entry) + ":7000"; }
+
+/** An agent's links to entries that can all be reached, unless they have failed. */
+struct linked_agent {
+  explicit linked_agent(int entries, std::string id = "agent-1")
+      : links(std::move(id), {Address(0)}) {
+    notice.term = 5;
+    notice.planner = "e1";
+    notice.entries.push_back(Address(1));
+    for (int i = 2; i <= entries; ++i) notice.entries.push_back(Address(i));
+  }
+
+  void PassTime(millis time) {
+    for (const millis end = now + time; now < end; now += millis(50)) {
+      const link_changes changes = links.Next(now);
+      for (const auto& address : changes.dial) dialled.insert(address);
+      for (const auto& address : changes.undial) {
+        dialled.erase(address);
+        links.OnDisconnected(Id(address));
+      }
+      for (const auto& address : dialled) {
+        if (!failed.contains(address)) links.OnConnected(Id(address), address);
+      }
+    }
+  }
+  void Fail(const std::string& address) {
+    failed.insert(address);
+    links.OnDisconnected(Id(address));
+  }
+  static std::string Id(const std::string& address) {
+    return "e" + address.substr(7, address.find(':') - 7);
+  }
+  bool Connected(int entry) const {
+    return links.connected().contains("e" + std::to_string(entry));
+  }
+
+  entry_selection links;
+  planner_notice notice;
+  std::set<std::string> dialled;
+  std::set<std::string> failed;
+  millis now{0};
+};
+
+TEST_CASE("an agent stays connected to the planner and a few other entries") {
+  linked_agent agent(35);
+  agent.PassTime(millis(1000));
+  CHECK(agent.dialled == std::set<std::string>{Address(0)});
+  agent.links.OnNotice(agent.notice);
+  agent.PassTime(millis(2000));
+
+  SUBCASE("however many there are") {
+    CHECK(agent.Connected(1));
+    CHECK(agent.dialled.size() == 5);
+    CHECK(agent.links.connected().size() == 5);
+  }
+  SUBCASE("to all if there are no more") {
+    linked_agent small(3);
+    small.links.OnNotice(small.notice);
+    small.PassTime(millis(2000));
+    CHECK(small.Connected(1));
+    CHECK(small.Connected(2));
+    CHECK(small.Connected(3));
+  }
+  SUBCASE("to others than another agent") {
+    linked_agent other(35, "agent-2");
+    other.links.OnNotice(other.notice);
+    other.PassTime(millis(2000));
+    CHECK(other.dialled != agent.dialled);
+  }
+  SUBCASE("and replaces those that fail") {
+    const std::set<std::string> before = agent.dialled;
+    for (const auto& address : before) {
+      if (address != Address(1)) agent.Fail(address);
+    }
+    agent.PassTime(millis(2000));
+    CHECK(agent.links.connected().size() == 5);
+    SUBCASE("until they are back") {
+      agent.failed.clear();
+      agent.PassTime(millis(2000));
+      CHECK(agent.dialled == before);
+    }
+  }
+  SUBCASE("and finds the few that are left") {
+    for (int entry = 0; entry <= 35; ++entry) {
+      if (entry != 20) agent.Fail(Address(entry));
+    }
+    agent.PassTime(millis(5000));
+    CHECK(agent.Connected(20));
+  }
+  SUBCASE("and dials the first ones again if none is left of those it knows") {
+    for (int entry = 1; entry <= 35; ++entry) agent.Fail(Address(entry));
+    agent.PassTime(millis(200));
+    CHECK(agent.Connected(0));
+  }
+  SUBCASE("and the next planner at once") {
+    int next = 2;
+    while (agent.Connected(next)) ++next;
+    planner_notice notice = agent.notice;
+    notice.term = 6;
+    notice.planner = "e" + std::to_string(next);
+    std::swap(notice.entries[0], notice.entries[static_cast<size_t>(next - 1)]);
+    agent.links.OnNotice(notice);
+    agent.PassTime(millis(50));
+    CHECK(agent.Connected(next));
+    SUBCASE("whatever a notice of an earlier term says that comes late") {
+      agent.links.OnNotice(agent.notice);
+      agent.PassTime(millis(2000));
+      CHECK(agent.Connected(next));
+    }
+  }
+}
+
+TEST_CASE("agents that know a few of many entries find each next planner") {
+  batch_world_options options;
+  options.entries = 20;
+  options.workers = 8;
+  batch_world world(options);
+  world.RunFor(millis(5000));
+  for (int change = 0; change < 4; ++change) {
+    CAPTURE(change);
+    REQUIRE(world.Planner() >= 0);
+    const batch_job before =
+        MakeBatchJob("c" + std::to_string(change), "usual", 40, millis(2500), 1);
+    world.Submit(before);
+    world.Watch(before.id);
+    world.RunFor(millis(500));
+    world.KillEntry(world.Planner(), millis(30000));
+    world.RunFor(millis(1500));
+    const batch_job job = MakeBatchJob("d" + std::to_string(change), "urgent", 2, millis(500), 1);
+    const millis handed_in = world.now();
+    world.Submit(job);
+    world.Watch(job.id);
+    world.RunFor(millis(3000));
+    const auto began = world.check().began(job.id + ".0.0.0");
+    REQUIRE(began.has_value());
+    CHECK(*began - handed_in < millis(500));
+  }
+  CHECK(world.check().ends(run_end::kLapsed) == 0);
+  world.RunFor(millis(30000));
+  RequireKept(world);
+}
+
+}  // namespace
+}  // namespace eelgrass
--- a/tests/stories/worker_incarnations_story.cc
+++ b/tests/stories/worker_incarnations_story.cc
@@ -93,7 +93,7 @@
     }
   }
 
-  agent_core core_{{"entry-0:7000"}};
+  agent_core core_{"agent-0", {"entry-0:7000"}};
 };
 
 TEST_CASE("which life of a worker lives is judged by its own answers alone") {
--- a/tests/world/batch_links.cc
+++ b/tests/world/batch_links.cc
@@ -83,6 +83,16 @@
   Link(from.id, address.substr(0, address.find(':')));
 }
 
+void batch_links::Undial(world_process& from, std::string_view address) {
+  from.dialled.erase(std::string(address));
+  const std::string_view to = address.substr(0, address.find(':'));
+  Drop(
+      [&](const world_process& a, const world_process& b) {
+        return (a.id == from.id && b.id == to) || (a.id == to && b.id == from.id);
+      },
+      kNetwork);
+}
+
 void batch_links::Link(std::string_view from, std::string_view to) {
   world_process* a = Find(from);
   world_process* b = Find(to);
@@ -98,6 +108,7 @@
     greeting.incarnation = who.life;
     greeting.address = PeerAddress(who.id);
     greeting.role = who.role;
+    greeting.processor = who.processor;
     return peer_up{greeting};
   };
   Deliver(a->id, greet(*b));
--- a/tests/world/batch_links.h
+++ b/tests/world/batch_links.h
@@ -47,6 +47,7 @@
   void CutDomain(int domain, bool cut);
 
   void Dial(world_process& from, std::string_view address);
+  void Undial(world_process& from, std::string_view address);
   void Send(const std::string& from, const send_to_peer& message);
 
   /** The process has ended: its connections break. */
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -92,6 +92,9 @@
     auto entry = std::make_unique<entry_process>();
     entry->id = EntryId(i);
     entry->index = i;
+    if (const auto own = options_.processor.find(i); own != options_.processor.end()) {
+      entry->processor = own->second;
+    }
     links_.Add(*entry);
     entries_.push_back(std::move(entry));
   }
@@ -168,6 +171,7 @@
   planner.node = entry.id;
   planner.nonce = entry.id + "-" + std::to_string(entry.life);
   planner.peer_address = PeerAddress(entry.id);
+  planner.processor = entry.processor;
   planner.tracking.grant = millis(4000);
   entry.planner = std::make_unique<planner_core>(planner, *codec_, *order_);
   for (const auto& other : entries_) {
@@ -179,7 +183,7 @@
 void batch_world::StartAgent(machine& vm) {
   vm.alive = true;
   vm.life = ++last_life_;
-  vm.agent = std::make_unique<agent_core>(std::vector<std::string>{PeerAddress(EntryId(0))});
+  vm.agent = std::make_unique<agent_core>(vm.id, std::vector<std::string>{PeerAddress(EntryId(0))});
   Tick(vm.id, vm.life);
 }
 
@@ -344,6 +348,8 @@
       links_.Send(vm.id, *send);
     } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
       links_.Dial(vm, dial->address);
+    } else if (const auto* undial = std::get_if<undial_peer>(&action)) {
+      links_.Undial(vm, undial->address);
     } else if (const auto* hold = std::get_if<hold_call>(&action)) {
       vm.worker->Call(*hold);
     } else if (const auto* start = std::get_if<start_call>(&action)) {
