Waits, resources and times that messages state have bounds

Amounts of 2^53 passed, whose sum over the tasks of a job overflows, and heartbeats could state such capacities and times; undefined behaviour while the planner ranks jobs.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -14,6 +14,9 @@
 /** Wait of a caller that states none: the deadline that the deployments' callers use. */
 constexpr millis kDefaultWait{3000};
 
+/** Limit of the wait that a caller states: its call is kept until then. */
+constexpr millis kLongestWait{60000};
+
 /** Subtracted from a caller's wait for network latency and queueing, so the answer is in time. */
 constexpr millis kAnswerMargin{200};
 
@@ -73,7 +76,7 @@
 
 void gateway_core::On(caller_call& call, millis now) {
   open_call open;
-  const millis wait = call.wait > millis(0) ? call.wait : kDefaultWait;
+  const millis wait = call.wait > millis(0) ? std::min(call.wait, kLongestWait) : kDefaultWait;
   open.arrived = now;
   open.deadline = now + std::max(wait - kAnswerMargin, wait / 2);
   open.call = std::move(call);
--- a/src/kernel/batch/preemption_planner.cc
+++ b/src/kernel/batch/preemption_planner.cc
@@ -98,7 +98,8 @@
 
 /** The total work of a unit, in thousandths of a core times milliseconds. */
 double preemption_planner::WorkOf(const batch_step& step) {
-  return static_cast<double>(Weight(step.each) * UnitSize(step) * step.estimate.count());
+  return static_cast<double>(Weight(step.each)) * UnitSize(step) *
+         static_cast<double>(step.estimate.count());
 }
 
 /**
--- a/tests/stories/late_call_story.cc
+++ b/tests/stories/late_call_story.cc
@@ -167,6 +167,24 @@
   }
 }
 
+TEST_CASE("a caller states a wait that is longer than any call is kept") {
+  lone_entry entry;
+  SUBCASE("as long as a number can say: the job is accepted like any other") {
+    entry.HandIn(millis(100), millis(INT64_MAX));
+    REQUIRE(entry.insertions() == 1);
+    entry.StoreAnswers(row_outcome::kDone, millis(115));
+    CHECK(entry.answer() == call_answer::kAccepted);
+  }
+  SUBCASE("a day, while the store answers nothing: the caller hears within a minute") {
+    entry.HandIn(millis(100), millis(24 * 3600 * 1000));
+    for (millis now(200); now < millis(60200); now += millis(200)) {
+      entry.StoreAnswers(row_outcome::kUnknown, now);
+    }
+    CHECK(entry.answer() == call_answer::kOutcomeUnknown);
+    CHECK(entry.answers() == 1);
+  }
+}
+
 TEST_CASE("the store turns a job away while the caller's time runs out") {
   lone_entry entry;
   entry.HandIn(millis(100), millis(600));  // to be answered by 500
--- a/tests/stories/platform_story.cc
+++ b/tests/stories/platform_story.cc
@@ -32,7 +32,8 @@
   }
   SUBCASE("a body that cannot be read comes with the reason") {
     for (const auto* body : {"", "[]", "{", R"({"Steps":[]})", R"({"Steps":[{"Count":"2"}]})",
-                             R"({"Steps":[{"Count":1,"After":[3]}]})"}) {
+                             R"({"Steps":[{"Count":1,"After":[3]}]})",
+                             R"({"Steps":[{"Count":99999,"Gpu":9007199254740991}]})"}) {
       server.Ask("POST", "/q/5c0e7a21d94b36f8", body);
       CHECK_FALSE(callers.calls.back().job.has_value());
       CHECK_FALSE(callers.calls.back().problem.empty());
@@ -143,8 +144,12 @@
   SUBCASE("one that cannot be read names no worker, and the others hold") {
     std::string odd = good;
     odd.replace(odd.find("ready"), 5, "dozing");
-    for (const std::string& body :
-         {std::string("\xff\xfe"), std::string("{}"), odd, std::string(R"({"Seq":"four"})")}) {
+    std::string huge = good;
+    huge.replace(huge.find("16000"), 5, "9007199254740991");
+    std::string late = good;
+    late.replace(late.find("482113"), 6, "9007199254740991");
+    for (const std::string& body : {std::string("\xff\xfe"), std::string("{}"), odd, huge, late,
+                                    std::string(R"({"Seq":"four"})")}) {
       server.Ask("PUT", "/instances/i-2", body);
       CHECK(server.answers.back().status == 400);
     }
@@ -248,8 +253,14 @@
   };
   const auto place = load(R"({"Node":"n1","Ip":"10.1.0.1","Zone":"z","PortRange":[7000,7015],
     "Listen":{"Front":"10.1.0.1:80"},"Seeds":["10.1.0.2:81"],"platform":{"Addr":"10.9.0.1:1"},
-    "Bounds":{"HoldMaxMs":10000,"GraceS":6,"RevokeMs":4000},"New":{}})");
+    "Bounds":{"HoldMaxMs":10000,"GraceS":6,"RevokeMs":4000},"New":{},
+    "Limits":{"CpuShare":0.25,"Cores":2}})");
   REQUIRE(place);
+  CHECK(place.value().processor == 0.5);
+  const auto odd = load(R"({"Node":"n1","Ip":"10.1.0.1","Zone":"z","PortRange":[7000,7015],
+    "Limits":{"CpuShare":"much"}})");
+  REQUIRE(odd);
+  CHECK(odd.value().processor == 0);
   CHECK(place.value().bounds.longest_hold == millis(10000));
   CHECK(place.value().bounds.grace == millis(6000));
   CHECK(place.value().bounds.revocation == millis(4000));
