An agent without its planner for long looks for entries that know the next one

Cause: an agent whose four entries were all cut off from the next planner, but not from it, would have stayed without a planner, as it had its four connections. Found by reading. Change: after 1.5 s without the planner it reaches further in its order, and back when the planner is there. Besides, the handling of another planner's notice has a name that says all of it, and a condition and a comment read more easily.

--- a/src/kernel/batch/entry_selection.cc
+++ b/src/kernel/batch/entry_selection.cc
@@ -7,9 +7,15 @@
 namespace eelgrass {
 namespace {
 
-/** Entries besides the planner: of more than this many, not all are lost with one domain. */
+/** Entries besides the planner: chosen from several domains, not all are lost with one of them. */
 constexpr size_t kStandbyEntries = 4;
 
+/**
+ * Without a connection to the planner for this long, the connected entries may not know the next
+ * one. A change of the planner takes less.
+ */
+constexpr millis kPlannerTimeout{1500};
+
 /** A new connection takes a few round trips, so that a missing one is replaced after this. */
 constexpr millis kReviewInterval{500};
 
@@ -51,9 +57,11 @@
   }));
 }
 
-/** Reaches further while entries are missing, and back when earlier ones have returned. */
-void entry_selection::AdjustReach() {
-  const size_t live = LiveStandbys(reach_);
+/** Reaches further while entries or the planner are missing, and back when they have returned. */
+void entry_selection::AdjustReach(millis now) {
+  if (IsConnected(planner_)) planner_seen_ = now;
+  const bool planner_missing = now - planner_seen_ > kPlannerTimeout;
+  const size_t live = planner_missing ? 0 : LiveStandbys(reach_);
   if (live < kStandbyEntries) {
     reach_ = std::min(ranked_.size(), reach_ + kStandbyEntries - live);
     return;
@@ -88,7 +96,7 @@
   link_changes changes;
   if (now >= next_) {
     next_ = now + kReviewInterval;
-    AdjustReach();
+    AdjustReach(now);
     UndialSurplus(changes);
   }
   DialMissing(changes);
--- a/src/kernel/batch/entry_selection.h
+++ b/src/kernel/batch/entry_selection.h
@@ -48,7 +48,7 @@
  private:
   bool IsConnected(std::string_view address) const;
   size_t LiveStandbys(size_t reach) const;
-  void AdjustReach();
+  void AdjustReach(millis now);
   void DialMissing(link_changes& changes);
   void UndialSurplus(link_changes& changes);
 
@@ -57,7 +57,8 @@
   std::map<std::string, std::string, std::less<>> connected_;
   std::vector<std::pair<uint64_t, std::string>> ranked_;  // addresses that the last notice names
   std::set<std::string> dialled_;
-  std::string planner_;  // its address; empty: none known
+  std::string planner_;     // its address; empty: none known
+  millis planner_seen_{0};  // when it was last known to be connected
   int64_t term_ = 0;
   size_t reach_ = 0;  // this many ranked addresses are dialled
   millis next_{0};
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -110,7 +110,7 @@
     ApplyReport(event.peer, *report, now);
   } else if (const auto* notice = std::get_if<planner_notice>(&event.message)) {
     term_.OnNotice(event.peer, *notice, now);
-    ForwardNotice(*notice, now);
+    OnPlannerNotice(*notice, now);
   } else if (const auto* inquiry = std::get_if<job_inquiry>(&event.message)) {
     AnswerInquiry(event.peer, *inquiry, now);
   } else if (const auto* accepted_job = std::get_if<job_accepted>(&event.message)) {
@@ -126,8 +126,11 @@
   if (!known.workers.empty()) out_->emplace_back(send_to_peer{entry, std::move(known)});
 }
 
-/** Forwards another planner's notice to the connected agents, which may not know its address. */
-void planner_core::ForwardNotice(const planner_notice& notice, millis now) {
+/**
+ * Tells the next planner what this entry knows, and forwards another planner's notice to the
+ * connected agents, which may not know its address.
+ */
+void planner_core::OnPlannerNotice(const planner_notice& notice, millis now) {
   if (notice.term < received_notice_.term) return;
   const bool next_planner = notice.term > received_notice_.term && !notice.planner.empty();
   if (next_planner) SendOpenStarts(notice.planner, now);
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -117,7 +117,7 @@
   void Plan(millis now, millis wall_now);
   void Notify(millis now);
   void RepeatNotice(const planner_notice& notice, millis now);
-  void ForwardNotice(const planner_notice& notice, millis now);
+  void OnPlannerNotice(const planner_notice& notice, millis now);
   void SendOpenStarts(const std::string& entry, millis now);
   planner_notice Notice(millis now) const;
   int64_t CountWaiting(std::string_view queue) const;
--- a/src/kernel/batch/term_election.cc
+++ b/src/kernel/batch/term_election.cc
@@ -145,8 +145,8 @@
   const bool same_term =
       record.holder == holder_ && (record.fence == fence_ || revision_ == fence_);
   const bool left = same_term && (holder_store_lost_ || holder_ended_);
-  if (record.holder.empty() || record.holder == node_ || left)
-    return BeginTakeover(record, "the holder ended or gave it up", now);
+  const bool abandoned = record.holder.empty() || record.holder == node_ || left;
+  if (abandoned) return BeginTakeover(record, "the holder ended or gave it up", now);
   if (observed_ && *observed_ == revision_ && now - observed_at_ >= kRewriteTimeout) {
     return BeginTakeover(record, "it was not rewritten", now);
   }
--- a/tests/stories/entry_selection_story.cc
+++ b/tests/stories/entry_selection_story.cc
@@ -103,6 +103,21 @@
     agent.PassTime(millis(200));
     CHECK(agent.Connected(0));
   }
+  SUBCASE("and looks for others that may know the next planner when it is gone for long") {
+    const std::set<std::string> before = agent.dialled;
+    agent.Fail(Address(1));
+    agent.PassTime(millis(1000));
+    CHECK(agent.dialled == before);
+    agent.PassTime(millis(1000));
+    CHECK(agent.dialled.size() == 9);
+    agent.PassTime(millis(10000));
+    CHECK(agent.dialled.size() >= 35);
+    SUBCASE("until it is back") {
+      agent.failed.clear();
+      agent.PassTime(millis(1000));
+      CHECK(agent.dialled == before);
+    }
+  }
   SUBCASE("and the next planner at once") {
     int next = 2;
     while (agent.Connected(next)) ++next;
