An agent's new process unsays no start that the former one has stated

Cause: found by reading. An entry keeps what an agent has stated when the connection ends; when the agent's next process connected first, its first report, which knows of no call, erased it. Change: a new connection ends the former statement, too. Result: "an entry keeps what an agent has stated ..." fails before in its second part and passes now.

--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -81,6 +81,8 @@
     SendOpenStarts(event.peer.id, now);
   } else {
     agents_.insert(event.peer.id);
+    // A new process of the agent may connect before the connections of the former one are missed.
+    pool_.starts().OnAgentDisconnected(event.peer.id);
   }
   if (term_.holding()) {
     out_->emplace_back(send_to_peer{event.peer.id, Notice(now)});
--- a/tests/stories/open_starts_story.cc
+++ b/tests/stories/open_starts_story.cc
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
+#include "kernel/batch/planner_core.h"
 #include "kernel/batch/run_tracker.h"
 #include "kernel/batch/start_planner.h"
 #include "tests/world/batch_world.h"
@@ -188,6 +191,46 @@
   }
 }
 
+TEST_CASE("an entry keeps what an agent has stated though its next process knows nothing of it") {
+  const auto codec = std::move(record_codec_registry::Instance().Create("json").value());
+  const auto order = std::move(unit_order_registry::Instance().Create("arrival").value());
+  planner_options options;
+  options.node = "entry-1";
+  planner_core entry(options, *codec, *order);
+  std::vector<planner_action> actions;
+  const auto decide = [&](planner_event event, millis now) {
+    actions.clear();
+    entry.Decide(std::span(&event, 1), now, now, actions);
+  };
+  const auto connect = [&](std::string_view id, peer_role role, millis now) {
+    hello greeting;
+    greeting.id = id;
+    greeting.role = role;
+    greeting.incarnation = now.count();
+    decide(peer_up{greeting}, now);
+  };
+  worker_report report;
+  report.worker.self = {"w1", 100};
+  report.worker.address = "w1:80";
+  report.unanswered = {{MakeBatchJob("a1", "usual", 1, millis(1000), 1).id + ".0.0.0", 701, 9000}};
+  connect("agent-1", peer_role::kWorkerAgent, millis(10));
+  decide(peer_said{"agent-1", report}, millis(20));
+
+  SUBCASE("which connects after the former one was missed") {
+    decide(peer_down{"agent-1", 10}, millis(500));
+  }
+  SUBCASE("which connects before that") {}
+  connect("agent-1", peer_role::kWorkerAgent, millis(1000));
+  report.unanswered.clear();
+  decide(peer_said{"agent-1", report}, millis(1010));
+  connect("entry-2", peer_role::kEntry, millis(1020));
+  const auto told = std::find_if(actions.begin(), actions.end(), [](const planner_action& action) {
+    const auto* send = std::get_if<send_to_peer>(&action);
+    return send != nullptr && std::holds_alternative<open_starts_notice>(send->message);
+  });
+  CHECK(told != actions.end());
+}
+
 TEST_CASE("a task that a worker may still start is started there and nowhere else") {
   tracked_workers workers;
   worker_report& report = workers.reports.at("w2");
