--- a/tests/stories/late_call_story.cc
+++ b/tests/stories/late_call_story.cc
@@ -176,7 +176,7 @@
     CHECK(entry.answer() == call_answer::kAccepted);
   }
   SUBCASE("a day, while the store answers nothing: the caller hears within a minute") {
-    entry.HandIn(millis(100), millis(24 * 3600 * 1000));
+    entry.HandIn(millis(100), millis(86400000));
     for (millis now(200); now < millis(60200); now += millis(200)) {
       entry.StoreAnswers(row_outcome::kUnknown, now);
     }
