--- a/review/lib/deployment_site.py
+++ b/review/lib/deployment_site.py
@@ -56,7 +56,6 @@
 
     def record(self, text):
         self.log.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
-        self.log.flush()
 
     def event(self, what, runner, run, number, how="", task=None, run_number=None, valid=True):
         task = run.task if run else task
