--- a/review/lib/deployment_site.py
+++ b/review/lib/deployment_site.py
@@ -29,6 +29,7 @@
 RETRIES = 4
 DEADLINE_S = 3.0
 LONGEST_RUN_S = 112
+LOST_AFTER_S = 3.0
 
 
 class CannotRun(Exception):
@@ -36,7 +37,7 @@
 
 
 class Site:
-    def __init__(self, folder, runners=3, entries=3, capacity=None):
+    def __init__(self, folder, runners=3, entries=3, capacity=None, advice=None):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.began = time.monotonic()
         folder = os.environ.get("RECORD_FOLDER", folder)  # for several runs at once
@@ -52,6 +53,10 @@
         self.net, self.port = self.free_ports()
         self.store = Store(self.record)
         self.cloud = HttpServer(self.list_machines)
+        self.advice = advice  # DecideMs, PeriodMs and ValidMs of the queue; None: no policy
+        self.adviser = HttpServer(self.advise)
+        self.advising = asyncio.Lock()
+        self.tickets = {}
         self.runners = {}
 
     def record(self, text):
@@ -78,7 +83,7 @@
             net, port = random.randrange(80, 250), random.randrange(20, 300) * 100
             try:
                 for host in (f"127.{net}.0.9", f"127.{net}.1.1", f"127.{net}.2.1"):
-                    for offset in (0, 15, 21, 23, 26, 29, 50, 51):
+                    for offset in (0, 15, 21, 23, 26, 29, 50, 51, 52):
                         with socket.socket() as probe:
                             probe.bind((host, port + offset))
                 return net, port
@@ -117,6 +122,8 @@
                          "HistoryS": 20},
             "Cloud": {"Addr": f"127.{self.net}.0.9:{self.port + 51}", "RatePerS": 60.0,
                       "Duties": [], "DutyPerS": 60.0}}
+        if self.advice:
+            content["Advice"] = f"127.{self.net}.0.9:{self.port + 52}"
         if not edge:
             content["app"] = f"{ip}:{self.port + 29}"
         path = os.path.join(self.work, name + ".yaml")
@@ -141,10 +148,12 @@
             raise CannotRun("the deploy file's build has not been run")
         await self.store.start(f"127.{self.net}.0.9", self.port + 50)
         await self.cloud.start(f"127.{self.net}.0.9", self.port + 51)
+        await self.adviser.start(f"127.{self.net}.0.9", self.port + 52)
         self.store.put("op", "config", {
             "Version": 1,
             "Routes": [{"Name": "q", "Host": HOST, "PathPrefix": QUEUE, "Service": "drying",
-                        "Priority": 2, "Attempts": 3, "Stretch": 3.0, "TargetLatencyMs": 3000}],
+                        "Priority": 2, "Attempts": 3, "Stretch": 3.0, "TargetLatencyMs": 3000,
+                        **({"Advice": self.advice} if self.advice else {})}],
             "Services": [{"Name": "drying", "RejectsOverload": True}],
             "Tenants": [{"Name": "t1", "ApiKeys": [KEY], "GuaranteedGpus": 8}],
             "Limits": {"MaxBodyBytes": 262144}})
@@ -186,6 +195,7 @@
                 runner.crash()
         self.store.server.stop()
         self.cloud.stop()
+        self.adviser.stop()
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
             task.cancel()
         await asyncio.sleep(0.2)
@@ -214,6 +224,30 @@
              "Capacity": self.capacity, "Id": runner.name if runner.up else None}
             for runner in self.runners.values()]}
 
+    async def advise(self, method, path, query, headers, body):
+        """Allows a step on every runner but one; answers one call at a time."""
+        call = json.loads(body)
+        async with self.advising:
+            await asyncio.sleep((self.advice["DecideMs"] + self.advice["PeriodMs"]
+                                 * len(call["Workers"])) / 1000)
+            good = []
+            for name in call["Workers"]:
+                runner = self.runners[name]
+                if runner.up and name != self.barred(call["Step"]):
+                    until = time.monotonic() + self.advice["ValidMs"] / 1000
+                    ticket = f"t{len(self.tickets)}"
+                    self.tickets[ticket] = (call["Step"], name, runner.born, until)
+                    good.append([name, ticket])
+            self.record(f"advice for {call['Step']} on {len(call['Workers'])}: {len(good)} good")
+            return 200, {"Good": good, "ValidMs": self.advice["ValidMs"]}
+
+    def ticket_allows(self, runner, task, ticket):
+        if not self.advice:
+            return True
+        step, name, born, until = self.tickets.get(ticket, ("", "", 0, 0))
+        return (task.rsplit(".", 1)[0] == step and name == runner.name and born == runner.born
+                and time.monotonic() < until)
+
     async def call(self, entry, method, job, body=None, timeout=DEADLINE_S):
         sent = time.monotonic()
         headers = {"Host": HOST, "Authorization": "Bearer " + KEY,
@@ -249,6 +283,46 @@
 
     # Rules
 
+    async def idle_jobs(self, jobs):
+        """Of jobs that are not final: those that break LOST by having nothing running for 3 s.
+
+        Each of them has a task whose turn has come, there is room for that task twice over on
+        runners that may run it, and under half of the service's capacity is in use.
+        """
+        idle = set(jobs)
+        until = time.monotonic() + LOST_AFTER_S
+        while time.monotonic() < until and idle:
+            used = {name: 0 for name in self.capacity}
+            for runner in self.runners.values():
+                for run in runner.runs.values():
+                    idle.discard(run.task.split(".")[0])
+                    for name in used:
+                        used[name] += run.needs[name]
+            if any(used[name] * 2 >= most * len(self.runners)
+                   for name, most in self.capacity.items()):
+                return []
+            idle = {job for job in idle if self.room(job) >= 2}
+            await asyncio.sleep(0.05)
+        return [f"LOST: job {job} was accepted, is not final and has nothing running for 3 s"
+                for job in sorted(idle)]
+
+    def room(self, job):
+        """How many tasks of the job's first step fit; the cases have steps of equal tasks."""
+        needs = self.needs(job + ".0.0.0")
+        fitting = 0
+        for runner in self.runners.values():
+            if not runner.up or runner.name == self.barred(job + ".0.0"):
+                continue
+            fitting += min((self.capacity[name] - sum(run.needs[name]
+                                                      for run in runner.runs.values())) // amount
+                           for name, amount in needs.items() if amount)
+        return fitting
+
+    def barred(self, step):
+        """The runner on which the queue's policy does not allow a step."""
+        names = sorted(self.runners)
+        return names[sum(step.encode()) % len(names)] if self.advice else None
+
     def twice(self):
         """Starts that break TWICE, as texts. An end counts if it is taken note of at any time."""
         noted = {(what[2], what[3], what[6]) for what in self.events if what[1] == "noted" and what[8]}
--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -140,6 +140,8 @@
             return 200, told
         if run <= self.barred.get(task, 0):
             return 409, {**told, "Reason": "old"}
+        if not self.site.ticket_allows(self, task, call.get("Ticket")):
+            return 409, {**told, "Reason": "ticket"}
         needs = self.site.needs(task)
         for name, most in self.capacity.items():
             used = sum(other.needs.get(name, 0) for other in self.runs.values())
