--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,6 @@
 WIDTH, STEPS, TIMES = 55, 3, 6  # the largest figures of the class price-quote of the site file
 TASK = {"Cpu": 2800, "MemMb": 11000, "Gpu": 1, "EstimateMs": 2000}
 SMALL_JOBS = 33
-LOST_AFTER_S = 3.0
 
 
 def wide_job(steps):
@@ -41,27 +40,8 @@
             broken.append(f"LOST: job {job} was accepted and is not known: {state}")
         elif state != "completed":
             unfinished.append(job)
-    broken += await idle_jobs(site, unfinished)
+    broken += await site.idle_jobs(unfinished)
     return broken
 
 
-async def idle_jobs(site, jobs):
-    """Jobs that have nothing running for 3 s though under half of the service is in use."""
-    idle = set(jobs)
-    until = time.monotonic() + LOST_AFTER_S
-    while time.monotonic() < until and idle:
-        used = {"Cpu": 0, "Gpu": 0}
-        for runner in site.runners.values():
-            for run in runner.runs.values():
-                idle.discard(run.task.split(".")[0])
-                for name in used:
-                    used[name] += run.needs[name]
-        for name, amount in used.items():
-            if amount * 2 >= site.capacity[name] * len(site.runners):
-                idle.clear()
-        await asyncio.sleep(0.05)
-    return [f"LOST: job {job} was accepted, is not final and has nothing running for 3 s; the "
-            f"store refused {len(site.store.refused)} calls" for job in sorted(idle)]
-
-
 play(case, os.path.dirname(os.path.abspath(__file__)), runners=4)
