--- a/review/3/case.py
+++ b/review/3/case.py
@@ -40,4 +40,4 @@
     return ["TWICE: " + text for text in site.twice()]
 
 
-play(case, os.path.dirname(os.path.abspath(__file__)), runners=2)
+play(case, os.path.dirname(os.path.abspath(__file__)), runners=10)
