--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -326,12 +326,7 @@
     }
     cancels_.erase(askers);
   }
-  for (const auto& [id, number] : written->ends) {
-    pool_worker* worker = pool_.Find(id);
-    if (worker == nullptr) continue;
-    worker->ends_stored = std::max(worker->ends_stored, number);
-    worker->order_due = true;
-  }
+  tracker_->OnEndsStored(written->ends);
   for (const auto& record : written->workers) {
     pool_worker* worker = pool_.Find(record.id);
     // An incarnation that started, or an address that changed, during the write is not in the row.
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -119,7 +119,8 @@
     // Ends count as stored only once every job that they changed is in this or an earlier group.
     if (!jobs.dirty()) {
       for (const auto& [id, worker] : pool.all()) {
-        if (worker.ends_applied > worker.ends_stored) group_.ends[id] = worker.ends_applied;
+        if (worker.ends_applied <= worker.ends_stored) continue;
+        group_.ends.push_back({worker.profile.self, worker.ends_applied});
       }
     }
   }
--- a/src/kernel/batch/planner_journal.h
+++ b/src/kernel/batch/planner_journal.h
@@ -19,7 +19,7 @@
 /** The contents of a completed write. */
 struct journal_commit {
   std::vector<std::pair<std::string, batch_state>> jobs;
-  std::map<std::string, int64_t> ends;  // by worker: number of the last stored end
+  std::vector<stored_ends> ends;
   std::vector<worker_record> workers;
   bool handed_over = false;
 };
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -463,6 +463,20 @@
   return pool_.starts().Of(end.unit, *step, now).empty();
 }
 
+/**
+ * Ends are numbered anew in each incarnation. An incarnation that started while the write was
+ * pending, or a worker that was removed and is listed again, has none of these ends applied yet.
+ */
+void run_tracker::OnEndsStored(std::span<const stored_ends> ends) {
+  for (const auto& stored : ends) {
+    pool_worker* worker = pool_.Find(stored.worker.id);
+    if (worker == nullptr || !(worker->profile.self == stored.worker)) continue;
+    const int64_t number = std::min(stored.number, worker->ends_applied);
+    worker->ends_stored = std::max(worker->ends_stored, number);
+    worker->order_due = true;
+  }
+}
+
 void run_tracker::ReleaseEnds(bool recovered, millis now) {
   for (auto& [id, worker] : pool_.all()) {
     const int64_t before = worker.ends_released;
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -67,6 +67,9 @@
    */
   void CompleteJobs(bool recovered);
 
+  /** Records that the effects of ends have been stored. */
+  void OnEndsStored(std::span<const stored_ends> ends);
+
   /** Lets workers forget the stored ends of units of which no other run can start any more. */
   void ReleaseEnds(bool recovered, millis now);
 
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -48,6 +48,12 @@
   bool withheld = false;         // was found to be withheld
 };
 
+/** The ends of an incarnation of a worker, up to a number, whose effects are in the store. */
+struct stored_ends {
+  worker_identity worker;
+  int64_t number = 0;
+};
+
 /** A worker with its runs. */
 struct pool_worker {
   worker_profile profile;
--- a/tests/stories/run_tracker_story.cc
+++ b/tests/stories/run_tracker_story.cc
@@ -142,6 +142,56 @@
   }
 }
 
+// Guards against review case 3: see worker_incarnations_story.
+TEST_CASE("a write that ends late confirms only ends of the life that it was made for") {
+  constexpr int64_t kTerm = 7;
+  job_table book(millis(250));
+  worker_pool pool;
+  worker_speeds speeds;
+  run_tracker tracker({}, book, pool, speeds);
+  const batch_config config;
+  const batch_job job = MakeBatchJob("a1", "usual", 3, millis(1000), 1);
+  book.Add(job, millis(0));
+  tracker.Begin(kTerm);
+  int64_t sequence = 0;
+  const auto report = [&](int64_t born, int64_t life, std::vector<listed_end> ended) {
+    worker_report said;
+    said.term = kTerm;
+    said.life = life;
+    said.sequence = ++sequence;
+    said.present = said.listed = true;
+    said.worker.self = {"w1", born};
+    said.ended = std::move(ended);
+    tracker.On("agent-1", said, config, millis(10 * sequence));
+  };
+  const auto end = [&](int64_t number) {
+    const std::string task = job.id + ".0.0." + std::to_string(number - 1);
+    return listed_end{number, task, 600 + number, run_end::kDone, ""};
+  };
+  const auto stored = [&](int64_t born, int64_t number) {
+    const std::vector<stored_ends> ends{{{"w1", born}, number}};
+    tracker.OnEndsStored(ends);
+    return pool.Find("w1") == nullptr ? 0 : pool.Find("w1")->ends_stored;
+  };
+  report(100, 0, {end(1), end(2)});
+
+  SUBCASE("which is still there") { CHECK(stored(100, 2) == 2); }
+  SUBCASE("and none of the next one under its id") {
+    report(200, 1, {});
+    CHECK(stored(100, 2) == 0);
+    SUBCASE("whose own count") {
+      report(200, 1, {end(1)});
+      CHECK(stored(200, 1) == 1);
+    }
+  }
+  SUBCASE("and none that is not applied again after the worker was forgotten") {
+    tracker.Drop("w1", "its VM is down", millis(30));
+    CHECK(stored(100, 2) == 0);
+    report(100, 0, {end(1)});
+    CHECK(stored(100, 2) == 1);
+  }
+}
+
 TEST_CASE("a job is not shown as completed while another run of its task may still start") {
   constexpr int64_t kTerm = 7;
   job_table book(millis(250));
--- a/tests/stories/worker_incarnations_story.cc
+++ b/tests/stories/worker_incarnations_story.cc
@@ -438,5 +438,32 @@
   RequireKept(world);
 }
 
+// Guards against review case 3: the count of a former life's ends, stored late, was applied to the
+// next life, whose own first ends were then forgotten and their tasks run again (TWICE).
+TEST_CASE("a worker starts again under its id while the ends of its former life are being stored") {
+  constexpr int kWorker = 0;  // the first choice for these jobs
+  batch_world world;
+  world.RunFor(millis(5000));
+  int jobs = 0;
+  const auto feed = [&](int count) {
+    for (int i = 0; i < count; ++i) {
+      const batch_job job =
+          MakeBatchJob("e" + std::to_string(100 + jobs++), "usual", 3, millis(400), 1);
+      world.Submit(job);
+      world.Watch(job.id);
+      world.RunFor(millis(100));
+    }
+  };
+  feed(40);
+  world.SetStore(store_fault::kRefuses);
+  feed(5);
+  world.RestartWorker(kWorker, millis(300), millis(0));
+  feed(9);
+  world.SetStore(store_fault::kNone);
+  feed(40);
+  world.RunFor(millis(20000));
+  RequireKept(world);
+}
+
 }  // namespace
 }  // namespace eelgrass
