--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -158,10 +158,13 @@
   records_ = BOOST_OUTCOME_TRYX(record_codec_registry::Instance().Create("json"));
   order_ = BOOST_OUTCOME_TRYX(unit_order_registry::Instance().Create("deadline"));
   status_ = std::make_unique<status_page>(*ready_server_, counters_);
+  const size_t row_bytes =
+      place_.store_row_bytes > 0 ? static_cast<size_t>(place_.store_row_bytes) : kDefaultRowBytes;
   gateway_ = std::make_unique<gateway_core>(
-      gateway_options{place_.node, hub.self.address, place_.bounds.revocation}, *source_,
+      gateway_options{place_.node, hub.self.address, place_.bounds.revocation, row_bytes}, *source_,
       *records_);
   planner_options planning;
+  planning.row_bytes = row_bytes;
   planning.node = place_.node;
   planning.nonce = RandomHex(kNonceBytes);
   planning.peer_address = hub.self.address;
--- a/src/kernel/batch/batch_records.h
+++ b/src/kernel/batch/batch_records.h
@@ -23,11 +23,15 @@
   std::string saved;                 // latest checkpoint; empty: none
 };
 
-/** Progress of a job. For a job in a final state only the state is kept. */
+/**
+ * One row of a job's progress. The store bounds the size of a row, so that the tasks of a wide job
+ * are spread over several. For a job in a final state only the first row is kept, with its state.
+ */
 struct job_progress {
   std::string job;
-  batch_state state = batch_state::kPending;
-  std::vector<task_progress> tasks;  // those that differ from their initial state
+  batch_state state = batch_state::kPending;  // of the job; valid in the first row
+  std::vector<task_progress> tasks;           // those that differ from their initial state
+  int part = 0;                               // number of the row
 };
 
 /** The holder of the term. Each write of the planner rewrites this row if its revision matches. */
--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -142,6 +142,11 @@
     job.queue = call.queue;
     job.organisation = call.organisation;
     call.value = codec_.Encode(job);
+    if (call.value.size() > options_.row_bytes && !call.outcome_unknown) {
+      caller_reply reply{call.call.id, call_answer::kTooLarge};
+      reply.detail = "the job does not fit in a row of the store";
+      return Answer(call, std::move(reply), now);
+    }
   }
   row_transaction change;
   const row_key at{std::string(kJobsTable), "", call.job};
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -16,6 +16,7 @@
 #include "kernel/batch/entry_discovery.h"
 #include "kernel/batch/operator_follower.h"
 #include "kernel/batch/store_clock.h"
+#include "kernel/batch/store_exchange.h"
 #include "kernel/batch/store_health.h"
 #include "kernel/model/link_events.h"
 
@@ -55,6 +56,7 @@
   std::string node;          // id of this entry
   std::string peer_address;  // on which this entry accepts peers
   millis revocation{5000};   // a withdrawn key must be refused after this time
+  size_t row_bytes = kDefaultRowBytes;
 };
 
 /**
--- a/src/kernel/batch/job_table.cc
+++ b/src/kernel/batch/job_table.cc
@@ -10,6 +10,41 @@
 /** Added to an occurrence's earliest start, because the VMs' clocks differ slightly. */
 constexpr millis kClockSlack{200};
 
+/**
+ * Units per row of a job's progress: a row of 64 KB then has 1 KB for each, which is enough for its
+ * names, a checkpoint and dozens of failed runs.
+ */
+constexpr size_t kUnitsPerRow = 64;
+
+size_t UnitsPerOccurrence(const tracked_job& job) {
+  size_t units = 0;
+  for (const auto& step : job.occurrences.front().steps) units += step.units.size();
+  return units;
+}
+
+/** Units are numbered by occurrence, step and number within the step. */
+size_t NumberOf(const tracked_job& job, const unit_ref& unit) {
+  const auto occurrence = static_cast<size_t>(unit.occurrence);
+  size_t number = occurrence * UnitsPerOccurrence(job) + static_cast<size_t>(unit.unit);
+  for (size_t s = 0; s < static_cast<size_t>(unit.step); ++s) {
+    number += job.occurrences[occurrence].steps[s].units.size();
+  }
+  return number;
+}
+
+/** The unit with this number; none if the job has fewer. */
+std::optional<unit_ref> UnitAt(const tracked_job& job, size_t number) {
+  const size_t units = UnitsPerOccurrence(job);
+  const size_t occurrence = number / units;
+  if (occurrence >= job.occurrences.size()) return std::nullopt;
+  number %= units;
+  const auto& steps = job.occurrences[occurrence].steps;
+  size_t step = 0;
+  for (; number >= steps[step].units.size(); ++step) number -= steps[step].units.size();
+  return unit_ref{job.job.id, static_cast<int>(occurrence), static_cast<int>(step),
+                  static_cast<int>(number)};
+}
+
 }  // namespace
 
 amounts ResourcesPerTask(const batch_step& step) {
@@ -49,9 +84,16 @@
   return true;
 }
 
+progress_row job_table::RowOf(const tracked_job& job, const unit_ref& unit) {
+  return {unit.job, static_cast<int>(NumberOf(job, unit) / kUnitsPerRow)};
+}
+
 void job_table::Restore(const job_progress& progress) {
   tracked_job* job = Find(progress.job);
   if (job == nullptr) return;
+  const progress_row row{progress.job, progress.part};
+  if (progress.part > 0) job->parts.insert(progress.part);
+  std::set<progress_row> moved;  // rows of tasks that an earlier version stored in this one
   for (const auto& task : progress.tasks) {
     const unit_ref ref{progress.job, task.occurrence, task.step, task.index};
     unit_state* unit = Find(ref);
@@ -59,12 +101,24 @@
     if (task.done && !unit->done) OnDone(ref, 0, job->accepted);
     unit->failed_runs = {task.failed_runs.begin(), task.failed_runs.end()};
     unit->saved = task.saved;
+    const progress_row own = RowOf(*job, ref);
+    if (own == row) {
+      dirty_.erase(own);
+    } else {
+      moved.insert(own);
+    }
   }
   if (!progress.tasks.empty()) job->begun = true;
   if (const auto done = done_.find(progress.job); done != done_.end()) done->second = true;
-  if (IsFinal(progress.state)) Finish(*job, progress.state);
-  job->stored = true;
-  dirty_.erase(progress.job);
+  if (IsFinal(job->state)) {
+    dirty_.insert(row);  // left over from before the job ended
+  } else if (progress.part == 0 && IsFinal(progress.state)) {
+    Finish(*job, progress.state);
+    job->stored = true;
+    dirty_.erase(row);
+    return;
+  }
+  dirty_.insert(moved.begin(), moved.end());
 }
 
 void job_table::Release(millis now, millis wall_now) {
@@ -144,7 +198,7 @@
   if (job == nullptr || unit == nullptr || unit->done || IsFinal(job->state)) return;
   unit->done = true;
   unit->done_run = run;
-  dirty_.insert(ref.job);
+  dirty_.insert(RowOf(*job, ref));
   occurrence_state& occurrence = job->occurrences[static_cast<size_t>(ref.occurrence)];
   step_state& step = occurrence.steps[static_cast<size_t>(ref.step)];
   if (++step.done < static_cast<int>(step.units.size())) return;
@@ -167,7 +221,7 @@
   const batch_step& step = job->job.steps[static_cast<size_t>(ref.step)];
   if (step.long_running || !unit->failed_runs.insert(run).second) return;
   unit->failed_on.insert(std::string(worker));
-  dirty_.insert(ref.job);
+  dirty_.insert(RowOf(*job, ref));
   if (unit->failures() < attempts) return;
   log_event("job-out-of-attempts")
       .With("job", ref.job)
@@ -195,45 +249,47 @@
   job.stored = false;
   finished_ = true;
   done_.erase(job.job.id);
-  dirty_.insert(job.job.id);
+  // The other rows are removed once the final state is stored: until then they are needed.
+  std::erase_if(dirty_, [&](const progress_row& row) { return row.job == job.job.id; });
+  dirty_.insert({job.job.id, 0});
   open_.erase(job.job.id);
 }
 
-job_progress job_table::Progress(const tracked_job& job) const {
-  job_progress progress;
-  progress.job = job.job.id;
-  progress.state = job.state;
-  if (IsFinal(job.state)) return progress;
-  for (size_t k = 0; k < job.occurrences.size(); ++k) {
-    for (size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
-      const auto& units = job.occurrences[k].steps[s].units;
-      for (size_t u = 0; u < units.size(); ++u) {
-        const unit_state& unit = units[u];
-        if (!unit.done && unit.failed_runs.empty() && unit.saved.empty()) continue;
-        progress.tasks.push_back({static_cast<int>(k),
-                                  static_cast<int>(s),
-                                  static_cast<int>(u),
-                                  unit.done,
-                                  {unit.failed_runs.begin(), unit.failed_runs.end()},
-                                  unit.done ? std::string() : unit.saved});
-      }
-    }
+std::optional<job_progress> job_table::Progress(const progress_row& row) {
+  tracked_job* job = Find(row.job);
+  if (job == nullptr || (IsFinal(job->state) && row.part > 0)) return std::nullopt;
+  job_progress progress{row.job, job->state, {}, row.part};
+  if (IsFinal(job->state)) return progress;
+  if (row.part > 0) job->parts.insert(row.part);
+  const size_t first = static_cast<size_t>(row.part) * kUnitsPerRow;
+  for (size_t number = first; number < first + kUnitsPerRow; ++number) {
+    const auto ref = UnitAt(*job, number);
+    if (!ref) break;
+    const unit_state& unit = *Find(*ref);
+    if (!unit.done && unit.failed_runs.empty() && unit.saved.empty()) continue;
+    progress.tasks.push_back({ref->occurrence,
+                              ref->step,
+                              ref->unit,
+                              unit.done,
+                              {unit.failed_runs.begin(), unit.failed_runs.end()},
+                              unit.done ? std::string() : unit.saved});
   }
   return progress;
 }
 
-std::vector<std::string> job_table::TakeDirty(size_t most) {
-  std::vector<std::string> taken;
-  while (!dirty_.empty() && taken.size() < most) {
-    taken.push_back(std::move(dirty_.extract(dirty_.begin()).value()));
-  }
-  return taken;
+std::optional<progress_row> job_table::TakeDirty() {
+  if (dirty_.empty()) return std::nullopt;
+  return std::move(dirty_.extract(dirty_.begin()).value());
 }
 
 void job_table::OnStored(std::string_view id, batch_state state) {
   tracked_job* job = Find(id);
   if (job == nullptr) return;
-  if (job->state == state) job->stored = true;
+  if (job->state != state) return;
+  job->stored = true;
+  if (!IsFinal(state)) return;
+  for (const int part : job->parts) dirty_.insert({job->job.id, part});
+  job->parts.clear();
 }
 
 }  // namespace eelgrass
--- a/src/kernel/batch/job_table.h
+++ b/src/kernel/batch/job_table.h
@@ -62,6 +62,22 @@
   int done = 0;  // number of done steps
 };
 
+/** Names one row of a job's progress. */
+struct progress_row {
+  std::string job;
+  int part = 0;
+
+  /** Key of the row in the store. */
+  std::string Key() const { return part == 0 ? job : job + "." + std::to_string(part); }
+
+  bool operator==(const progress_row&) const = default;
+
+  /** The first row comes last: a row of an earlier version may hold the tasks of all others. */
+  bool operator<(const progress_row& other) const {
+    return job != other.job ? job < other.job : part > other.part;
+  }
+};
+
 /** A job with its progress. */
 struct tracked_job {
   batch_job job;
@@ -72,6 +88,7 @@
   bool begun = false;      // a task has started
   bool stored = true;      // whether the final state is in the store
   bool unsettled = false;  // another run of a done unit may have been ordered in an earlier term
+  std::set<int> parts;     // rows of its progress in the store besides the first
 };
 
 /** Number of tasks in one unit of a step. */
@@ -97,7 +114,7 @@
   /** Adds a job with its time of acceptance; returns false if it is already known. */
   bool Add(const batch_job& job, millis accepted);
 
-  /** Applies the stored progress of a job that was added before. */
+  /** Applies a stored row of the progress of a job that was added before. */
   void Restore(const job_progress& progress);
 
   /** Releases the steps that are due and whose predecessors are done. */
@@ -135,28 +152,29 @@
   /** Cancels a job unless it has ended; returns false if it does not exist. */
   bool Cancel(std::string_view id);
 
-  /** The progress to store; does not clear the dirty mark. */
-  job_progress Progress(const tracked_job& job) const;
+  /** A row of the progress to store; none if the row has to be removed from the store. */
+  std::optional<job_progress> Progress(const progress_row& row);
 
-  /** Removes and returns at most `most` ids of dirty jobs. */
-  std::vector<std::string> TakeDirty(size_t most);
+  /** Removes and returns a row that has changed; none if there is no such row. */
+  std::optional<progress_row> TakeDirty();
   bool dirty() const { return !dirty_.empty(); }
 
   /** Whether a job has ended since the last call. */
   bool TakeFinished() { return std::exchange(finished_, false); }
 
-  /** Records that the job's progress with this state has been stored. */
+  /** Records that the first row of the job's progress has been stored with this state. */
   void OnStored(std::string_view id, batch_state state);
 
  private:
   void Finish(tracked_job& job, batch_state state);
+  static progress_row RowOf(const tracked_job& job, const unit_ref& unit);
   void ReleaseSteps(tracked_job& job, occurrence_state& occurrence, millis now);
 
   const millis early_;
   std::map<std::string, tracked_job, std::less<>> jobs_;
   std::set<std::string> open_;
   std::map<std::string, bool, std::less<>> done_;
-  std::set<std::string> dirty_;
+  std::set<progress_row> dirty_;
   bool finished_ = false;
 };
 
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -31,7 +31,7 @@
                            const unit_order& order)
     : options_(std::move(options)),
       term_({options_.node, options_.nonce, options_.processor}, codec),
-      journal_(codec, term_),
+      journal_(codec, term_, options_.row_bytes),
       lost_(pool_, journal_),
       starts_(order) {
   ResetTermState();
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -56,6 +56,7 @@
   double processor = 0;      // of this entry, see term_candidate
   tracker_options tracking;
   millis early{250};  // how long before its due time an occurrence may start
+  size_t row_bytes = kDefaultRowBytes;
 };
 
 /** The planner's metrics. Gauges are zero while another entry is the planner. */
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -16,10 +16,17 @@
 /** Maximum entries per transaction: the store's limit of 100 less those of the term. */
 constexpr size_t kMaxEntries = 90;
 
+/**
+ * No further row is added to a transaction that has this many bytes of values: with one row of 64
+ * KB more, and base64, it stays below the store's limit of 1 MB per call.
+ */
+constexpr size_t kFullTransaction = 512 * 1024;
+
 }  // namespace
 
-planner_journal::planner_journal(const batch_record_codec& codec, term_election& term)
-    : codec_(codec), term_(term) {}
+planner_journal::planner_journal(const batch_record_codec& codec, term_election& term,
+                                 size_t row_bytes)
+    : codec_(codec), term_(term), row_bytes_(row_bytes) {}
 
 void planner_journal::Reset() {
   const int64_t last_token = last_token_;
@@ -109,13 +116,8 @@
     --remaining;
   }
   if (loaded_) {
-    for (const auto& id : jobs.TakeDirty(remaining)) {
-      const tracked_job* job = jobs.Find(id);
-      if (job == nullptr) continue;
-      const job_progress progress = jobs.Progress(*job);
-      change.writes.push_back({{std::string(kProgressTable), "", id}, codec_.Encode(progress)});
-      group_.jobs.emplace_back(id, progress.state);
-    }
+    AddProgress(jobs, remaining, change);
+    hurry_ = jobs.dirty();
     // Ends count as stored only once every job that they changed is in this or an earlier group.
     if (!jobs.dirty()) {
       for (const auto& [id, worker] : pool.all()) {
@@ -129,6 +131,36 @@
   writing_ = std::move(change);
 }
 
+/** Adds changed rows of progress, at most this many; the others are left for the next write. */
+void planner_journal::AddProgress(job_table& jobs, size_t entries, row_transaction& change) {
+  size_t bytes = 0;
+  for (; entries > 0 && bytes < kFullTransaction; --entries) {
+    const auto row = jobs.TakeDirty();
+    if (!row) return;
+    const row_key at{std::string(kProgressTable), "", row->Key()};
+    const auto progress = jobs.Progress(*row);
+    if (!progress) {
+      change.removals.push_back(at);
+      continue;
+    }
+    change.writes.push_back({at, EncodeWithinRow(*progress)});
+    bytes += change.writes.back().value.size();
+    if (row->part == 0) group_.jobs.emplace_back(row->job, progress->state);
+  }
+}
+
+/** Leaves checkpoints out if the row would be too large: without them a task begins anew. */
+std::string planner_journal::EncodeWithinRow(job_progress progress) const {
+  std::string text = codec_.Encode(progress);
+  if (text.size() <= row_bytes_) return text;
+  log_event("checkpoints-not-stored", log_level::kWarning)
+      .With("job", progress.job)
+      .With("part", progress.part)
+      .With("bytes", static_cast<int64_t>(text.size()));
+  for (auto& task : progress.tasks) task.saved.clear();
+  return codec_.Encode(progress);
+}
+
 bool planner_journal::On(const store_reply& reply, job_table& jobs, worker_pool& pool, millis now) {
   if (reply.token == 0) return false;
   if (reply.token == read_token_) {
--- a/src/kernel/batch/planner_journal.h
+++ b/src/kernel/batch/planner_journal.h
@@ -31,7 +31,8 @@
  */
 class planner_journal {
  public:
-  planner_journal(const batch_record_codec& codec, term_election& term);
+  /** `row_bytes`: the store's bound for the value of a row. */
+  planner_journal(const batch_record_codec& codec, term_election& term, size_t row_bytes);
 
   /** Discards all state, at the start or end of a term. */
   void Reset();
@@ -79,6 +80,8 @@
   std::optional<store_request> Read(millis now);
   std::optional<store_request> Write(job_table& jobs, worker_pool& pool, millis now);
   void Group(job_table& jobs, worker_pool& pool, millis now);
+  void AddProgress(job_table& jobs, size_t entries, row_transaction& change);
+  std::string EncodeWithinRow(job_progress progress) const;
   void OnRead(const rows_result& answer, job_table& jobs, worker_pool& pool, millis now);
   void OnFeed(const rows_result& answer, job_table& jobs, millis now);
   void TakeRow(const row& found, job_table& jobs, millis now);
@@ -86,6 +89,7 @@
 
   const batch_record_codec& codec_;
   term_election& term_;
+  const size_t row_bytes_;
   stage stage_ = stage::kJobs;
   bool loaded_ = false;  // every stage has completed once
   std::string continue_at_;
--- a/src/kernel/batch/store_exchange.h
+++ b/src/kernel/batch/store_exchange.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <variant>
 
@@ -33,6 +34,9 @@
 /** Between two tries of a call that the store refused or did not answer. */
 inline constexpr millis kStoreRetryPause{150};
 
+/** Bound for the value of a row if the deployment names none. */
+inline constexpr size_t kDefaultRowBytes = 65536;
+
 /** Tables of this product in the platform's store. All rows are in the part with the empty name. */
 inline constexpr std::string_view kJobsTable = "jobs";
 inline constexpr std::string_view kProgressTable = "progress";
--- a/src/kernel/io/deployment.h
+++ b/src/kernel/io/deployment.h
@@ -35,6 +35,7 @@
   std::vector<std::string> seeds;  // IP:PORT of some entries; may be stale
   std::string worker_address;      // agents: of their worker
   std::string store_address;
+  int64_t store_row_bytes = 0;  // bound for the value of a row; 0: not said
   std::string advice_address;
   std::string directory_address;  // of the list of VMs
   deployment_bounds bounds;
--- a/src/plugins/records/json/json_records.cc
+++ b/src/plugins/records/json/json_records.cc
@@ -22,7 +22,7 @@
                                                 handed_in)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task_progress, occurrence, step, index, done,
                                                 failed_runs, saved)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_progress, job, state, tasks)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_progress, job, part, state, tasks)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(term_record, holder, nonce, fence, write, sent_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_record, id, agent, address, born_ms, vm)
 
--- a/standins/standin_fleet.cc
+++ b/standins/standin_fleet.cc
@@ -253,6 +253,9 @@
     check_.OnAnswer(asked.id, call_kind::kSubmit, {0, call_answer::kAccepted}, now);
   }
   if (fault_ == "lose") return;
+  if (done.outcome == row_outcome::kNotDone) {
+    return AnswerJson(server, request.id, http_status::kBadRequest, "{}");
+  }
   const int status =
       done.outcome == row_outcome::kDone ? http_status::kOk : http_status::kPreconditionFailed;
   AnswerJson(server, request.id, status, RowsBody(done.current, done.revision, false, now).dump());
--- a/standins/standin_rows.cc
+++ b/standins/standin_rows.cc
@@ -8,10 +8,29 @@
 /** Rows of one answer, by the platform's interface. */
 constexpr size_t kMostRows = 500;
 
+/** Limits of a transaction, by the platform's interface. */
+constexpr size_t kMostEntries = 100;
+constexpr size_t kRowBytes = 65536;
+constexpr size_t kMostBytes = 1000000;
+
+bool WithinLimits(const row_transaction& change) {
+  size_t bytes = 0;
+  for (const auto& write : change.writes) {
+    if (write.value.size() > kRowBytes) return false;
+    bytes += (write.value.size() + 2) / 3 * 4;  // base64
+  }
+  const size_t entries = change.conditions.size() + change.writes.size() + change.removals.size();
+  return entries <= kMostEntries && bytes <= kMostBytes;
+}
+
 }  // namespace
 
 transaction_result standin_rows::Apply(const row_transaction& change) {
   transaction_result answer;
+  if (!WithinLimits(change)) {
+    answer.outcome = row_outcome::kNotDone;
+    return answer;
+  }
   bool holds = true;
   for (const auto& condition : change.conditions) {
     const auto found = rows_.find(PlaceOf(condition.at));
--- a/standins/standin_rows.h
+++ b/standins/standin_rows.h
@@ -15,6 +15,7 @@
 /** Versioned rows with transactions and a history of changes. Knows no time and no faults. */
 class standin_rows {
  public:
+  /** Applies nothing of a transaction beyond the platform's limits: kNotDone. */
   transaction_result Apply(const row_transaction& change);
   rows_result Read(const row_range& range) const;
 
--- a/tests/stories/lost_worker_detector_story.cc
+++ b/tests/stories/lost_worker_detector_story.cc
@@ -44,7 +44,7 @@
   std::unique_ptr<batch_record_codec> codec_ =
       std::move(record_codec_registry::Instance().Create("json").value());
   term_election term_{{"entry-0", "nonce"}, *codec_};
-  planner_journal journal_{*codec_, term_};
+  planner_journal journal_{*codec_, term_, kDefaultRowBytes};
   lost_worker_detector lost_{pool_, journal_};
 };
 
--- a/tests/stories/platform_story.cc
+++ b/tests/stories/platform_story.cc
@@ -252,15 +252,17 @@
     return source->Load(path);
   };
   const auto place = load(R"({"Node":"n1","Ip":"10.1.0.1","Zone":"z","PortRange":[7000,7015],
-    "Listen":{"Front":"10.1.0.1:80"},"Seeds":["10.1.0.2:81"],"platform":{"Addr":"10.9.0.1:1"},
+    "Listen":{"Front":"10.1.0.1:80"},"Seeds":["10.1.0.2:81"],"platform":{"Addr":"10.9.0.1:1","RowBytes":65536},
     "Bounds":{"HoldMaxMs":10000,"GraceS":6,"RevokeMs":4000},"New":{},
     "Limits":{"CpuShare":0.25,"Cores":2}})");
   REQUIRE(place);
   CHECK(place.value().processor == 0.5);
+  CHECK(place.value().store_row_bytes == 65536);
   const auto odd = load(R"({"Node":"n1","Ip":"10.1.0.1","Zone":"z","PortRange":[7000,7015],
     "Limits":{"CpuShare":"much"}})");
   REQUIRE(odd);
   CHECK(odd.value().processor == 0);
+  CHECK(odd.value().store_row_bytes == 0);
   CHECK(place.value().bounds.longest_hold == millis(10000));
   CHECK(place.value().bounds.grace == millis(6000));
   CHECK(place.value().bounds.revocation == millis(4000));
