--- a/src/kernel/batch/capacity_map.cc
+++ b/src/kernel/batch/capacity_map.cc
@@ -122,8 +122,17 @@
   return unit.job->job.occurrences > 0 || view.now - unit.job->accepted > slack / 2;
 }
 
+bool capacity_map::Advised(const ready_unit& unit, const worker_identity& worker,
+                           const planning_view& view, ticket_rule tickets) {
+  if (!unit.queue->advice.wanted) return true;
+  if (view.advice == nullptr) return false;
+  if (view.advice->Ticket(unit.unit, worker, view.now) != nullptr) return true;
+  return tickets == ticket_rule::kPossible && !view.advice->Refused(unit.unit, worker, view.now);
+}
+
 std::vector<candidate_worker*> capacity_map::CandidatesFor(const ready_unit& unit,
-                                                           const planning_view& view) {
+                                                           const planning_view& view,
+                                                           ticket_rule tickets) {
   const bool may_use_reserved = MayUseReserved(unit, view);
   std::vector<candidate_worker*> fitting;
   for (auto& candidate : workers_) {
@@ -136,10 +145,7 @@
     if (candidate.reserved && !may_use_reserved && !bound) continue;
     if (!label.empty() && !candidate.worker->HasLabel(label)) continue;
     if (!unit.each.Fits(profile.capacity)) continue;
-    const bool advised = !unit.queue->advice.wanted ||
-                         (view.advice != nullptr &&
-                          view.advice->Ticket(unit.unit, profile.self, view.now) != nullptr);
-    if (!advised) continue;
+    if (!Advised(unit, profile.self, view, tickets)) continue;
     fitting.push_back(&candidate);
   }
   // Workers on which the unit has failed come last; otherwise the tightest fit comes first. Urgent
--- a/src/kernel/batch/capacity_map.h
+++ b/src/kernel/batch/capacity_map.h
@@ -38,6 +38,12 @@
   bool reserved = false;                                   // reserved for urgent work
 };
 
+/** Which tickets the workers for a unit need, if its queue's policy requires any. */
+enum class ticket_rule {
+  kValid,    // a valid ticket
+  kPossible  // a valid ticket, or none that is known to be refused
+};
+
 /**
  * Tracks, during one plan, the free resources of each worker and which workers a unit may use.
  * Workers are reserved for urgent work according to its recent demand, which is remembered across
@@ -52,7 +58,8 @@
   void ReserveHeadroom(std::span<const ready_unit> ready, const planning_view& view);
 
   /** The workers that a unit may use, best first; the pointers are valid until the next Read. */
-  std::vector<candidate_worker*> CandidatesFor(const ready_unit& unit, const planning_view& view);
+  std::vector<candidate_worker*> CandidatesFor(const ready_unit& unit, const planning_view& view,
+                                               ticket_rule tickets = ticket_rule::kValid);
 
   std::span<candidate_worker> all() { return workers_; }
 
@@ -72,6 +79,8 @@
   };
 
   void ReserveWorkers(std::string_view service, double workers);
+  static bool Advised(const ready_unit& unit, const worker_identity& worker,
+                      const planning_view& view, ticket_rule tickets);
   static bool MayUseReserved(const ready_unit& unit, const planning_view& view);
 
   std::vector<candidate_worker> workers_;
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -401,8 +401,9 @@
                            now,
                            recovered ? 0 : term_.fence(),
                            term_.confirmed()};
-  tracker_->Apply(starts_.Plan(view), now);
-  if (auto request = tickets_.Next(view)) out_->emplace_back(std::move(*request));
+  const start_plan plan = starts_.Plan(view);
+  tracker_->Apply(plan, now);
+  if (auto request = tickets_.Next(plan.advice, view)) out_->emplace_back(std::move(*request));
 }
 
 planner_notice planner_core::Notice(millis now) const {
--- a/src/kernel/batch/start_plan.h
+++ b/src/kernel/batch/start_plan.h
@@ -17,11 +17,20 @@
   std::vector<std::string> tickets;  // one per worker; empty if not required
 };
 
+/** A step that waits and may need tickets: the workers that have none yet, best first. */
+struct advice_wish {
+  unit_ref unit;             // the first of its units that waits
+  bool has_room = false;     // could start now if the workers may run it
+  bool may_preempt = false;  // could make room if the workers may run it
+  std::vector<std::string> workers;
+};
+
 /** Units to start and to stop. A start may have to wait until the stopped runs have ended. */
 struct start_plan {
   std::vector<unit_start> starts;
   std::vector<unit_ref> preempted;
-  std::vector<unit_ref> moved;  // to stop, because a worker leaves before they can end
+  std::vector<unit_ref> moved;      // to stop, because a worker leaves before they can end
+  std::vector<advice_wish> advice;  // in the order of the units
 };
 
 }  // namespace eelgrass
--- a/src/kernel/batch/start_planner.cc
+++ b/src/kernel/batch/start_planner.cc
@@ -47,6 +47,7 @@
       place = PlacePreempting(unit, candidates, view, plan);
     }
     if (!place) {
+      AddAdviceWish(unit, view, plan);
       if (unit.bound.empty()) exhausted.insert(shape);
       continue;
     }
@@ -86,6 +87,27 @@
   }
 }
 
+/** Names the workers whose tickets could let a unit start that was not placed. */
+void start_planner::AddAdviceWish(const ready_unit& unit, const planning_view& view,
+                                  start_plan& plan) {
+  if (!unit.queue->advice.wanted || view.advice == nullptr) return;
+  const auto candidates = capacity_.CandidatesFor(unit, view, ticket_rule::kPossible);
+  const auto place = Place(unit, candidates, view);
+  advice_wish wish{unit.unit, place.has_value(), preemption_.MayPreemptFor(unit, view), {}};
+  const auto add = [&](std::span<candidate_worker* const> workers) {
+    for (const auto* candidate : workers) {
+      const worker_identity& worker = candidate->worker->profile.self;
+      const bool named =
+          std::find(wish.workers.begin(), wish.workers.end(), worker.id) != wish.workers.end();
+      if (named || view.advice->Ticket(unit.unit, worker, view.now) != nullptr) continue;
+      wish.workers.push_back(worker.id);
+    }
+  };
+  if (place) add(*place);
+  add(candidates);
+  if (!wish.workers.empty()) plan.advice.push_back(std::move(wish));
+}
+
 std::optional<std::vector<candidate_worker*>> start_planner::PlacePreempting(
     const ready_unit& unit, std::span<candidate_worker* const> candidates,
     const planning_view& view, start_plan& plan) {
--- a/src/kernel/batch/start_planner.h
+++ b/src/kernel/batch/start_planner.h
@@ -44,6 +44,7 @@
   std::optional<std::vector<candidate_worker*>> PlacePreempting(
       const ready_unit& unit, std::span<candidate_worker* const> candidates,
       const planning_view& view, start_plan& plan);
+  void AddAdviceWish(const ready_unit& unit, const planning_view& view, start_plan& plan);
   static bool AnyRackCanHold(const ready_unit& unit, std::span<candidate_worker* const> candidates);
   void Assign(const ready_unit& unit, std::span<candidate_worker* const> candidates,
               const planning_view& view, start_plan& plan);
--- a/src/kernel/batch/ticket_cache.cc
+++ b/src/kernel/batch/ticket_cache.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "kernel/base/log_event.h"
-#include "kernel/batch/capacity_map.h"
 
 namespace eelgrass {
 namespace {
@@ -26,63 +25,67 @@
 
 }  // namespace
 
+const ticket_cache::ticket* ticket_cache::Find(const unit_ref& unit, const worker_identity& worker,
+                                               millis now) const {
+  const auto step = steps_.find(StepName(unit));
+  if (step == steps_.end()) return nullptr;
+  const auto found = step->second.tickets.find(worker.id);
+  if (found == step->second.tickets.end()) return nullptr;
+  const bool valid = found->second.born_ms == worker.born_ms && now < found->second.good_until;
+  return valid ? &found->second : nullptr;
+}
+
 const std::string* ticket_cache::Ticket(const unit_ref& unit, const worker_identity& worker,
                                         millis now) const {
-  const auto step = tickets_.find(StepName(unit));
-  if (step == tickets_.end()) return nullptr;
-  const auto found = step->second.find(worker.id);
-  if (found == step->second.end()) return nullptr;
-  const ticket& known = found->second;
-  const bool good =
-      !known.text.empty() && known.born_ms == worker.born_ms && now < known.good_until;
-  return good ? &known.text : nullptr;
+  const ticket* known = Find(unit, worker, now);
+  return known == nullptr || known->text.empty() ? nullptr : &known->text;
+}
+
+bool ticket_cache::Refused(const unit_ref& unit, const worker_identity& worker, millis now) const {
+  const ticket* known = Find(unit, worker, now);
+  return known != nullptr && known->text.empty();
 }
 
-bool ticket_cache::HasValidEntry(const step_key& step, const worker_identity& worker,
-                                 millis now) const {
-  const auto known = tickets_.find(step);
-  if (known == tickets_.end()) return false;
-  const auto found = known->second.find(worker.id);
-  return found != known->second.end() && found->second.born_ms == worker.born_ms &&
-         now < found->second.good_until;
+/** The smallest is asked for first; equal ones in the order of the units. */
+std::pair<int, millis> ticket_cache::TurnOf(const advice_wish& wish) const {
+  const auto step = steps_.find(StepName(wish.unit));
+  const millis asked = step == steps_.end() ? advised_step{}.asked : step->second.asked;
+  const bool new_step = step == steps_.end() && (wish.has_room || wish.may_preempt);
+  constexpr int kNew = 0;
+  constexpr int kHasRoom = 1;
+  constexpr int kMayPreempt = 2;
+  constexpr int kWaitsForRoom = 3;
+  int group = kWaitsForRoom;
+  if (wish.may_preempt) group = kMayPreempt;
+  if (wish.has_room) group = kHasRoom;
+  if (new_step) group = kNew;
+  return {group, asked};
 }
 
-std::optional<advice_request> ticket_cache::Next(const planning_view& view) {
-  if (asking_ || view.now < next_) return std::nullopt;
-  for (const auto& id : view.jobs.open()) {
-    const tracked_job& job = *view.jobs.Find(id);
-    const batch_queue* queue = view.config.FindQueueByName(job.job.queue);
-    if (queue == nullptr || !queue->advice.wanted) continue;
-    for (size_t k = 0; k < job.occurrences.size(); ++k) {
-      for (size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
-        const step_state& step = job.occurrences[k].steps[s];
-        const bool waits = step.released &&
-                           std::any_of(step.units.begin(), step.units.end(), [](const auto& unit) {
-                             return !unit.done && unit.open_runs == 0;
-                           });
-        if (!waits) continue;
-        advice_request request;
-        request.step = StepName({id, static_cast<int>(k), static_cast<int>(s), 0});
-        asked_start_.clear();
-        for (const auto& [name, worker] : view.pool.all()) {
-          const worker_profile& profile = worker.profile;
-          const std::string& label = job.job.steps[s].required_label;
-          if (profile.service != queue->service || !capacity_map::Usable(worker, view)) continue;
-          if (!label.empty() && !worker.HasLabel(label)) continue;
-          if (HasValidEntry(request.step, profile.self, view.now)) continue;
-          if (request.workers.size() == kMaxWorkersPerRequest) break;
-          request.workers.push_back(name);
-          asked_start_[name] = profile.self.born_ms;
-        }
-        if (request.workers.empty()) continue;
-        const auto named = static_cast<int64_t>(request.workers.size());
-        request.expected = queue->advice.decide + queue->advice.per_worker * named;
-        asking_ = true;
-        return request;
-      }
-    }
+std::optional<advice_request> ticket_cache::Next(std::span<const advice_wish> wishes,
+                                                 const planning_view& view) {
+  if (asking_ || view.now < next_ || wishes.empty()) return std::nullopt;
+  const advice_wish& wish =
+      *std::min_element(wishes.begin(), wishes.end(),
+                        [this](const auto& a, const auto& b) { return TurnOf(a) < TurnOf(b); });
+  const batch_queue* queue = view.QueueOf(view.jobs.Find(wish.unit.job));
+  if (queue == nullptr) return std::nullopt;
+  advice_request request;
+  request.step = StepName(wish.unit);
+  asked_start_.clear();
+  for (const auto& name : wish.workers) {
+    const pool_worker* worker = view.pool.Find(name);
+    if (worker == nullptr) continue;
+    if (request.workers.size() == kMaxWorkersPerRequest) break;
+    request.workers.push_back(name);
+    asked_start_[name] = worker->profile.self.born_ms;
   }
-  return std::nullopt;
+  if (request.workers.empty()) return std::nullopt;
+  const auto named = static_cast<int64_t>(request.workers.size());
+  request.expected = queue->advice.decide + queue->advice.per_worker * named;
+  steps_[request.step].asked = view.now;
+  asking_ = true;
+  return request;
 }
 
 void ticket_cache::On(const advice_reply& reply, millis now) {
@@ -91,7 +94,7 @@
     next_ = now + kRetryPause;
     return;
   }
-  auto& known = tickets_[reply.step];
+  auto& known = steps_[reply.step].tickets;
   for (const auto& worker : reply.asked) {
     const auto start = asked_start_.find(worker);
     if (start == asked_start_.end()) continue;
@@ -111,7 +114,7 @@
 }
 
 void ticket_cache::Reset() {
-  tickets_.clear();
+  steps_.clear();
   asking_ = false;
   next_ = millis(0);
 }
