--- a/src/kernel/io/http_client.h
+++ b/src/kernel/io/http_client.h
@@ -13,7 +13,8 @@
 /**
  * Sends calls and reports each result once. A kUnknown error means that the call may have had its
  * effect, any other that it was never sent; kRefused besides that nobody listened at the address,
- * or at the last one of a name.
+ * or at the last one of a name. A response that says that nothing was done proves that only if it
+ * is not marked as repeated.
  */
 class http_client {
  public:
--- a/src/kernel/io/http_messages.h
+++ b/src/kernel/io/http_messages.h
@@ -36,6 +36,12 @@
   std::vector<header_field> headers;
   bytes body;
   bool close = false;  // ends the connection after this response
+  /**
+   * Of a client's call: the request was sent more than once, as a kept connection ended without an
+   * answer. This response is to the last copy. Whatever it says, an earlier copy may have had its
+   * effect, or may still have it.
+   */
+  bool repeated = false;
 };
 
 /** Value of the first header with this name, in any case; empty when there is none. */
--- a/src/plugins/store/curl/curl_client.cc
+++ b/src/plugins/store/curl/curl_client.cc
@@ -13,6 +13,7 @@
 
 #include "kernel/base/address.h"
 #include "kernel/base/bounded_ring.h"
+#include "kernel/base/log_event.h"
 #include "kernel/io/http_client.h"
 
 namespace eelgrass {
@@ -28,7 +29,7 @@
   CURL* handle = nullptr;
   curl_slist* headers = nullptr;
   http_response response;
-  bool sent = false;  // some of the request may have reached the server
+  int sends = 0;  // how often some of the request may have reached the server
 };
 
 /** What stands between the scheme and the path of a URL. */
@@ -41,7 +42,7 @@
 
 /** Called each time before a request is sent on a connection. */
 int NoteSent(void* user, char*, char*, int, int) {
-  static_cast<transfer*>(user)->sent = true;
+  ++static_cast<transfer*>(user)->sends;
   return CURL_PREREQFUNC_OK;
 }
 
@@ -63,6 +64,16 @@
   return line.size();
 }
 
+/** Callers cannot tell a repeated call from another by its status, so that the log names each. */
+void LogRepeated(const transfer& item, CURLcode code, long status) {
+  log_event("http-call-repeated", log_level::kWarning)
+      .With("method", item.call.method)
+      .With("address", AddressIn(item.call.url))
+      .With("sends", item.sends)
+      .With("status", static_cast<int64_t>(status))
+      .With("result", code == CURLE_OK ? "answered" : curl_easy_strerror(code));
+}
+
 /** Runs all transfers on one thread, which sleeps in curl_multi_poll. */
 class curl_client : public http_client {
  public:
@@ -163,7 +174,7 @@
   static error_kind KindOf(const transfer& item, CURLcode code) {
     // The library sends a request again if a kept connection ends without an answer, so that the
     // code of the last try says nothing of the ones before.
-    if (item.sent) return error_kind::kUnknown;
+    if (item.sends > 0) return error_kind::kUnknown;
     long reason = 0;
     curl_easy_getinfo(item.handle, CURLINFO_OS_ERRNO, &reason);
     const bool refused = code == CURLE_COULDNT_CONNECT && reason == ECONNREFUSED;
@@ -178,12 +189,14 @@
     active_.erase(found);
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    if (item->sends > 1) LogRepeated(*item, code, status);
     const error_kind kind = KindOf(*item, code);
     curl_multi_remove_handle(multi_, handle);
     curl_easy_cleanup(handle);
     curl_slist_free_all(item->headers);
     if (code == CURLE_OK) {
       item->response.status = static_cast<int>(status);
+      item->response.repeated = item->sends > 1;
       item->done(std::move(item->response));
       return;
     }
--- a/tests/stories/http_client_threads_story.cc
+++ b/tests/stories/http_client_threads_story.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <atomic>
@@ -9,6 +10,8 @@
 #include <thread>
 
 #include "kernel/io/http_client.h"
+#include "kernel/io/row_store.h"
+#include "kernel/io/worker_control.h"
 
 namespace eelgrass {
 namespace {
@@ -49,6 +52,57 @@
   std::thread thread_;
 };
 
+/**
+ * A server on loopback that answers the first request of a connection, breaks off the second, and
+ * answers the copy of it that comes on the next connection.
+ */
+class turning_away_server {
+ public:
+  explicit turning_away_server(std::string status)
+      : status_(std::move(status)),
+        acceptor_(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        thread_([this] { Serve(); }) {}
+  ~turning_away_server() { thread_.join(); }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+ private:
+  static void ReadRequest(tcp::socket& peer) {
+    constexpr std::string_view kLength = "Content-Length: ";
+    std::string text;
+    const size_t head =
+        asio::read_until(peer, asio::dynamic_buffer(text), std::string_view("\r\n\r\n"));
+    const size_t field = text.find(kLength);
+    const size_t length =
+        field == std::string::npos ? 0 : std::stoul(text.substr(field + kLength.size()));
+    const size_t missing = head + length - std::min(head + length, text.size());
+    asio::read(peer, asio::dynamic_buffer(text), asio::transfer_exactly(missing));
+  }
+
+  static void Answer(tcp::socket& peer, const std::string& status, const std::string& body) {
+    asio::write(peer, asio::buffer("HTTP/1.1 " + status + "\r\nContent-Length: " +
+                                   std::to_string(body.size()) + "\r\n\r\n" + body));
+  }
+
+  void Serve() {
+    tcp::socket first = acceptor_.accept();
+    ReadRequest(first);
+    Answer(first, "200 OK", R"({"Ver":1})");
+    ReadRequest(first);
+    first.close();
+    tcp::socket second = acceptor_.accept();
+    ReadRequest(second);
+    Answer(second, status_, "{}");
+  }
+
+  const std::string status_;
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
 /** A server on loopback whose queue of new connections is full: further ones hang. */
 class full_server {
  public:
@@ -154,5 +208,50 @@
   }
 }
 
+// Guards against a rejection with a promise of what had been stored (REFUSED), and against the same
+// error in calls to workers (TWICE): the client library sends a request again by itself, and the
+// answer to the second copy says nothing of the first.
+TEST_CASE("a call that is sent again on another connection and then refused") {
+  const auto client = std::move(client_registry::Instance().Create("curl", {}).value());
+
+  SUBCASE("to the store, with 503: it may have been done") {
+    const turning_away_server server("503 Service Unavailable");
+    const auto store =
+        std::move(row_store_registry::Instance()
+                      .Create("platform", row_store_options{server.address()}, *client)
+                      .value());
+    row_transaction change;
+    change.conditions.push_back({{"jobs", "", "a"}, 0});
+    change.writes.push_back({{"jobs", "", "a"}, "text"});
+    const auto transact = [&] {
+      std::promise<row_outcome> outcome;
+      store->Transact(change, millis(2000),
+                      [&](const transaction_result& got) { outcome.set_value(got.outcome); });
+      return outcome.get_future().get();
+    };
+    CHECK(transact() == row_outcome::kDone);
+    CHECK(transact() == row_outcome::kUnknown);
+  }
+  SUBCASE("to a worker, as it has no room: it may have begun") {
+    const turning_away_server server("409 Conflict");
+    const auto control =
+        std::move(worker_control_registry::Instance().Create("platform", *client).value());
+    start_call call;
+    call.address = server.address();
+    call.worker = {"i-1", 17};
+    call.run.task = "5c0e7a21d94b36f8.0.0.0";
+    call.run.run = 2;
+    const auto start = [&] {
+      std::promise<call_outcome> outcome;
+      control->Start(call, millis(2000),
+                     [&](const start_answer& got) { outcome.set_value(got.outcome); });
+      return outcome.get_future().get();
+    };
+    CHECK(start() == call_outcome::kDone);
+    CHECK(start() == call_outcome::kNoAnswer);
+  }
+  client->Stop();
+}
+
 }  // namespace
 }  // namespace eelgrass
--- a/tests/stories/platform_story.cc
+++ b/tests/stories/platform_story.cc
@@ -213,6 +213,42 @@
   }
 }
 
+TEST_CASE("calls on the platform that were sent more than once") {
+  fake_client client;
+  http_response response{200, {}, {"{}"}, false};
+  response.repeated = true;
+
+  SUBCASE("to the store: a refusal proves nothing, all other answers hold") {
+    auto store = PlatformStore(client);
+    const auto outcome = [&](int status) {
+      response.status = status;
+      client.answer = response;
+      row_outcome seen{};
+      store->Transact({}, millis(100), [&](const auto& result) { seen = result.outcome; });
+      return seen;
+    };
+    CHECK(outcome(200) == row_outcome::kDone);
+    CHECK(outcome(412) == row_outcome::kConflict);
+    for (const int status : {400, 403, 429, 503}) CHECK(outcome(status) == row_outcome::kUnknown);
+  }
+  SUBCASE("to a worker: only success holds") {
+    auto control = PlatformControl(client);
+    const auto outcome = [&](int status) {
+      response.status = status;
+      client.answer = response;
+      call_outcome seen{};
+      start_call call;
+      call.address = "10.0.0.2:80";
+      control->Start(call, millis(100), [&](const auto& answer) { seen = answer.outcome; });
+      return seen;
+    };
+    CHECK(outcome(200) == call_outcome::kDone);
+    for (const int status : {400, 409, 421, 429, 503}) {
+      CHECK(outcome(status) == call_outcome::kNoAnswer);
+    }
+  }
+}
+
 TEST_CASE("what operators write on the platform") {
   auto source = PlatformOperators();
   operator_state state;
