--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -186,7 +186,7 @@
 /** Discards all state that belongs to one term; unanswered starts outlast it. */
 void planner_core::ResetTermState() {
   if (tracker_ != nullptr) given_up_in_earlier_terms_ += tracker_->given_up();
-  planning_ = false;
+  planning_ = runs_known_ = false;
   journal_.Reset();
   pool_ = worker_pool{std::move(pool_.starts())};
   jobs_ = std::make_unique<job_table>(options_.early);
@@ -353,9 +353,9 @@
   return now > over && EnsureConfirmedAfter(over);
 }
 
-/** Whether all runs of earlier terms are known or have ended. */
-bool planner_core::Recovered(millis now) {
-  if (planning_) return true;
+/** Whether all runs of earlier terms that are open are known. */
+bool planner_core::RunsKnown(millis now) {
+  if (runs_known_) return true;
   if (!journal_.loaded()) return false;
   if (!pending_reports_.empty()) {
     auto reports = std::move(pending_reports_);
@@ -365,6 +365,22 @@
   if (!journal_.expected().empty() && !EarlierLeasesExpired(now)) return false;
   // If the term was lost, a later planner may have received the ends of runs on a removed worker.
   if (!EnsureConfirmedAfter(last_forgotten_)) return false;
+  runs_known_ = true;
+  return true;
+}
+
+/**
+ * Whether all runs of earlier terms are known or have ended. Units may be done by runs whose ends a
+ * worker does not list yet, until enough of the listed ones have been released.
+ */
+bool planner_core::Recovered(millis now) {
+  if (planning_) return true;
+  if (!RunsKnown(now)) return false;
+  const auto& workers = pool_.all();
+  const bool all_ends = std::none_of(workers.begin(), workers.end(), [](const auto& entry) {
+    return entry.second.listing && entry.second.more_ends;
+  });
+  if (!all_ends) return false;
   planning_ = true;
   log_event("planning-begins")
       .With("term", term_.fence())
@@ -380,7 +396,7 @@
   const bool recovered = Recovered(now);
   if (!journal_.loaded()) return;
   tracker_->CompleteJobs(recovered);
-  tracker_->ReleaseEnds(recovered, now);
+  tracker_->ReleaseEnds(runs_known_, now);
   if (operators_.config == nullptr) return;
   jobs_->Release(now, wall_now);
   if (const auto end = tracker_->Tick(now, term_.confirmed())) journal_.ConfirmAfter(*end);
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -114,6 +114,7 @@
   void OnAccepted(const job_accepted& accepted_job, millis now);
   bool EnsureConfirmedAfter(millis past);
   bool EarlierLeasesExpired(millis now);
+  bool RunsKnown(millis now);
   bool Recovered(millis now);
   void Plan(millis now, millis wall_now);
   void Notify(millis now);
@@ -137,7 +138,8 @@
   millis operators_confirmed_{INT64_MIN / 4};
   std::vector<planner_action>* out_ = nullptr;
   bool was_holding_ = false;
-  bool planning_ = false;  // recovery from earlier terms is complete
+  bool runs_known_ = false;  // no run of an earlier term can be open that is not known
+  bool planning_ = false;    // recovery from earlier terms is complete
   millis term_start_{0};
   millis last_forgotten_{INT64_MIN / 4};   // when a stored worker was last removed without a report
   int64_t given_up_in_earlier_terms_ = 0;  // number of runs, in this process
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -20,7 +20,7 @@
  * No further row is added to a transaction that has this many bytes of values: with one row of 64
  * KB more, and base64, it stays below the store's limit of 1 MB per call.
  */
-constexpr size_t kFullTransaction = 512 * 1024;
+constexpr size_t kFullTransaction = 524288;
 
 }  // namespace
 
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -48,7 +48,7 @@
   if (!report.present) {
     pool_.starts().Report(agent, report.worker, report.unanswered, now);
     if (known != nullptr && known->profile.self == self && report.term == term_) {
-      known->listing = false;
+      known->listing = known->more_ends = false;
       known->lease_end = std::min(known->lease_end, now + kDepartureGrace);
       log_event("worker-gone")
           .With("worker", self.id)
@@ -86,14 +86,17 @@
   worker.leaves_at = leaving ? now + millis(report.worker.remaining_ms) : millis(0);
   worker.listing = report.listed && report.term == term_ && report.life == worker.incarnation;
   worker.order_due = true;
+  worker.more_ends = worker.listing && report.more_ends;
   if (!worker.listing) return false;
   pool_.starts().OnListed(worker.profile);
   if (!was_usable) ++changes_;
   ApplyEnds(worker, report, config, now);
   ApplyRunning(worker, report, now);
   ApplyRefused(worker, report, now);
-  StopUnlisted(worker, report, now);
-  closer_.GiveUpFormerIncarnation(worker, report, now);
+  if (!worker.more_ends) {
+    StopUnlisted(worker, report, now);
+    closer_.GiveUpFormerIncarnation(worker, report, now);
+  }
   return true;
 }
 
@@ -141,7 +144,7 @@
   for (auto& [id, worker] : pool_.all()) {
     if (worker.agent != agent) continue;
     worker.linked = false;
-    worker.listing = false;
+    worker.listing = worker.more_ends = false;
   }
 }
 
@@ -455,11 +458,11 @@
  * An end that is released although its unit has run again would show that the unit ran after it had
  * ended. One that is not released is forgotten with its worker.
  */
-bool run_tracker::MayRelease(const counted_end& end, bool recovered, millis now) const {
+bool run_tracker::MayRelease(const counted_end& end, bool runs_known, millis now) const {
   const unit_state* unit = jobs_.Find(end.unit);
   const batch_step* step = jobs_.StepOf(end.unit);
   if (unit == nullptr || step == nullptr) return true;
-  if (unit->ran_again || (end.until_recovered && !recovered)) return false;
+  if (unit->ran_again || (end.until_recovered && !runs_known)) return false;
   return pool_.starts().Of(end.unit, *step, now).empty();
 }
 
@@ -477,12 +480,12 @@
   }
 }
 
-void run_tracker::ReleaseEnds(bool recovered, millis now) {
+void run_tracker::ReleaseEnds(bool runs_known, millis now) {
   for (auto& [id, worker] : pool_.all()) {
     const int64_t before = worker.ends_released;
     auto& ends = worker.counted_ends;
     while (!ends.empty() && ends.begin()->first <= worker.ends_stored &&
-           MayRelease(ends.begin()->second, recovered, now)) {
+           MayRelease(ends.begin()->second, runs_known, now)) {
       ends.erase(ends.begin());
     }
     const bool withheld = !ends.empty() && ends.begin()->first <= worker.ends_stored;
@@ -497,7 +500,7 @@
         .With("job", end.unit.job)
         .With("step", end.unit.step)
         .With("unit", end.unit.unit)
-        .With("recovered", recovered ? 1 : 0)
+        .With("recovered", runs_known ? 1 : 0)
         .With("open_at", OpenAt(end.unit, now));
   }
 }
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -71,7 +71,7 @@
   void OnEndsStored(std::span<const stored_ends> ends);
 
   /** Lets workers forget the stored ends of units of which no other run can start any more. */
-  void ReleaseEnds(bool recovered, millis now);
+  void ReleaseEnds(bool runs_known, millis now);
 
   /** Number of runs given up in this term, without a listed end or a rejection by the worker. */
   int64_t given_up() const { return closer_.given_up(); }
@@ -90,7 +90,7 @@
   bool Adopt(pool_worker& worker, const listed_run& listed, millis now);
   void ApplyEnd(pool_worker& worker, const listed_end& end, bool lapsed, const batch_config& config,
                 millis now);
-  bool MayRelease(const counted_end& end, bool recovered, millis now) const;
+  bool MayRelease(const counted_end& end, bool runs_known, millis now) const;
   std::string OpenAt(const unit_ref& unit, millis now) const;
   void LearnSpeed(const pool_worker& worker, const run_record& record, const batch_step& step,
                   millis now);
--- a/src/kernel/batch/worker_calls.h
+++ b/src/kernel/batch/worker_calls.h
@@ -74,6 +74,7 @@
   int64_t clock_ms = 0;
   std::vector<listed_run> running;
   std::vector<listed_end> ended;
+  bool more_ends = false;  // further ends wait until some of the listed ones are acknowledged
 };
 
 struct start_answer {
--- a/src/kernel/batch/worker_controller.cc
+++ b/src/kernel/batch/worker_controller.cc
@@ -261,13 +261,16 @@
   for (const auto& end : answer.ended) {
     if (end.number > seen_upto_) unseen.push_back(end);
   }
-  const bool same =
-      confirmed() && key(running_) == key(answer.running) && ended_.size() == unseen.size();
+  const auto last_end = [](const auto& list) { return list.empty() ? 0 : list.back().number; };
+  const bool same = confirmed() && key(running_) == key(answer.running) &&
+                    ended_.size() == unseen.size() && last_end(ended_) == last_end(unseen) &&
+                    more_ends_ == answer.more_ends;
   changed_ = changed_ || !same;
   confirmed_term_ = term_;
   confirmed_incarnation_ = incarnation_;
   running_ = answer.running;
   ended_ = std::move(unseen);
+  more_ends_ = answer.more_ends;
   if (lease_lapsed_) NoteLapse();
   lease_lapsed_ = lease_until_ <= now;
   std::erase_if(starts_, [this](const auto& entry) {
@@ -323,13 +326,17 @@
   return now + (starts_.empty() && stops_.empty() ? kIdleInterval : kBusyInterval);
 }
 
-/** A stopped run that later lists do not show never began and now cannot. */
+/**
+ * A stopped run that later lists do not show never began and now cannot. While the list of ends is
+ * not complete, it may as well have ended.
+ */
 void worker_controller::CompleteStops() {
   for (auto stop = stops_.begin(); stop != stops_.end();) {
     const run_ref ref = stop->first;
     const bool settled =
         stop->second.phase == stop_phase::kAnswered && hold_number_ > stop->second.holds_before;
-    if (!settled || Contains(running_, ref)) {
+    const bool may_have_ended = more_ends_ && !IsListed(ref);
+    if (!settled || Contains(running_, ref) || may_have_ended) {
       ++stop;
       continue;
     }
@@ -376,8 +383,9 @@
           .With("term", term_);
       return;
     case call_outcome::kRefused:
-      if (start.outcome_unknown && answer.refusal != start_refusal::kOld) {
-        // An earlier unanswered call may still take effect; a stop prevents that.
+      if (start.outcome_unknown && (answer.refusal != start_refusal::kOld || more_ends_)) {
+        // An earlier unanswered call may still take effect, which a stop prevents, or its run may
+        // have ended, which later lists show.
         start.phase = start_phase::kRefused;
         stops_.try_emplace(answer.run);
       } else {
@@ -519,6 +527,7 @@
   report.running = running_;
   FillRunTimes(report.running, now);
   report.ended = ended_;
+  report.more_ends = more_ends_;
   report.lapsed_upto = lapsed_upto_;
   for (const auto& [ref, reason] : refused_) report.refused.push_back({ref.task, ref.run, reason});
   return report;
--- a/src/kernel/batch/worker_controller.h
+++ b/src/kernel/batch/worker_controller.h
@@ -144,6 +144,7 @@
   std::vector<listed_run> running_;
   std::map<run_ref, millis> running_since_;  // time of the first report that lists the run
   std::vector<listed_end> ended_;
+  bool more_ends_ = false;  // runs that are in neither list may have ended
   std::map<run_ref, ordered_start> starts_;
   std::map<run_ref, int64_t> recent_starts_;  // holds sent before the start was answered
   std::map<run_ref, ordered_stop> stops_;
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -60,8 +60,9 @@
   int64_t incarnation = 0;  // number of earlier incarnations in this term
   std::string agent;        // peer through which the worker is reached
   bool linked = false;
-  bool listing = false;   // its latest report has lists made under its current fence
-  bool recorded = false;  // the store has a record of this incarnation and its address
+  bool listing = false;    // its latest report has lists made under its current fence
+  bool more_ends = false;  // of these lists: runs that are in neither may have ended
+  bool recorded = false;   // the store has a record of this incarnation and its address
   bool recording = false;
   int64_t report_sequence = 0;
   millis known_since{0};  // when this incarnation became known
--- a/src/kernel/model/worker_messages.h
+++ b/src/kernel/model/worker_messages.h
@@ -105,6 +105,7 @@
   worker_profile worker;
   std::vector<listed_run> running;
   std::vector<listed_end> ended;
+  bool more_ends = false;   // further runs may have ended: the worker lists so many ends at a time
   int64_t lapsed_upto = 0;  // before these ends were reported, the lease may have lapsed
   std::vector<refused_start> refused;
   std::vector<unanswered_start> unanswered;  // to any incarnation under the worker's id
--- a/standins/standin_runner.cc
+++ b/standins/standin_runner.cc
@@ -16,6 +16,9 @@
 
 constexpr int64_t kPercent = 100;
 
+/** Ends in one answer, by the platform's interface. */
+constexpr size_t kMostListedEnds = 500;
+
 task_behavior BehaviorOf(std::string_view task, std::string_view spec) {
   task_ref ref;
   const auto tree = nlohmann::json::parse(spec.begin(), spec.end(), nullptr, false);
@@ -142,7 +145,9 @@
         WorkDone(run, now) / options_.checkpoint.count() * options_.checkpoint.count();
     answer.running.push_back({ref.task, ref.run, kept > 0 ? std::to_string(kept) : "", 100, 0});
   }
-  answer.ended = ended_;
+  const size_t listed = std::min(ended_.size(), kMostListedEnds);
+  answer.ended.assign(ended_.begin(), ended_.begin() + static_cast<ptrdiff_t>(listed));
+  answer.more_ends = listed == kMostListedEnds;
 }
 
 bool standin_runner::HasEndAfter(int64_t seen_upto) const {
