--- a/src/kernel/batch/job_table.cc
+++ b/src/kernel/batch/job_table.cc
@@ -35,8 +35,8 @@
 /** The unit with this number; none if the job has fewer. */
 std::optional<unit_ref> UnitAt(const tracked_job& job, size_t number) {
   const size_t units = UnitsPerOccurrence(job);
+  if (number >= units * job.occurrences.size()) return std::nullopt;
   const size_t occurrence = number / units;
-  if (occurrence >= job.occurrences.size()) return std::nullopt;
   number %= units;
   const auto& steps = job.occurrences[occurrence].steps;
   size_t step = 0;
