The package check's test names the first header on either kind of machine

Cause: the check names the first file of each package that is missing from the list. The test expected the header whose folder has the machine's kind in its name. On arm64 that folder sorts before lua5.4, on x86-64 behind it, where lua.h is named first.

Change: the test works out which of the two headers comes first and expects exactly that one, with its whole path. It is no less strict than before.

--- a/tests/processes/listed_packages.sh
+++ b/tests/processes/listed_packages.sh
@@ -100,7 +100,12 @@
   expect_report "add it to packages in deploy/system.toml"
 done
 write_build g++ cmake ninja-build pkg-config libgoogle-glog-dev
-expect_report "lua5.4-deb-multiarch.h: is in liblua5.4-dev" "liblua5.4.so.0: is in liblua5.4-0"
+# Of each package the first file is named, and the machine's kind is part of one header's path.
+first_header="$({
+  dpkg -L liblua5.4-dev | grep '/lua5.4-deb-multiarch.h$'
+  echo /usr/include/lua5.4/lua.h
+} | LC_ALL=C sort | head -n 1)"
+expect_report "$first_header: is in liblua5.4-dev" "liblua5.4.so.0: is in liblua5.4-0"
 
 echo "== the build runs a program of another package by its name"
 for OPTION in -DRUN_BY_COMMAND=ccache -DRUN_BY_CMAKE=ccache; do
