Logs and metrics of the operators' feed and of late calls

Calls of the operators' feed and reads of the whole table left no line, a configuration from a whole read came into force unseen, a call's wait for a connection was not measured, and no metric showed the configuration's age.

Change: operator-feed-lost, operator-feed-regained, operator-table-read, operator-answer-unreadable and http-call-late; gauges for the configuration's age, revision and version and for failed calls. No decision changes.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -52,6 +52,17 @@
   for (auto& action : actions_) Execute(action);
   actions_.clear();
   open_calls_ = core_.open_calls();
+  if (now < next_gauges_) return;
+  next_gauges_ = now + kGaugeInterval;
+  SetGauges(now);
+}
+
+void gateway_duty::SetGauges(millis now) {
+  const gateway_statistics stats = core_.stats(now);
+  counters_.Set("config_revision", stats.config_revision);
+  counters_.Set("config_version", stats.config_version);
+  counters_.Set("config_age_ms", stats.config_age.count());
+  counters_.Set("operator_calls_failed_total", stats.failed_operator_calls);
 }
 
 void gateway_duty::Execute(gateway_action& action) {
--- a/src/daemons/node/batch_entry.h
+++ b/src/daemons/node/batch_entry.h
@@ -33,6 +33,7 @@
 
  private:
   void Execute(gateway_action& action);
+  void SetGauges(millis now);
 
   gateway_core& core_;
   peer_hub& hub_;
@@ -42,6 +43,7 @@
   store_port<gateway_event>* store_ = nullptr;
   event_sink<planner_event>* planner_ = nullptr;
   std::vector<gateway_action> actions_;
+  millis next_gauges_{0};
   std::atomic<size_t> open_calls_{0};
 };
 
--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -70,6 +70,16 @@
   out_ = nullptr;
 }
 
+gateway_statistics gateway_core::stats(millis now) const {
+  gateway_statistics stats;
+  stats.failed_operator_calls = operators_.failed_calls();
+  if (!operators_.known()) return stats;
+  stats.config_revision = operators_.state().config_revision;
+  stats.config_version = operators_.version();
+  stats.config_age = now - operators_.confirmed();
+  return stats;
+}
+
 bool gateway_core::UpToDate(millis now) const {
   return now - operators_.confirmed() < options_.revocation - kRevocationMargin;
 }
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -52,6 +52,14 @@
 using gateway_action = std::variant<caller_reply, store_request, send_to_peer, own_planner_request,
                                     operator_update, readiness_change, dial_peer>;
 
+/** For metrics. */
+struct gateway_statistics {
+  int64_t config_revision = 0;        // of the configuration's row in the store
+  int64_t config_version = 0;         // by the operators' count
+  millis config_age{-1};              // since the configuration was confirmed; -1: there is none
+  int64_t failed_operator_calls = 0;  // calls for the operators' rows, since the start
+};
+
 struct gateway_options {
   std::string node;          // id of this entry
   std::string peer_address;  // on which this entry accepts peers
@@ -72,6 +80,8 @@
 
   void Decide(std::span<gateway_event> events, millis now, std::vector<gateway_action>& actions);
 
+  gateway_statistics stats(millis now) const;
+
   bool ready() const { return ready_; }
   size_t open_calls() const { return calls_.size(); }
 
--- a/src/kernel/batch/operator_follower.h
+++ b/src/kernel/batch/operator_follower.h
@@ -35,11 +35,19 @@
   millis confirmed() const { return confirmed_; }
   bool known() const { return state_.config != nullptr; }
 
+  /** Version of the known configuration; 0 if there is none. */
+  int64_t version() const;
+
+  /** Number of calls that the store refused or did not answer. */
+  int64_t failed_calls() const { return failed_calls_; }
+
   /** Number of changes of state(). */
   int64_t changes() const { return changes_; }
 
  private:
   void Apply(const row& change, millis now);
+  static void LogRefused(const row& change, const error& problem);
+  void LogAnswer(const rows_result& answer, millis now);
 
   const operator_source& source_;
   operator_state state_;
@@ -52,6 +60,8 @@
   millis next_{0};
   millis confirmed_{INT64_MIN / 4};
   int64_t changes_ = 0;
+  int64_t failed_calls_ = 0;
+  int failed_in_row_ = 0;
 };
 
 }  // namespace eelgrass
--- a/src/plugins/store/curl/curl_client.cc
+++ b/src/plugins/store/curl/curl_client.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <memory>
 #include <thread>
 #include <unordered_map>
@@ -22,6 +23,9 @@
 constexpr int kLongestPollMs = 1000;
 constexpr long kMaxIdleConnections = 64;
 
+/** A call that is sent later than this after its start is logged. */
+constexpr std::chrono::milliseconds kLateStart{200};
+
 /** One call in flight. */
 struct transfer {
   http_call call;
@@ -30,6 +34,7 @@
   curl_slist* headers = nullptr;
   http_response response;
   int sends = 0;  // how often some of the request may have reached the server
+  std::chrono::steady_clock::time_point started = std::chrono::steady_clock::now();
 };
 
 /** What stands between the scheme and the path of a URL. */
@@ -40,9 +45,21 @@
   return url.substr(0, url.find('/'));
 }
 
+/** Logs a call that had to wait for the client's thread or for a connection. */
+void LogLateStart(const transfer& item) {
+  const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - item.started);
+  if (waited <= kLateStart) return;
+  log_event("http-call-late", log_level::kWarning)
+      .With("method", item.call.method)
+      .With("url", item.call.url.substr(0, item.call.url.find('?')))
+      .With("waited_ms", waited.count());
+}
+
 /** Called each time before a request is sent on a connection. */
 int NoteSent(void* user, char*, char*, int, int) {
-  ++static_cast<transfer*>(user)->sends;
+  auto& item = *static_cast<transfer*>(user);
+  if (++item.sends == 1) LogLateStart(item);
   return CURL_PREREQFUNC_OK;
 }
 
