--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -65,6 +65,7 @@
   std::string peer_address;  // on which this entry accepts peers
   millis revocation{5000};   // a withdrawn key must be refused after this time
   size_t row_bytes = kDefaultRowBytes;
+  millis config_bound{2000};  // a new configuration must be in force after this time
 };
 
 /**
