No answer by a configuration that is older than the bound

What callers saw: 404 for a queue, or 401 for a key, that had been added longer than ConfigApplyMs before; and inquiries served at a queue that was removed.

Cause: an entry answered by the configuration that it had, however old. Its age had no bound for 404 and that of another promise (RevokeMs - 0.8 s) for the rest. Whatever delays the feed of one entry beyond 2 s breaks the promise at once: a call of the feed without an answer (noticed after 2.9 s), or one that is told of changes at the end of its wait only (2.0 s, seen after the history was dropped). ConfigApplyMs was read nowhere.

Change: what a configuration says about a call is judged apart from its age (call_verdict). A refusal, or an inquiry, by a configuration that was confirmed longer than the bound before the call arrived waits for a confirmation: one read without a wait, for all that wait, beside the pending call of the feed. If the store does not serve it, the call is answered 503 instead of refused; inquiries that are allowed go on. Insertions confirm the configuration by their condition. The wait of the feed is at most the bound. Changes that come by both calls are applied once.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -171,9 +171,13 @@
   status_ = std::make_unique<status_page>(*ready_server_, counters_);
   const size_t row_bytes =
       place_.store_row_bytes > 0 ? static_cast<size_t>(place_.store_row_bytes) : kDefaultRowBytes;
-  gateway_ = std::make_unique<gateway_core>(
-      gateway_options{place_.node, hub.self.address, place_.bounds.revocation, row_bytes}, *source_,
-      *records_);
+  gateway_options gateway;
+  gateway.node = place_.node;
+  gateway.peer_address = hub.self.address;
+  gateway.revocation = place_.bounds.revocation;
+  gateway.config_bound = place_.bounds.config;
+  gateway.row_bytes = row_bytes;
+  gateway_ = std::make_unique<gateway_core>(gateway, *source_, *records_);
   planner_options planning;
   planning.row_bytes = row_bytes;
   planning.node = place_.node;
--- a/src/kernel/batch/feed_wait_policy.h
+++ b/src/kernel/batch/feed_wait_policy.h
@@ -14,8 +14,16 @@
  */
 class feed_wait_policy {
  public:
+  explicit feed_wait_policy(millis longest = kFeedWait) : longest_(longest) {}
+
   /** Sets and returns the wait of the call that is sent now. */
-  millis NextWait() { return wait_ = failed_ ? millis(0) : kFeedWait; }
+  millis NextWait() { return wait_ = failed_ ? millis(0) : longest_; }
+
+  /** Sets and returns no wait, for a call that is to confirm the known data. */
+  millis NoWait() { return wait_ = millis(0); }
+
+  /** The wait of the last call. */
+  millis wait() const { return wait_; }
 
   /** Records whether that call succeeded. */
   void RecordOutcome(bool done) { failed_ = !done; }
@@ -24,6 +32,7 @@
   millis ConfirmedUntil(millis sent) const { return sent + wait_; }
 
  private:
+  millis longest_;
   millis wait_{0};
   bool failed_ = false;
 };
--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -8,9 +8,6 @@
 namespace eelgrass {
 namespace {
 
-/** Length of a job's id in hexadecimal digits, by the platform's interface. */
-constexpr size_t kJobIdLength = 16;
-
 /** Wait of a caller that states none: the deadline that the deployments' callers use. */
 constexpr millis kDefaultWait{3000};
 
@@ -35,12 +32,6 @@
 /** A call is refused after the store has not served it, or this entry, for this long. */
 constexpr millis kUnservedLimit{1500};
 
-bool IsJobId(std::string_view text) {
-  return text.size() == kJobIdLength && std::all_of(text.begin(), text.end(), [](char c) {
-           return std::isxdigit(static_cast<unsigned char>(c)) != 0;
-         });
-}
-
 }  // namespace
 
 gateway_core::gateway_core(gateway_options options, const operator_source& source,
@@ -48,7 +39,7 @@
     : options_(std::move(options)),
       source_(source),
       codec_(codec),
-      operators_(source),
+      operators_(source, options_.config_bound),
       entries_(options_.node, options_.peer_address) {}
 
 void gateway_core::Decide(std::span<gateway_event> events, millis now,
@@ -76,65 +67,70 @@
   if (!operators_.known()) return stats;
   stats.config_revision = operators_.state().config_revision;
   stats.config_version = operators_.version();
-  stats.config_age = now - operators_.confirmed();
+  stats.config_age = now - operators_.config_confirmed();
   return stats;
 }
 
 bool gateway_core::UpToDate(millis now) const {
-  return now - operators_.confirmed() < options_.revocation - kRevocationMargin;
+  return now - operators_.config_confirmed() < options_.revocation - kRevocationMargin;
 }
 
 void gateway_core::On(caller_call& call, millis now) {
-  open_call open;
+  const int64_t token = ++last_token_;
+  open_call& open = calls_[token];
   const millis wait = call.wait > millis(0) ? std::min(call.wait, kLongestWait) : kDefaultWait;
   open.arrived = now;
   open.deadline = now + std::max(wait - kAnswerMargin, wait / 2);
   open.call = std::move(call);
-  Admit(std::move(open), now);
+  Admit(token, open, now);
 }
 
-void gateway_core::Admit(open_call call, millis now) {
-  if (!Allow(call, now)) return;
-  const int64_t token = ++last_token_;
-  open_call& open = calls_.emplace(token, std::move(call)).first->second;
-  if (open.call.kind == call_kind::kSubmit) {
-    Insert(token, open, now);
+/** Begins a call that the configuration allows, answers one that it does not, or lets it wait. */
+void gateway_core::Admit(int64_t token, open_call& call, millis now) {
+  if (!operators_.known()) {
+    return Refuse(call, call_answer::kUnavailable, "no configuration yet", now);
+  }
+  const call_verdict verdict = JudgeCall(call.call, *operators_.state().config);
+  const bool submitted = call.call.kind == call_kind::kSubmit;
+  const bool key_outdated = verdict.keyed && !UpToDate(now);
+  // An insertion has the configuration's revision as a condition, so that the store confirms it. No
+  // configuration allows a malformed call.
+  const bool any_age = verdict.refusal ? *verdict.refusal == call_answer::kMalformed : submitted;
+  const bool confirmed = any_age || ConfigCurrent(call);
+  if ((!confirmed || key_outdated) && AwaitConfig(call, now)) return;
+  call.queue = verdict.queue;
+  call.job = verdict.job;
+  call.organisation = verdict.organisation;
+  if (key_outdated || (verdict.refusal && !confirmed)) {
+    return Refuse(call, call_answer::kUnavailable, "configuration may be outdated", now);
+  }
+  if (verdict.refusal) return Refuse(call, *verdict.refusal, verdict.detail, now);
+  call.admitted = true;
+  if (submitted) {
+    Insert(token, call, now);
   } else {
-    SendInquiry(token, open, now);
+    SendInquiry(token, call, now);
   }
 }
 
-/** Checks a call against the configuration; answers it and returns false if it is not allowed. */
-bool gateway_core::Allow(open_call& call, millis now) {
-  const auto refuse = [&](call_answer answer, std::string_view detail) {
-    caller_reply reply{call.call.id, answer};
-    reply.detail = detail;
-    if (answer == call_answer::kUnavailable) reply.retry_after = kRetryAfter;
-    Answer(call, std::move(reply), now);
-    return false;
-  };
-  if (!operators_.known()) return refuse(call_answer::kUnavailable, "no configuration yet");
-  const batch_config& config = *operators_.state().config;
-  const batch_queue* queue = config.FindQueue(call.call.host, call.call.path);
-  if (queue == nullptr) return refuse(call_answer::kNoSuchQueue, "no queue has this host and path");
-  call.queue = queue->name;
-  call.job = call.call.path.substr(queue->path_prefix.size());
-  if (!queue->open_to_all) {
-    if (!UpToDate(now)) return refuse(call_answer::kUnavailable, "configuration may be outdated");
-    const batch_organisation* owner = config.FindKey(call.call.key);
-    if (owner == nullptr) return refuse(call_answer::kNoSuchKey, "unknown key");
-    call.organisation = owner->name;
-  }
-  if (call.call.body_bytes > config.max_body_bytes) {
-    return refuse(call_answer::kTooLarge, "the body is too large");
-  }
-  const bool whole_queue = call.job.empty() && call.call.kind == call_kind::kState;
-  if (!whole_queue && !IsJobId(call.job)) {
-    return refuse(call_answer::kNoSuchQueue, "a job's id must be 16 hexadecimal digits");
-  }
-  if (call.call.kind == call_kind::kSubmit && !call.call.job) {
-    return refuse(call_answer::kMalformed, call.call.problem);
-  }
+void gateway_core::Refuse(open_call& call, call_answer answer, std::string_view detail,
+                          millis now) {
+  caller_reply reply{call.call.id, answer};
+  reply.detail = detail;
+  if (answer == call_answer::kUnavailable) reply.retry_after = kRetryAfter;
+  Answer(call, std::move(reply), now);
+}
+
+/** Whether a newer configuration would have been in force for less than the bound. */
+bool gateway_core::ConfigCurrent(const open_call& call) const {
+  return operators_.config_confirmed() >= call.arrived - options_.config_bound;
+}
+
+/** Requests a confirmation. Returns false if there will be none in time. */
+bool gateway_core::AwaitConfig(const open_call& call, millis now) {
+  const bool failed = operators_.failed_call_sent() >= call.arrived || store_.silent();
+  if (failed || StoreWaitExpired(call, now)) return false;
+  operators_.RequestConfirmation(now);
   return true;
 }
 
@@ -161,7 +157,8 @@
   row_transaction change;
   const row_key at{std::string(kJobsTable), "", call.job};
   change.conditions.push_back({at, 0});
-  change.conditions.push_back({source_.config_row(), operators_.state().config_revision});
+  call.config_revision = operators_.state().config_revision;
+  change.conditions.push_back({source_.config_row(), call.config_revision});
   change.conditions.push_back({EpochRow(), call.term});
   change.writes.push_back({at, call.value});
   call.insert_pending = true;
@@ -179,6 +176,11 @@
     operators_.On(std::get<rows_result>(reply.answer), now);
     return;
   }
+  if (reply.token == confirmation_token_) {
+    confirmation_token_ = 0;
+    operators_.OnConfirmation(std::get<rows_result>(reply.answer), now);
+    return;
+  }
   if (reply.token == entries_token_) {
     entries_token_ = 0;
     for (auto& address : entries_.On(reply, now)) out_->emplace_back(dial_peer{std::move(address)});
@@ -194,7 +196,7 @@
 bool gateway_core::StoreUnserved(millis now) const { return store_.Unserved(now) > kUnservedLimit; }
 
 /** Whether to refuse now: the caller can still try another entry, which the store may serve. */
-bool gateway_core::InsertWaitExpired(const open_call& call, millis now) const {
+bool gateway_core::StoreWaitExpired(const open_call& call, millis now) const {
   return StoreUnserved(now) || now - call.arrived > kUnservedLimit;
 }
 
@@ -204,13 +206,14 @@
  */
 void gateway_core::DeferInsert(open_call& call, millis now) {
   call.next_try = now;
-  if (InsertWaitExpired(call, now)) GiveUp(call, now);
+  if (StoreWaitExpired(call, now)) GiveUp(call, now);
 }
 
 void gateway_core::OnInserted(open_call& call, const transaction_result& result, millis now) {
   call.insert_pending = false;
   switch (result.outcome) {
     case row_outcome::kDone:
+      operators_.ConfirmConfig(call.config_revision, call.sent);
       NotifyAccepted(call, result.revision);
       return Answer(call, {call.call.id, call_answer::kAccepted}, now);
     case row_outcome::kConflict:
@@ -222,7 +225,7 @@
       return ScheduleReinsert(call, now);
     case row_outcome::kNotDone:
       call.next_try = now + kStoreRetryPause;
-      if (!call.outcome_unknown && InsertWaitExpired(call, now)) GiveUp(call, now);
+      if (!call.outcome_unknown && StoreWaitExpired(call, now)) GiveUp(call, now);
       return;
   }
 }
@@ -272,13 +275,13 @@
     if (found.at == EpochRow()) {
       newest_term_ = std::max(newest_term_, found.revision);
     } else {
-      operators_.Adopt(found, now);
+      operators_.Adopt(found, call.sent, now);
     }
   }
   // The job is not stored, and an earlier try that is still pending names the revision of an older
   // configuration or term: it can no longer succeed.
   call.outcome_unknown = false;
-  if (!Allow(call, now)) return true;
+  call.admitted = false;
   call.value.clear();
   return false;
 }
@@ -363,6 +366,8 @@
     if (call.call.id == 0) continue;  // answered
     if (now >= call.deadline) {
       GiveUp(call, now);
+    } else if (!call.admitted) {
+      Admit(token, call, now);
     } else if (!call.insert_pending && now >= call.next_try) {
       if (call.call.kind == call_kind::kSubmit) {
         Insert(token, call, now);
@@ -382,7 +387,9 @@
   caller_reply reply{call.call.id};
   reply.answer = unknown ? call_answer::kOutcomeUnknown : call_answer::kUnavailable;
   reply.retry_after = unknown ? millis(0) : kRetryAfter;
-  if (!submitted) {
+  if (!call.admitted) {
+    reply.detail = "configuration may be outdated";
+  } else if (!submitted) {
     reply.detail = "no planner answered in time";
   } else if (call.tries == 0 && store_.silent()) {
     reply.detail = "the store does not answer";
@@ -399,7 +406,7 @@
   const bool quiet = call.call.kind == call_kind::kState &&
                      (reply.answer == call_answer::kState || reply.answer == call_answer::kWaiting);
   if (!quiet) {
-    const millis config_age = now - operators_.confirmed();
+    const millis config_age = now - operators_.config_confirmed();
     log_event("call-answered")
         .With("job", call.job)
         .With("queue", call.queue)
@@ -427,6 +434,11 @@
     request->token = follower_token_;
     out_->emplace_back(std::move(*request));
   }
+  if (auto request = operators_.NextConfirmation(now)) {
+    confirmation_token_ = ++last_token_;
+    request->token = confirmation_token_;
+    out_->emplace_back(std::move(*request));
+  }
   const bool changed = operators_.changes() != sent_changes_;
   if (!operators_.known() || (!changed && operators_.confirmed() == sent_confirmed_)) return;
   sent_changes_ = operators_.changes();
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "kernel/batch/batch_records.h"
+#include "kernel/batch/call_verdict.h"
 #include "kernel/batch/caller_call.h"
 #include "kernel/batch/entry_discovery.h"
 #include "kernel/batch/operator_follower.h"
@@ -73,6 +74,10 @@
  * revision ensures that no job is accepted under a withdrawn key. All other calls are forwarded to
  * the planner, in this process or another. A call is answered as not done only if it had no effect
  * and cannot have one later; otherwise its outcome is reported as unknown.
+ *
+ * A configuration that was confirmed longer than the bound before a call arrived decides nothing
+ * final about that call: it is confirmed first, by one read for all calls that wait for it. If that
+ * fails, the call is not refused by the old configuration, but referred to another entry.
  */
 class gateway_core {
  public:
@@ -95,8 +100,10 @@
     std::string organisation;
     std::string queue;
     std::string job;               // id; empty for a whole queue
+    bool admitted = false;         // the configuration allows it
     std::string value;             // row to insert
     int64_t term = 0;              // the accepted_term in that row
+    int64_t config_revision = 0;   // in the insertion's condition
     bool insert_pending = false;   // the store has not answered the insertion yet
     bool outcome_unknown = false;  // an earlier try may have taken effect or still may
     bool inquiry_sent = false;     // the planner may have received the inquiry
@@ -113,14 +120,16 @@
   void On(own_planner_reply& event, millis now);
   void On(gateway_drain& event, millis now);
 
-  void Admit(open_call call, millis now);
-  bool Allow(open_call& call, millis now);
+  void Admit(int64_t token, open_call& call, millis now);
+  void Refuse(open_call& call, call_answer answer, std::string_view detail, millis now);
+  bool AwaitConfig(const open_call& call, millis now);
+  bool ConfigCurrent(const open_call& call) const;
   void Insert(int64_t token, open_call& call, millis now);
   void NotifyAccepted(const open_call& call, int64_t revision);
   template <typename Message>
   void SendToPlanner(Message message);
   bool StoreUnserved(millis now) const;
-  bool InsertWaitExpired(const open_call& call, millis now) const;
+  bool StoreWaitExpired(const open_call& call, millis now) const;
   void DeferInsert(open_call& call, millis now);
   void OnInserted(open_call& call, const transaction_result& result, millis now);
   void ScheduleReinsert(open_call& call, millis now);
@@ -146,6 +155,7 @@
   std::map<int64_t, open_call> calls_;  // by token
   int64_t last_token_ = 0;
   int64_t follower_token_ = 0;
+  int64_t confirmation_token_ = 0;
   int64_t entries_token_ = 0;
   int64_t sent_changes_ = 0;
   millis sent_confirmed_{0};
--- a/src/kernel/batch/operator_follower.cc
+++ b/src/kernel/batch/operator_follower.cc
@@ -16,7 +16,7 @@
   sent_ = now;
   store_request request;
   if (revision_) {
-    const millis wait = wait_policy_.NextWait();
+    const millis wait = wanted_since_ ? wait_policy_.NoWait() : wait_policy_.NextWait();
     request.call = row_feed{std::string(source_.table()), *revision_, wait};
     request.timeout = wait + kStoreTimeout;
   } else {
@@ -28,23 +28,20 @@
 }
 
 void operator_follower::On(const rows_result& answer, millis now) {
+  if (!call_pending_) return;  // the table is read again meanwhile
   call_pending_ = false;
   next_ = now;
-  LogAnswer(answer, now);
+  LogAnswer(answer, sent_, now);
   wait_policy_.RecordOutcome(answer.outcome == row_outcome::kDone);
-  if (answer.outcome == row_outcome::kHistoryGone) {
-    log_event("operator-feed-history-gone").With("after", revision_.value_or(0));
-    revision_.reset();
-    resume_key_.clear();
-    return;
-  }
+  if (answer.outcome == row_outcome::kHistoryGone) return Reread(now);
+  Settle(sent_);
   if (answer.outcome != row_outcome::kDone) {
+    failed_call_sent_ = std::max(failed_call_sent_, sent_);
     next_ = now + kStoreRetryPause;
     return;
   }
   if (revision_) {
-    for (const auto& change : answer.rows) Apply(change, now);
-    *revision_ = std::max(*revision_, answer.revision);
+    ApplyChanges(answer, now);
     // An answer without changes means that the store waited for the whole wait time.
     confirmed_ =
         std::max(confirmed_, answer.rows.empty() ? wait_policy_.ConfirmedUntil(sent_) : sent_);
@@ -74,11 +71,71 @@
       .With("took_ms", (now - sent_).count());
 }
 
-void operator_follower::Adopt(const row& change, millis now) {
-  if (change.at == source_.config_row()) Apply(change, now);
+void operator_follower::RequestConfirmation(millis now) {
+  if (!wanted_since_) wanted_since_ = now;
+}
+
+std::optional<store_request> operator_follower::NextConfirmation(millis now) {
+  const bool feed_waits = revision_ && call_pending_ && wait_policy_.wait() > millis(0);
+  if (!wanted_since_ || confirmation_pending_ || !feed_waits) return std::nullopt;
+  confirmation_pending_ = true;
+  confirmation_sent_ = now;
+  store_request request;
+  request.call = row_feed{std::string(source_.table()), *revision_, millis(0)};
+  request.timeout = kStoreTimeout;
+  return request;
+}
+
+void operator_follower::OnConfirmation(const rows_result& answer, millis now) {
+  confirmation_pending_ = false;
+  LogAnswer(answer, confirmation_sent_, now);
+  if (!revision_) return;  // the table is read again meanwhile, which confirms more
+  if (answer.outcome == row_outcome::kHistoryGone) return Reread(now);
+  Settle(confirmation_sent_);
+  if (answer.outcome != row_outcome::kDone) {
+    failed_call_sent_ = std::max(failed_call_sent_, confirmation_sent_);
+    return;
+  }
+  ApplyChanges(answer, now);
+  confirmed_ = std::max(confirmed_, confirmation_sent_);
+}
+
+/** Has the whole table read next; a call of the feed that is still pending is ignored. */
+void operator_follower::Reread(millis now) {
+  log_event("operator-feed-history-gone").With("after", revision_.value_or(0));
+  revision_.reset();
+  resume_key_.clear();
+  call_pending_ = false;
+  next_ = now;
+}
+
+/** A requested confirmation is done, or has failed, with the answer to a call sent after it. */
+void operator_follower::Settle(millis sent) {
+  if (wanted_since_ && sent >= *wanted_since_) wanted_since_.reset();
+}
+
+void operator_follower::Adopt(const row& change, millis sent, millis now) {
+  if (change.at != source_.config_row()) return;
+  Apply(change, now);
+  ConfirmConfig(change.revision, sent);
+}
+
+void operator_follower::ConfirmConfig(int64_t revision, millis sent) {
+  if (revision == state_.config_revision) config_confirmed_ = std::max(config_confirmed_, sent);
+}
+
+/** Answers of the two calls may overtake each other: what is known already is left out. */
+void operator_follower::ApplyChanges(const rows_result& answer, millis now) {
+  for (const auto& change : answer.rows) {
+    if (change.revision > *revision_) Apply(change, now);
+  }
+  *revision_ = std::max(*revision_, answer.revision);
 }
 
 void operator_follower::Apply(const row& change, millis now) {
+  const bool adopted = change.at == source_.config_row() && !change.deleted &&
+                       change.revision <= state_.config_revision;
+  if (adopted) return;
   const int64_t version_before = version();
   const auto applied = source_.Apply(change, now, state_);
   if (!applied) return LogRefused(change, applied.error());
@@ -104,8 +161,8 @@
 
 /** Logs the first failed call in a row, the call that ends such a row, and answers that are late.
  */
-void operator_follower::LogAnswer(const rows_result& answer, millis now) {
-  const millis took = now - sent_;
+void operator_follower::LogAnswer(const rows_result& answer, millis sent, millis now) {
+  const millis took = now - sent;
   const bool served =
       answer.outcome == row_outcome::kDone || answer.outcome == row_outcome::kHistoryGone;
   if (!answer.detail.empty() && served) {
--- a/src/kernel/io/deployment.h
+++ b/src/kernel/io/deployment.h
@@ -17,6 +17,7 @@
 struct deployment_bounds {
   millis longest_hold{6000};  // lease of a worker
   millis revocation{5000};    // a withdrawn key is refused after this at the latest
+  millis config{2000};        // a new configuration is in force after this at the latest
   millis grace{6000};         // between the request to stop and the end of a process
   millis early{250};          // an occurrence may start this much before its time
 };
--- a/tests/world/gateway_world.cc
+++ b/tests/world/gateway_world.cc
@@ -1,8 +1,10 @@
 #include "tests/world/gateway_world.h"
 
+#include <nlohmann/json.hpp>
 #include <utility>
 #include <variant>
 
+#include "kernel/batch/term_election.h"
 #include "tests/world/batch_world.h"
 
 namespace eelgrass {
@@ -29,23 +31,25 @@
     : source_(std::move(operator_source_registry::Instance().Create("platform").value())),
       codec_(std::move(record_codec_registry::Instance().Create("json").value())),
       gateway_(OptionsOf(config_bound), *source_, *codec_) {
+  row_transaction term;
+  term.writes.push_back({EpochRow(), std::string(kNode)});
   planner_notice notice;
-  notice.term = 1;
+  notice.term = rows_.Apply(term).revision;
   notice.planner = kNode;
   Decide({own_planner_reply{notice}});
   Tick();
 }
 
 void gateway_world::Configure(std::span<const std::string_view> queues, std::string_view key) {
-  std::string routes;
+  nlohmann::json routes = nlohmann::json::array();
   for (const auto& queue : queues) {
     const std::string name(queue);
-    const std::string open = name.starts_with("public") ? "true" : "false";
-    routes += (routes.empty() ? "" : ",") + ("{\"Name\":\"" + name) +
-              "\",\"Host\":\"site\",\"PathPrefix\":\"/" + name + "/\",\"Public\":" + open + "}";
+    routes.push_back({{"Name", name}, {"Host", "site"}, {"PathPrefix", "/" + name + "/"}});
   }
-  Write("{\"Version\":" + std::to_string(++version_) + ",\"Routes\":[" + routes +
-        R"(],"Tenants":[{"Name":"shops","ApiKeys":[")" + std::string(key) + "\"]}]}");
+  const nlohmann::json owner = {{"Name", "shops"}, {"ApiKeys", {key}}};
+  const nlohmann::json body = {
+      {"Version", ++version_}, {"Routes", routes}, {"Tenants", nlohmann::json::array({owner})}};
+  Write(body.dump());
 }
 
 void gateway_world::ConfigureUnreadably() { Write("{\"Version\":\"newest\"}"); }
--- a/tests/world/gateway_world.h
+++ b/tests/world/gateway_world.h
@@ -34,7 +34,7 @@
  public:
   explicit gateway_world(millis config_bound = millis(2000));
 
-  /** A new version of the configuration: the names of its public queues, and its only key. */
+  /** A new version of the configuration: the names of its queues, and its only key. */
   void Configure(std::span<const std::string_view> queues, std::string_view key = "key-1");
 
   /** A configuration that this product cannot read. */
@@ -48,8 +48,8 @@
   void RunUntilOperatorCall();
 
   /** Calls of callers; each returns the call's number. */
-  uint64_t AskWaiting(std::string_view queue, std::string_view key = "");
-  uint64_t Submit(std::string_view queue, std::string_view key = "");
+  uint64_t AskWaiting(std::string_view queue, std::string_view key);
+  uint64_t Submit(std::string_view queue, std::string_view key);
 
   /** The answer to a call; none: it has not been answered yet. */
   std::optional<caller_reply> answer(uint64_t call) const;
