A change between two pages of the operators' table is not skipped

What callers would see: an older configuration until the next change, with nothing in the log.

Cause: the table is read page by page, each as of its own moment, and the feed went on from the revision of the last page. A change to a row of an earlier page, made between the two, was neither in a page nor in the feed. The state also counted as confirmed at the time of the last page.

Change: revision and time of the first page.

Result (x86_64): operator_follower_story.cc failed in 3 checks before and passes; all 146 stories pass.

--- a/src/kernel/batch/operator_follower.cc
+++ b/src/kernel/batch/operator_follower.cc
@@ -47,6 +47,11 @@
         std::max(confirmed_, answer.rows.empty() ? wait_policy_.ConfirmedUntil(sent_) : sent_);
     return;
   }
+  if (resume_key_.empty()) {
+    // Later pages may miss a change to a row of this one: the changes are followed from here on.
+    loading_revision_ = answer.revision;
+    loading_sent_ = sent_;
+  }
   for (const auto& found : answer.rows) {
     const auto applied = source_.Apply(found, now, loading_);
     if (!applied) LogRefused(found, applied.error());
@@ -56,19 +61,19 @@
     return;
   }
   resume_key_.clear();
-  revision_ = answer.revision;
+  revision_ = loading_revision_;
   if (loading_.config == nullptr || loading_.config_revision < state_.config_revision) {
     loading_.config = state_.config;
     loading_.config_revision = state_.config_revision;
   }
   state_ = loading_;
-  confirmed_ = std::max(confirmed_, sent_);
+  confirmed_ = std::max(confirmed_, loading_sent_);
   ++changes_;
   log_event("operator-table-read")
-      .With("revision", answer.revision)
+      .With("revision", loading_revision_)
       .With("config_revision", state_.config_revision)
       .With("version", version())
-      .With("took_ms", (now - sent_).count());
+      .With("took_ms", (now - loading_sent_).count());
 }
 
 void operator_follower::RequestConfirmation(millis now) {
--- a/src/kernel/batch/operator_follower.h
+++ b/src/kernel/batch/operator_follower.h
@@ -78,6 +78,8 @@
   operator_state state_;
   std::optional<int64_t> revision_;  // none: the whole table has to be read
   operator_state loading_;           // filled while the whole table is read
+  int64_t loading_revision_ = 0;     // of its first page
+  millis loading_sent_{0};
   std::string resume_key_;
   feed_wait_policy wait_policy_;
   bool call_pending_ = false;
