An early answer without changes confirms nothing for later

What callers would see: an older configuration that counts as confirmed, or a lease that is taken for expired too early. Not seen; found by reading.

Cause: an answer of a feed without changes confirmed the known data for the whole wait after the call was sent, also if the answer came at once.

Change: it does so only if it came after the wait; else the data are confirmed up to the sending. The operators' feed and the planner's feed of jobs share it.

--- a/src/kernel/batch/feed_wait_policy.h
+++ b/src/kernel/batch/feed_wait_policy.h
@@ -28,8 +28,13 @@
   /** Records whether that call succeeded. */
   void RecordOutcome(bool done) { failed_ = !done; }
 
-  /** The time up to which an answer without changes confirms that there were none. */
-  millis ConfirmedUntil(millis sent) const { return sent + wait_; }
+  /**
+   * The time up to which an answer without changes confirms that there were none. An answer that
+   * comes before the wait is over does not show how long the store has waited.
+   */
+  millis ConfirmedUntil(millis sent, millis answered) const {
+    return answered - sent >= wait_ ? sent + wait_ : sent;
+  }
 
  private:
   millis longest_;
--- a/src/kernel/batch/operator_follower.cc
+++ b/src/kernel/batch/operator_follower.cc
@@ -42,9 +42,8 @@
   }
   if (revision_) {
     ApplyChanges(answer, now);
-    // An answer without changes means that the store waited for the whole wait time.
     confirmed_ =
-        std::max(confirmed_, answer.rows.empty() ? wait_policy_.ConfirmedUntil(sent_) : sent_);
+        std::max(confirmed_, answer.rows.empty() ? wait_policy_.ConfirmedUntil(sent_, now) : sent_);
     return;
   }
   if (resume_key_.empty()) {
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -264,8 +264,8 @@
   }
   for (const auto& found : answer.rows) TakeRow(found, jobs, now);
   revision_ = std::max(revision_, answer.revision);
-  complete_until_ = std::max(complete_until_,
-                             answer.rows.empty() ? pace_.ConfirmedUntil(read_sent_) : read_sent_);
+  complete_until_ = std::max(
+      complete_until_, answer.rows.empty() ? pace_.ConfirmedUntil(read_sent_, now) : read_sent_);
 }
 
 void planner_journal::OnWritten(const transaction_result& answer, millis now) {
