A configuration that cannot be read refuses no caller for good

What callers would see: 404 or 401 by the last readable configuration, and jobs that are held until their callers' deadlines.

Cause: a row that could not be decoded was logged and forgotten, while the state counted as confirmed. An insertion failed by its condition on the configuration and was sent again at once, until the deadline.

Change: while the newest configuration that was seen could not be read, refusals by the older one and new jobs are answered 503 at once; inquiries go on.

--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -101,6 +101,9 @@
   call.queue = verdict.queue;
   call.job = verdict.job;
   call.organisation = verdict.organisation;
+  if ((verdict.refusal || submitted) && !operators_.config_readable()) {
+    return Refuse(call, call_answer::kUnavailable, "the newest configuration cannot be read", now);
+  }
   if (key_outdated || (verdict.refusal && !confirmed)) {
     return Refuse(call, call_answer::kUnavailable, "configuration may be outdated", now);
   }
--- a/src/kernel/batch/operator_follower.cc
+++ b/src/kernel/batch/operator_follower.cc
@@ -53,7 +53,7 @@
   }
   for (const auto& found : answer.rows) {
     const auto applied = source_.Apply(found, now, loading_);
-    if (!applied) LogRefused(found, applied.error());
+    if (!applied) NoteRefused(found, applied.error());
   }
   if (answer.more && !answer.rows.empty()) {
     resume_key_ = answer.rows.back().at.key + '!';
@@ -142,7 +142,7 @@
   if (adopted) return;
   const int64_t version_before = version();
   const auto applied = source_.Apply(change, now, state_);
-  if (!applied) return LogRefused(change, applied.error());
+  if (!applied) return NoteRefused(change, applied.error());
   ++changes_;
   log_event("operator-change")
       .With("key", change.at.key)
@@ -156,7 +156,10 @@
   return state_.config == nullptr ? 0 : state_.config->version;
 }
 
-void operator_follower::LogRefused(const row& change, const error& problem) {
+void operator_follower::NoteRefused(const row& change, const error& problem) {
+  if (change.at == source_.config_row()) {
+    unread_config_revision_ = std::max(unread_config_revision_, change.revision);
+  }
   log_event("operator-row-refused", log_level::kWarning)
       .With("key", change.at.key)
       .With("revision", change.revision)
--- a/src/kernel/batch/operator_follower.h
+++ b/src/kernel/batch/operator_follower.h
@@ -55,6 +55,10 @@
 
   /** When the last one of the calls was sent that the store refused or did not answer. */
   millis failed_call_sent() const { return failed_call_sent_; }
+
+  /** Whether state() has the newest configuration that was seen: a newer one could not be read. */
+  bool config_readable() const { return unread_config_revision_ <= state_.config_revision; }
+
   bool known() const { return state_.config != nullptr; }
 
   /** Version of the known configuration; 0 if there is none. */
@@ -71,7 +75,7 @@
   void ApplyChanges(const rows_result& answer, millis now);
   void Apply(const row& change, millis now);
   void Settle(millis sent);
-  static void LogRefused(const row& change, const error& problem);
+  void NoteRefused(const row& change, const error& problem);
   void LogAnswer(const rows_result& answer, millis sent, millis now);
 
   const operator_source& source_;
@@ -87,6 +91,7 @@
   millis next_{0};
   millis confirmed_{INT64_MIN / 4};
   millis config_confirmed_{INT64_MIN / 4};
+  int64_t unread_config_revision_ = 0;  // the newest one that could not be read
   std::optional<millis> wanted_since_;  // a confirmation of the state at this time or later
   bool confirmation_pending_ = false;
   millis confirmation_sent_{0};
--- a/tests/stories/config_age_story.cc
+++ b/tests/stories/config_age_story.cc
@@ -141,6 +141,32 @@
   }
 }
 
+TEST_CASE("a newer configuration that cannot be read refuses nobody for good") {
+  gateway_world world;
+  world.Configure(kOrders);
+  world.RunFor(millis(5000));
+  world.ConfigureUnreadably();
+  SUBCASE("that came by the feed") {}
+  SUBCASE("that came with the whole table") { world.ForgetHistory(); }
+  world.RunFor(kSoon);
+
+  const uint64_t unknown = world.AskWaiting("quotes", "key-1");
+  const uint64_t known = world.AskWaiting("orders", "key-1");
+  const uint64_t job = world.Submit("orders", "key-1");
+  world.RunFor(millis(1));
+  CHECK(world.Answered(unknown, call_answer::kUnavailable));
+  CHECK(world.Answered(known, call_answer::kWaiting));
+  CHECK(world.Answered(job, call_answer::kUnavailable));
+
+  world.Configure(kOrders);
+  world.RunFor(kSoon);
+  const uint64_t next = world.AskWaiting("quotes", "key-1");
+  const uint64_t accepted = world.Submit("orders", "key-1");
+  world.RunFor(kSoon);
+  CHECK(world.Answered(next, call_answer::kNoSuchQueue));
+  CHECK(world.Answered(accepted, call_answer::kAccepted));
+}
+
 TEST_CASE("a call of the operators' feed does not wait longer than the configuration's bound") {
   gateway_world world(millis(700));
   world.Configure(kOrders);
