Calls to other processes end in their own time

What callers would see: an entry that is behind for longer, as a call of the operators' feed is noticed late; any call to the store or a worker may last longer than its time.

Cause: the client left it to libcurl's timer.

Change: the client ends calls whose time is over itself, and sleeps no longer than until the next such time.

--- a/src/plugins/store/curl/curl_client.cc
+++ b/src/plugins/store/curl/curl_client.cc
@@ -35,6 +35,7 @@
   http_response response;
   int sends = 0;  // how often some of the request may have reached the server
   std::chrono::steady_clock::time_point started = std::chrono::steady_clock::now();
+  std::chrono::steady_clock::time_point deadline;
 };
 
 /** What stands between the scheme and the path of a URL. */
@@ -139,12 +140,38 @@
       int running = 0;
       curl_multi_perform(multi_, &running);
       Collect();
-      curl_multi_poll(multi_, nullptr, 0, kLongestPollMs, nullptr);
+      EndOverdue();
+      curl_multi_poll(multi_, nullptr, 0, PollTime(), nullptr);
     }
     while (!active_.empty()) End(active_.begin()->first, CURLE_ABORTED_BY_CALLBACK);
   }
 
+  /**
+   * Ends calls whose time is over. The library's own timer starts again for a request that it sends
+   * again, and does not end calls that wait for a connection.
+   */
+  void EndOverdue() {
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<CURL*> overdue;
+    for (const auto& [handle, item] : active_) {
+      if (item->deadline <= now) overdue.push_back(handle);
+    }
+    for (CURL* handle : overdue) End(handle, CURLE_OPERATION_TIMEDOUT);
+  }
+
+  /** The time until the next call has to end, in milliseconds. */
+  int PollTime() const {
+    const auto now = std::chrono::steady_clock::now();
+    auto time = std::chrono::milliseconds(kLongestPollMs);
+    for (const auto& [handle, item] : active_) {
+      time = std::min(time, std::chrono::ceil<std::chrono::milliseconds>(item->deadline - now));
+    }
+    return static_cast<int>(std::max<int64_t>(0, time.count()));
+  }
+
   void Begin(std::unique_ptr<transfer> item) {
+    item->deadline =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(item->call.timeout.count());
     CURL* handle = curl_easy_init();
     item->handle = handle;
     const http_call& call = item->call;
--- a/tests/stories/http_client_threads_story.cc
+++ b/tests/stories/http_client_threads_story.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <asio.hpp>
 #include <atomic>
+#include <chrono>
 #include <future>
 #include <memory>
 #include <string>
@@ -127,6 +128,57 @@
                                     tcp::socket(io_)};
 };
 
+/**
+ * A server on loopback that answers the first request of a connection, ends the connection some
+ * time after the second, and never answers the copy of it that comes on the next connection.
+ */
+class stalling_server {
+ public:
+  explicit stalling_server(std::chrono::milliseconds delay)
+      : delay_(delay),
+        acceptor_(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        thread_([this] { Serve(); }) {}
+  ~stalling_server() { thread_.join(); }
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()) + "/";
+  }
+
+ private:
+  void Serve() {
+    asio::streambuf buffer;
+    tcp::socket first = acceptor_.accept();
+    asio::read_until(first, buffer, "\r\n\r\n");
+    buffer.consume(buffer.size());
+    asio::write(first, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+    asio::read_until(first, buffer, "\r\n\r\n");
+    std::this_thread::sleep_for(delay_);
+    first.close();
+    tcp::socket second = acceptor_.accept();
+    asio::error_code ended;
+    while (!ended) asio::read(second, buffer, asio::transfer_at_least(1), ended);
+  }
+
+  const std::chrono::milliseconds delay_;
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+/** A server on loopback that accepts connections and answers nothing. */
+class mute_server {
+ public:
+  mute_server() : acceptor_(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {}
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()) + "/";
+  }
+
+ private:
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+};
+
 /** Makes one call after the other, each with the same time. */
 class patient_caller {
  public:
@@ -158,6 +210,31 @@
   SUBCASE("was never sent") { CHECK(answer.error().kind == error_kind::kUnavailable); }
 }
 
+TEST_CASE("a call that waits for the connection of another call ends in its own time") {
+  const mute_server server;
+  client_options options;
+  options.max_connections = 1;
+  const auto client = std::move(client_registry::Instance().Create("curl", options).value());
+  const auto call = [&](millis timeout, std::promise<error_kind>& ended) {
+    http_call sent;
+    sent.method = "GET";
+    sent.url = server.url();
+    sent.timeout = timeout;
+    client->Start(std::move(sent), [&ended](const result<http_response>& answer) {
+      ended.set_value(answer ? error_kind::kInvalid : answer.error().kind);
+    });
+  };
+  std::promise<error_kind> first;
+  std::promise<error_kind> second;
+  const auto began = std::chrono::steady_clock::now();
+  call(millis(2000), first);
+  call(millis(500), second);
+  CHECK(second.get_future().get() == error_kind::kUnavailable);
+  CHECK((std::chrono::steady_clock::now() - began < std::chrono::milliseconds(1000)));
+  CHECK(first.get_future().get() == error_kind::kUnknown);
+  client->Stop();
+}
+
 TEST_CASE("a call to what is no address was never sent, and the next calls go on") {
   patient_caller caller(millis(2000));
   for (const std::string host :
@@ -208,6 +285,18 @@
   }
 }
 
+TEST_CASE("a call that is sent again on another connection ends in the time of the first copy") {
+  const stalling_server server(std::chrono::milliseconds(600));
+  patient_caller caller(millis(1000));
+  REQUIRE(caller.Call(server.url()));
+  const auto began = std::chrono::steady_clock::now();
+  const auto answer = caller.Call(server.url());
+  const auto took = std::chrono::steady_clock::now() - began;
+  REQUIRE_FALSE(answer);
+  CHECK(answer.error().kind == error_kind::kUnknown);
+  CHECK((took < std::chrono::milliseconds(1400)));
+}
+
 // Guards against a rejection with a promise of what had been stored (REFUSED), and against the same
 // error in calls to workers (TWICE): the client library sends a request again by itself, and the
 // answer to the second copy says nothing of the first.
