A dropped history is not logged as an unreadable answer

Cause: the status of an answer 410 stood in the field that names unreadable rows. Change: operator-answer-unreadable is logged for answers with rows only.

--- a/src/kernel/batch/operator_follower.cc
+++ b/src/kernel/batch/operator_follower.cc
@@ -172,7 +172,7 @@
   const millis took = now - sent;
   const bool served =
       answer.outcome == row_outcome::kDone || answer.outcome == row_outcome::kHistoryGone;
-  if (!answer.detail.empty() && served) {
+  if (!answer.detail.empty() && answer.outcome == row_outcome::kDone) {
     log_event("operator-answer-unreadable", log_level::kWarning).With("detail", answer.detail);
   }
   if (!served) {
