A cancelling is not answered by a list of jobs that may miss the job

Cause: a planner answered that a job does not exist by a list that was up to 2.8 s old. That fits asking for a job, not cancelling it. Notices of accepted jobs were dropped until all had been loaded, although jobs are read first.

Change: such a cancelling waits until the list is complete up to the time of asking; a job that comes meanwhile is cancelled before it is planned.

Not run on itself.

--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -25,6 +25,9 @@
  */
 constexpr millis kMaxJobListAge{2800};
 
+/** A cancellation is repeated by its entry, whose caller waits no longer than this. */
+constexpr millis kLongestCancelWait{5000};
+
 }  // namespace
 
 planner_core::planner_core(planner_options options, const batch_record_codec& codec,
@@ -50,6 +53,7 @@
   }
   if (term_.holding()) {
     ApplyCommit();
+    SettleUnknownCancels(now);
     Plan(now, wall_now);
     if (auto request = lost_.Next(now)) out_->emplace_back(*request);
     if (jobs_->TakeFinished()) journal_.RequestWrite();
@@ -213,6 +217,10 @@
     for (const auto& [asker, id] : askers) Reply(asker, {id, inquiry_outcome::kNotPlanner});
   }
   cancels_.clear();
+  for (const auto& [asked, waiting] : unknown_cancels_) {
+    Reply(asked.first, {waiting.inquiry.id, inquiry_outcome::kNotPlanner});
+  }
+  unknown_cancels_.clear();
 }
 
 void planner_core::ApplyReport(const std::string& agent, worker_report& report, millis now) {
@@ -262,6 +270,11 @@
     return Reply(asker, reply);
   }
   const tracked_job* job = jobs_->Find(inquiry.job);
+  if (job == nullptr && inquiry.question == job_question::kCancel) {
+    // Its caller would believe that nothing runs: only a list that is complete up to now tells.
+    unknown_cancels_.try_emplace({asker, inquiry.id}, unknown_cancel{inquiry, now});
+    return;
+  }
   if (job == nullptr || job->job.queue != inquiry.queue) {
     const bool certain = now - journal_.complete_until() < kMaxJobListAge;
     reply.outcome = certain ? inquiry_outcome::kNoSuchJob : inquiry_outcome::kUnavailable;
@@ -279,6 +292,24 @@
   cancels_[inquiry.job].emplace_back(asker, inquiry.id);
 }
 
+/** Cancels jobs that have become known, and answers for those that no store row can hold. */
+void planner_core::SettleUnknownCancels(millis now) {
+  for (auto at = unknown_cancels_.begin(); at != unknown_cancels_.end();) {
+    const std::string asker = at->first.first;
+    const unknown_cancel waiting = at->second;
+    const bool known = jobs_->Find(waiting.inquiry.job) != nullptr;
+    const bool unknown = !known && journal_.complete_until() >= waiting.asked;
+    const bool over = now - waiting.asked > kLongestCancelWait;
+    if (!known && !unknown && !over) {
+      ++at;
+      continue;
+    }
+    at = unknown_cancels_.erase(at);
+    if (known) AnswerInquiry(asker, waiting.inquiry, now);
+    if (unknown) Reply(asker, {waiting.inquiry.id, inquiry_outcome::kNoSuchJob});
+  }
+}
+
 void planner_core::Reply(const std::string& asker, const job_reply& reply) {
   if (asker.empty()) {
     out_->emplace_back(send_to_gateway{reply});
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -92,6 +92,12 @@
   const worker_pool& pool() const { return pool_; }
 
  private:
+  /** A cancellation of a job that this planner does not know, and may not know yet. */
+  struct unknown_cancel {
+    job_inquiry inquiry;
+    millis asked{0};
+  };
+
   void On(store_reply& event, millis now);
   void On(peer_up& event, millis now);
   void On(peer_down& event, millis now);
@@ -108,6 +114,7 @@
   void EndTerm();
   void ApplyReport(const std::string& agent, worker_report& report, millis now);
   void AnswerInquiry(const std::string& asker, const job_inquiry& inquiry, millis now);
+  void SettleUnknownCancels(millis now);
   void Forget(std::span<const std::string> workers, std::string_view reason, millis now);
   void Reply(const std::string& asker, const job_reply& reply);
   void ApplyCommit();
@@ -149,6 +156,7 @@
   std::set<std::string> agents_;  // connected agents
   std::map<std::pair<std::string, std::string>, worker_report> pending_reports_;
   std::map<std::string, std::vector<std::pair<std::string, int64_t>>> cancels_;  // inquiries by job
+  std::map<std::pair<std::string, int64_t>, unknown_cancel> unknown_cancels_;    // by asker and id
   planner_notice sent_notice_;
   millis next_repeat_{0};
   std::map<std::string, millis, std::less<>> reported_;  // last report by agent, in this term
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -204,7 +204,7 @@
 }
 
 void planner_journal::OnAccepted(const row& accepted, job_table& jobs, millis now) {
-  if (loaded_) TakeRow(accepted, jobs, now);
+  if (stage_ != stage::kJobs || loaded_) TakeRow(accepted, jobs, now);
 }
 
 void planner_journal::OnRead(const rows_result& answer, job_table& jobs, worker_pool& pool,
