--- a/tests/stories/config_age_story.cc
+++ b/tests/stories/config_age_story.cc
@@ -18,6 +18,10 @@
   gateway_world world;
   world.Configure(kOrders);
   world.RunFor(millis(5000));
+  const auto answered_soon = [&](uint64_t call, call_answer answer) {
+    world.RunFor(kSoon);
+    return world.Answered(call, answer);
+  };
 
   SUBCASE("while the call for changes gets no answer") {
     world.SetStore(store_service::kNoFeedAnswers);
@@ -25,30 +29,22 @@
     SUBCASE("a queue that was added is not unknown") {
       world.Configure(kOrdersAndQuotes);
       world.RunFor(kPastBound);
-      const uint64_t call = world.AskWaiting("quotes", "key-1");
-      world.RunFor(kSoon);
-      CHECK(world.Answered(call, call_answer::kWaiting));
+      CHECK(answered_soon(world.AskWaiting("quotes", "key-1"), call_answer::kWaiting));
     }
     SUBCASE("a key that was added is not unknown") {
       world.Configure(kOrders, "key-2");
       world.RunFor(kPastBound);
-      const uint64_t call = world.AskWaiting("orders", "key-2");
-      world.RunFor(kSoon);
-      CHECK(world.Answered(call, call_answer::kWaiting));
+      CHECK(answered_soon(world.AskWaiting("orders", "key-2"), call_answer::kWaiting));
     }
     SUBCASE("a job for a queue that was added is accepted") {
       world.Configure(kOrdersAndQuotes);
       world.RunFor(kPastBound);
-      const uint64_t call = world.Submit("quotes", "key-1");
-      world.RunFor(kSoon);
-      CHECK(world.Answered(call, call_answer::kAccepted));
+      CHECK(answered_soon(world.Submit("quotes", "key-1"), call_answer::kAccepted));
     }
     SUBCASE("nor served at a queue that was removed") {
       world.Configure(kNone);
       world.RunFor(kPastBound);
-      const uint64_t call = world.AskWaiting("orders", "key-1");
-      world.RunFor(kSoon);
-      CHECK(world.Answered(call, call_answer::kNoSuchQueue));
+      CHECK(answered_soon(world.AskWaiting("orders", "key-1"), call_answer::kNoSuchQueue));
       CHECK(world.inquiries() == 0);
     }
   }
@@ -57,9 +53,7 @@
     world.RunUntilOperatorCall();
     world.Configure(kOrdersAndQuotes);
     world.RunFor(millis(2001));
-    const uint64_t call = world.AskWaiting("quotes", "key-1");
-    world.RunFor(kSoon);
-    CHECK(world.Answered(call, call_answer::kWaiting));
+    CHECK(answered_soon(world.AskWaiting("quotes", "key-1"), call_answer::kWaiting));
   }
   SUBCASE("when the history is dropped while the call for changes gets no answer") {
     world.SetStore(store_service::kNoFeedAnswers);
@@ -67,9 +61,7 @@
     world.Configure(kOrdersAndQuotes);
     world.ForgetHistory();
     world.RunFor(kPastBound);
-    const uint64_t call = world.AskWaiting("quotes", "key-1");
-    world.RunFor(kSoon);
-    CHECK(world.Answered(call, call_answer::kWaiting));
+    CHECK(answered_soon(world.AskWaiting("quotes", "key-1"), call_answer::kWaiting));
   }
   SUBCASE("while the store does not serve this entry: it is told to try another one") {
     SUBCASE("as the store refuses") { world.SetStore(store_service::kRefuses); }
