A cancelling of an entry that has gone is not answered to its next process

What callers would see: 410, or another answer, to a call that it does not belong to.

Cause: cancellings that wait at the planner are kept by entry and number. The next process of an entry counts from the start again, so that the answer to a cancelling of the former process could meet a call of the next one.

Change: when an entry connects or is lost, what it has asked is forgotten.

--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -25,7 +25,7 @@
  */
 constexpr millis kMaxJobListAge{2800};
 
-/** A cancellation is repeated by its entry, whose caller waits no longer than this. */
+/** A cancellation is forgotten after this time; its entry repeats it while the caller waits. */
 constexpr millis kLongestCancelWait{5000};
 
 }  // namespace
@@ -78,6 +78,7 @@
 }
 
 void planner_core::On(peer_up& event, millis now) {
+  ForgetInquiries(event.peer.id);
   if (event.peer.role == peer_role::kEntry) {
     entries_[event.peer.id] = event.peer.address;
     disconnected_entries_.erase(event.peer.id);
@@ -102,6 +103,7 @@
 }
 
 void planner_core::On(peer_down& event, millis now) {
+  ForgetInquiries(event.peer);
   if (const auto entry = entries_.find(event.peer); entry != entries_.end()) {
     disconnected_entries_[entry->first] = entry->second;
     entries_.erase(entry);
@@ -310,6 +312,14 @@
   }
 }
 
+/** The next process of an entry counts its inquiries anew; the same process repeats them. */
+void planner_core::ForgetInquiries(const std::string& asker) {
+  std::erase_if(unknown_cancels_, [&](const auto& entry) { return entry.first.first == asker; });
+  for (auto& [job, askers] : cancels_) {
+    std::erase_if(askers, [&](const auto& entry) { return entry.first == asker; });
+  }
+}
+
 void planner_core::Reply(const std::string& asker, const job_reply& reply) {
   if (asker.empty()) {
     out_->emplace_back(send_to_gateway{reply});
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -115,6 +115,7 @@
   void ApplyReport(const std::string& agent, worker_report& report, millis now);
   void AnswerInquiry(const std::string& asker, const job_inquiry& inquiry, millis now);
   void SettleUnknownCancels(millis now);
+  void ForgetInquiries(const std::string& asker);
   void Forget(std::span<const std::string> workers, std::string_view reason, millis now);
   void Reply(const std::string& asker, const job_reply& reply);
   void ApplyCommit();
--- a/tests/stories/unknown_cancel_story.cc
+++ b/tests/stories/unknown_cancel_story.cc
@@ -54,15 +54,28 @@
   }
 
   int64_t Cancel(const batch_job& job) {
-    job_inquiry inquiry;
-    inquiry.id = ++last_inquiry_;
-    inquiry.job = job.id;
-    inquiry.queue = job.queue;
-    inquiry.question = job_question::kCancel;
-    Decide({local_gateway_message{inquiry}});
-    return inquiry.id;
+    const int64_t id = ++last_inquiry_;
+    Decide({local_gateway_message{InquiryOf(job, id)}});
+    return id;
+  }
+
+  /** Another entry passes a cancelling on. */
+  void CancelThrough(const std::string& entry, const batch_job& job, int64_t id) {
+    Decide({peer_said{entry, InquiryOf(job, id)}});
   }
 
+  void Connect(const std::string& entry) {
+    peer_up up;
+    up.peer.id = entry;
+    up.peer.role = peer_role::kEntry;
+    Decide({up});
+  }
+
+  void Disconnect(const std::string& entry) { Decide({peer_down{entry}}); }
+
+  /** Replies to inquiries of other entries. */
+  int replies_sent() const { return replies_sent_; }
+
   std::optional<job_reply> reply(int64_t inquiry) const {
     const auto found = replies_.find(inquiry);
     if (found == replies_.end()) return std::nullopt;
@@ -70,6 +83,15 @@
   }
 
  private:
+  static job_inquiry InquiryOf(const batch_job& job, int64_t id) {
+    job_inquiry inquiry;
+    inquiry.id = id;
+    inquiry.job = job.id;
+    inquiry.queue = job.queue;
+    inquiry.question = job_question::kCancel;
+    return inquiry;
+  }
+
   void Tick() {
     Decide({});
     events_.After(kTick, [this] { Tick(); });
@@ -80,6 +102,8 @@
     planner_.Decide(events, events_.now(), events_.now(), actions);
     for (const auto& action : actions) {
       if (const auto* request = std::get_if<store_request>(&action)) Serve(*request);
+      const auto* told = std::get_if<send_to_peer>(&action);
+      if (told != nullptr && std::holds_alternative<job_reply>(told->message)) ++replies_sent_;
       const auto* sent = std::get_if<send_to_gateway>(&action);
       const auto* reply = sent == nullptr ? nullptr : std::get_if<job_reply>(&sent->message);
       if (reply != nullptr) replies_.insert_or_assign(reply->id, *reply);
@@ -115,6 +139,7 @@
   std::map<int64_t, job_reply> replies_;
   int64_t last_inquiry_ = 0;
   int feeds_ = 0;
+  int replies_sent_ = 0;
 };
 
 TEST_CASE("a job that was accepted is not called unknown to the caller that cancels it") {
@@ -140,5 +165,21 @@
   }
 }
 
+TEST_CASE("a cancelling of an entry that has gone is not answered to its next process") {
+  lone_planner planner;
+  planner.Connect("entry-1");
+  planner.RunUntilFeed();
+  planner.CancelThrough("entry-1", MakeBatchJob("c1", "usual", 1, millis(500), 1), 7);
+  planner.RunFor(millis(100));
+
+  SUBCASE("its connection was lost first") {
+    planner.Disconnect("entry-1");
+    planner.Connect("entry-1");
+  }
+  SUBCASE("the next process connects before that is noticed") { planner.Connect("entry-1"); }
+  planner.RunFor(millis(2500));
+  CHECK(planner.replies_sent() == 0);
+}
+
 }  // namespace
 }  // namespace eelgrass
