A start is ordered only once another process or the store knows of it (TWICE)

What callers saw: one task in two runs at the same time.

Cause: who has sent a call was the only one to know of it until it had stayed without an answer. When its agent, the planner and whoever they had told were gone, the next planner started the unit elsewhere, and the next incarnation under the worker's id carried the call out.

Change: a start is open from the decision to order it until a report of the same agent process shows it to be answered. Up to three entries in two failure domains hold it, and the order goes out with the first answer. If none answers within 0.1 s, or none is there, the order waits for the planner's next write, which puts it into the worker's row. Starts that stay open for 0.1 s are in the row as well; a row outlives its worker while they are open. An agent that follows a new planner states all its open calls, also those to workers that have left, so that nothing else of its process keeps units waiting.

--- a/src/kernel/batch/agent_core.cc
+++ b/src/kernel/batch/agent_core.cc
@@ -93,7 +93,10 @@
 }
 
 void agent_core::On(const peer_up& event, millis now) {
-  if (event.peer.id == planner_) next_report_ = millis(0);
+  if (event.peer.id == planner_) {
+    next_report_ = millis(0);
+    SendStatement(now);
+  }
   entries_.OnConnected(event.peer.id, event.peer.address);
   for (const auto& [id, controller] : incarnations_.present()) {
     SendUnanswered(event.peer.id, id, now);
@@ -130,6 +133,21 @@
   planner_ = planner;
   next_report_ = now;
   incarnations_.SetTerm(term, now);
+  SendStatement(now);
+}
+
+/** Tells the planner which calls are open: none that an earlier planner ordered will follow. */
+void agent_core::SendStatement(millis now) {
+  open_starts_notice statement;
+  statement.term = term_;
+  statement.workers = sent_starts_.Unanswered(now);
+  for (auto& open : statement.workers) {
+    const worker_controller* controller = incarnations_.Find(open.worker);
+    if (controller == nullptr) continue;
+    open.address = controller->address();
+    open.vm = controller->profile().vm;
+  }
+  out_->emplace_back(send_to_peer{planner_, std::move(statement)});
 }
 
 void agent_core::SendReports(millis now) {
--- a/src/kernel/batch/agent_core.h
+++ b/src/kernel/batch/agent_core.h
@@ -46,6 +46,7 @@
   void ReportEndedWorker(const worker_identity& worker, millis now);
   void SendReports(millis now);
   void SendUnanswered(std::string_view entry, std::string_view worker, millis now);
+  void SendStatement(millis now);
   void AdjustLinks(millis now);
   void ReportEndedWorkers(millis now);
 
--- a/src/kernel/batch/batch_records.h
+++ b/src/kernel/batch/batch_records.h
@@ -43,6 +43,14 @@
   int64_t sent_ms = 0;  // send time by the store's clock; 0: not known
 };
 
+/** A start under a worker's id that may still be carried out. */
+struct open_start_record {
+  std::string task;
+  int64_t run = 0;
+  int64_t agent_process = 0;  // incarnation of the agent that sends it; 0: not known
+  int64_t until_ms = 0;       // not carried out after this, by the store's clock; 0: not known
+};
+
 /** A worker on which runs may have been started; rewritten for each incarnation of it. */
 struct worker_record {
   std::string id;
@@ -50,6 +58,8 @@
   std::string address;
   int64_t born_ms = 0;  // start time of the incarnation at the address; 0: not known
   std::string vm;       // on which that incarnation runs; empty: not known
+  bool gone = false;    // that incarnation has ended; the row is kept for its open starts
+  std::vector<open_start_record> starts{};
 };
 
 /** Encodes and decodes the records. Stateless. */
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -45,7 +45,7 @@
   out_ = &actions;
   for (auto& event : events) {
     std::visit([&](auto& e) { On(e, now); }, event);
-    if (term_.holding() != was_holding_) term_.holding() ? BeginTerm(now) : EndTerm();
+    if (term_.holding() != was_holding_) term_.holding() ? BeginTerm(now) : EndTerm(now);
   }
   if (auto call = term_.Next(now)) {
     call->token = -1;  // separates the term's calls from those of the journal, which are positive
@@ -58,6 +58,8 @@
     if (auto request = lost_.Next(now)) out_->emplace_back(*request);
     if (jobs_->TakeFinished()) journal_.RequestWrite();
     std::vector<send_to_peer> orders;
+    start_notices_.Next(pool_.starts(), now, orders);
+    if (start_notices_.StoreNeeded(pool_.starts(), now)) journal_.RequestWrite();
     orders_->WriteDue(term_.fence(), term_.TermValid(now), orders);
     for (auto& order : orders) out_->emplace_back(std::move(order));
     std::vector<store_request> calls;
@@ -83,11 +85,11 @@
     entries_[event.peer.id] = event.peer.address;
     disconnected_entries_.erase(event.peer.id);
     term_.OnConnected(event.peer.id, event.peer.processor, now);
+    start_notices_.OnConnected(event.peer.id, event.peer.domain, event.peer.processor);
     SendOpenStarts(event.peer.id, now);
   } else {
     agents_.insert(event.peer.id);
-    // A new process of the agent may connect before the connections of the former one are missed.
-    pool_.starts().OnAgentDisconnected(event.peer.id);
+    pool_.starts().OnAgentConnected(event.peer.id, event.peer.incarnation, now);
   }
   if (term_.holding()) {
     out_->emplace_back(send_to_peer{event.peer.id, Notice(now)});
@@ -108,6 +110,7 @@
     disconnected_entries_[entry->first] = entry->second;
     entries_.erase(entry);
   }
+  start_notices_.OnDisconnected(event.peer);
   agents_.erase(event.peer);
   term_.OnDisconnected(event.peer, now);
   tracker_->OnAgentDisconnected(event.peer);
@@ -124,10 +127,22 @@
   } else if (const auto* accepted_job = std::get_if<job_accepted>(&event.message)) {
     OnAccepted(*accepted_job, now);
   } else if (const auto* known = std::get_if<open_starts_notice>(&event.message)) {
-    pool_.starts().Learn(*known, now);
+    OnOpenStarts(event.peer, *known, now);
+  } else if (const auto* received = std::get_if<open_starts_received>(&event.message)) {
+    start_notices_.On(*received, pool_.starts());
   }
 }
 
+void planner_core::OnOpenStarts(const std::string& peer, const open_starts_notice& notice,
+                                millis now) {
+  if (term_.holding() && notice.term == term_.fence()) {
+    return pool_.starts().OnStatement(peer, notice, now);
+  }
+  pool_.starts().Learn(notice, now);
+  if (notice.number != 0)
+    out_->emplace_back(send_to_peer{peer, open_starts_received{notice.number}});
+}
+
 /** Tells another entry which starts may still be carried out, as far as this entry knows. */
 void planner_core::SendOpenStarts(const std::string& entry, millis now) {
   open_starts_notice known = pool_.starts().Notice(now);
@@ -196,7 +211,9 @@
   journal_.Reset();
   pool_ = worker_pool{std::move(pool_.starts())};
   jobs_ = std::make_unique<job_table>(options_.early);
-  tracker_ = std::make_unique<run_tracker>(options_.tracking, *jobs_, pool_, speeds_);
+  tracker_options tracking = options_.tracking;
+  tracking.announce_starts = true;
+  tracker_ = std::make_unique<run_tracker>(tracking, *jobs_, pool_, speeds_);
   orders_ = std::make_unique<order_writer>(options_.tracking.grant, *jobs_, pool_);
 }
 
@@ -210,10 +227,12 @@
   reported_.clear();
   tickets_.Reset();
   lost_.BeginTerm(now);
+  start_notices_.BeginTerm();
 }
 
-void planner_core::EndTerm() {
+void planner_core::EndTerm(millis now) {
   was_holding_ = false;
+  pool_.starts().OnTermEnded(now);
   ResetTermState();
   for (const auto& [job, askers] : cancels_) {
     for (const auto& [asker, id] : askers) Reply(asker, {id, inquiry_outcome::kNotPlanner});
@@ -369,6 +388,9 @@
   }
   tracker_->OnEndsStored(written->ends);
   for (const auto& record : written->workers) {
+    std::vector<run_ref> starts;
+    for (const auto& start : record.starts) starts.push_back({start.task, start.run});
+    pool_.starts().OnStored(record.id, starts);
     pool_worker* worker = pool_.Find(record.id);
     // An incarnation that started, or an address that changed, during the write is not in the row.
     const bool same = worker != nullptr && worker->profile.self.born_ms == record.born_ms &&
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -16,6 +16,7 @@
 #include "kernel/batch/order_writer.h"
 #include "kernel/batch/planner_journal.h"
 #include "kernel/batch/run_tracker.h"
+#include "kernel/batch/start_notices.h"
 #include "kernel/batch/start_planner.h"
 #include "kernel/batch/term_election.h"
 #include "kernel/batch/ticket_cache.h"
@@ -111,7 +112,7 @@
 
   void ResetTermState();
   void BeginTerm(millis now);
-  void EndTerm();
+  void EndTerm(millis now);
   void ApplyReport(const std::string& agent, worker_report& report, millis now);
   void AnswerInquiry(const std::string& asker, const job_inquiry& inquiry, millis now);
   void SettleUnknownCancels(millis now);
@@ -129,6 +130,7 @@
   void RepeatNotice(const planner_notice& notice, millis now);
   void OnPlannerNotice(const planner_notice& notice, millis now);
   void SendOpenStarts(const std::string& entry, millis now);
+  void OnOpenStarts(const std::string& peer, const open_starts_notice& notice, millis now);
   planner_notice Notice(millis now) const;
   int64_t CountWaiting(std::string_view queue) const;
 
@@ -142,6 +144,7 @@
   std::unique_ptr<run_tracker> tracker_;
   std::unique_ptr<order_writer> orders_;
   start_planner starts_;
+  start_notices start_notices_;
   operator_state operators_;
   millis operators_confirmed_{INT64_MIN / 4};
   std::vector<planner_action>* out_ = nullptr;
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -22,6 +22,19 @@
  */
 constexpr size_t kFullTransaction = 524288;
 
+/** A start that other entries know of is stored if it is still open after this time. */
+constexpr millis kStoredOpen{100};
+
+size_t Bytes(const row_transaction& change) {
+  size_t bytes = 0;
+  for (const auto& write : change.writes) bytes += write.value.size();
+  return bytes;
+}
+
+size_t Entries(const row_transaction& change) {
+  return change.writes.size() + change.removals.size();
+}
+
 }  // namespace
 
 planner_journal::planner_journal(const batch_record_codec& codec, term_election& term,
@@ -40,6 +53,7 @@
   complete_until_ = millis(INT64_MIN / 4);
   expected_.clear();
   gone_.clear();
+  stored_starts_.clear();
   writing_.reset();
   group_ = {};
   written_.reset();
@@ -98,25 +112,9 @@
   group_ = {};
   hurry_ = false;
   dirty_since_ = kFarFuture;
-  size_t remaining = kMaxEntries;
-  for (auto& [id, worker] : pool.all()) {
-    if (worker.recorded || worker.recording || remaining == 0) continue;
-    worker.recording = true;
-    worker_record record{id, worker.agent, worker.profile.address, worker.profile.self.born_ms,
-                         worker.profile.vm};
-    change.writes.push_back({{std::string(kWorkersTable), "", id}, codec_.Encode(record)});
-    group_.workers.push_back(std::move(record));
-    --remaining;
-  }
-  // A worker that is in the pool (again) may have runs: it stays in the store.
-  std::erase_if(gone_, [&](const std::string& id) { return pool.Find(id) != nullptr; });
-  while (!gone_.empty() && remaining > 0) {
-    change.removals.push_back(
-        {std::string(kWorkersTable), "", gone_.extract(gone_.begin()).value()});
-    --remaining;
-  }
+  AddWorkers(pool, now, change);
   if (loaded_) {
-    AddProgress(jobs, remaining, change);
+    AddProgress(jobs, kMaxEntries - std::min(kMaxEntries, Entries(change)), change);
     hurry_ = jobs.dirty();
     // Ends count as stored only once every job that they changed is in this or an earlier group.
     if (!jobs.dirty()) {
@@ -131,9 +129,99 @@
   writing_ = std::move(change);
 }
 
+/** The starts under a worker's id that another planner has to find in the store. */
+std::vector<open_start_record> planner_journal::StartsToStore(const open_starts& starts,
+                                                              std::string_view id,
+                                                              millis now) const {
+  std::vector<open_start_record> open;
+  const auto at = starts.all().find(id);
+  if (at == starts.all().end()) return open;
+  for (const auto& start : at->second.starts) {
+    const std::string task = ToText(start.task);
+    const bool unknown = start.ordered && !start.known;
+    if (start.until <= now) continue;
+    if (!unknown && now - at->second.since.at(task) < kStoredOpen) continue;
+    const auto until = term_.clock().StoreAt(std::min(start.until, now + kLongestOpen));
+    open.push_back({task, start.run, start.process, until.value_or(millis(0)).count()});
+  }
+  return open;
+}
+
+/** Whether a worker's row holds exactly these starts. */
+bool planner_journal::HoldsStarts(const std::string& id,
+                                  std::span<const open_start_record> starts) const {
+  const auto stored = stored_starts_.find(id);
+  if (stored == stored_starts_.end()) return starts.empty();
+  return stored->second.size() == starts.size() &&
+         std::all_of(starts.begin(), starts.end(), [&](const open_start_record& start) {
+           return stored->second.contains({start.task, start.run});
+         });
+}
+
+/** Adds rows of workers that have changed, and removes those of workers that are gone. */
+void planner_journal::AddWorkers(worker_pool& pool, millis now, row_transaction& change) {
+  const auto full = [&change] {
+    return Entries(change) >= kMaxEntries || Bytes(change) >= kFullTransaction;
+  };
+  for (auto& [id, worker] : pool.all()) {
+    if (full()) return;
+    std::vector<open_start_record> starts = StartsToStore(pool.starts(), id, now);
+    const bool recorded = worker.recorded || worker.recording;
+    if (recorded && HoldsStarts(id, starts)) continue;
+    worker.recording = true;
+    AddWorker({id, worker.agent, worker.profile.address, worker.profile.self.born_ms,
+               worker.profile.vm, false, std::move(starts)},
+              change);
+  }
+  // Before that, a worker that has not reported may still have a row.
+  if (!loaded_) return;
+  for (const auto& [id, known] : pool.starts().all()) {
+    if (full()) return;
+    std::vector<open_start_record> starts = StartsToStore(pool.starts(), id, now);
+    if (pool.Find(id) != nullptr || starts.empty() || HoldsStarts(id, starts)) continue;
+    const auto expected = expected_.find(id);
+    worker_record record{id, known.agent, known.address, 0, known.vm, true};
+    if (expected != expected_.end()) record = expected->second;
+    record.starts = std::move(starts);
+    AddWorker(std::move(record), change);
+  }
+  for (const auto& [id, runs] : stored_starts_) {
+    if (!expected_.contains(id)) gone_.insert(id);
+  }
+  // A worker that is in the pool (again) may have runs: it stays in the store.
+  std::erase_if(gone_, [&](const std::string& id) { return pool.Find(id) != nullptr; });
+  for (auto id = gone_.begin(); id != gone_.end() && !full();) {
+    if (pool.starts().all().contains(*id)) {
+      ++id;
+      continue;
+    }
+    change.removals.push_back({std::string(kWorkersTable), "", *id});
+    stored_starts_.erase(*id);
+    id = gone_.erase(id);
+  }
+}
+
+/** Starts that do not fit into the row are stored when others are settled. */
+void planner_journal::AddWorker(worker_record record, row_transaction& change) {
+  std::string text = codec_.Encode(record);
+  while (text.size() > row_bytes_ && !record.starts.empty()) {
+    record.starts.resize(record.starts.size() / 2);
+    text = codec_.Encode(record);
+  }
+  std::set<run_ref> runs;
+  for (const auto& start : record.starts) runs.insert({start.task, start.run});
+  if (runs.empty()) {
+    stored_starts_.erase(record.id);
+  } else {
+    stored_starts_[record.id] = std::move(runs);
+  }
+  change.writes.push_back({{std::string(kWorkersTable), "", record.id}, std::move(text)});
+  group_.workers.push_back(std::move(record));
+}
+
 /** Adds changed rows of progress, at most this many; the others are left for the next write. */
 void planner_journal::AddProgress(job_table& jobs, size_t entries, row_transaction& change) {
-  size_t bytes = 0;
+  size_t bytes = Bytes(change);
   for (; entries > 0 && bytes < kFullTransaction; --entries) {
     const auto row = jobs.TakeDirty();
     if (!row) return;
@@ -219,11 +307,8 @@
     } else if (stage_ == stage::kProgress) {
       const auto progress = codec_.DecodeProgress(found.value);
       if (progress) jobs.Restore(progress.value());
-    } else if (const pool_worker* known = pool.Find(found.at.key);
-               known == nullptr || !known->listing) {
-      const auto record = codec_.DecodeWorker(found.value);
-      expected_[found.at.key] =
-          record ? record.value() : worker_record{found.at.key, "", "", 0, ""};
+    } else {
+      TakeWorker(found, pool, now);
     }
   }
   if (stage_ == stage::kJobs && continue_at_.empty()) {
@@ -251,6 +336,30 @@
   }
 }
 
+void planner_journal::TakeWorker(const row& found, worker_pool& pool, millis now) {
+  const std::string& id = found.at.key;
+  const auto read = codec_.DecodeWorker(found.value);
+  worker_record record = read ? read.value() : worker_record{id, "", "", 0, ""};
+  open_starts_notice known;
+  for (const auto& start : record.starts) {
+    const auto until =
+        start.until_ms > 0 ? term_.clock().OwnAt(millis(start.until_ms)) : std::nullopt;
+    const millis left = until ? *until - now : kLongestOpen;
+    worker_open_starts open{id, record.address, record.vm, {}, record.agent, start.agent_process};
+    open.starts.push_back({start.task, start.run, left.count()});
+    known.workers.push_back(std::move(open));
+    stored_starts_[id].insert({start.task, start.run});
+  }
+  pool.starts().Learn(known, now);
+  if (record.gone) {
+    gone_.insert(id);
+    return;
+  }
+  record.starts.clear();
+  const pool_worker* worker = pool.Find(id);
+  if (worker == nullptr || !worker->listing) expected_[id] = std::move(record);
+}
+
 void planner_journal::OnFeed(const rows_result& answer, job_table& jobs, millis now) {
   pace_.RecordOutcome(answer.outcome == row_outcome::kDone);
   if (answer.outcome == row_outcome::kHistoryGone) {
--- a/src/kernel/batch/planner_journal.h
+++ b/src/kernel/batch/planner_journal.h
@@ -6,7 +6,9 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "kernel/batch/feed_wait_policy.h"
@@ -80,6 +82,12 @@
   std::optional<store_request> Read(millis now);
   std::optional<store_request> Write(job_table& jobs, worker_pool& pool, millis now);
   void Group(job_table& jobs, worker_pool& pool, millis now);
+  std::vector<open_start_record> StartsToStore(const open_starts& starts, std::string_view id,
+                                               millis now) const;
+  bool HoldsStarts(const std::string& id, std::span<const open_start_record> starts) const;
+  void AddWorkers(worker_pool& pool, millis now, row_transaction& change);
+  void AddWorker(worker_record record, row_transaction& change);
+  void TakeWorker(const row& found, worker_pool& pool, millis now);
   void AddProgress(job_table& jobs, size_t entries, row_transaction& change);
   std::string EncodeWithinRow(job_progress progress) const;
   void OnRead(const rows_result& answer, job_table& jobs, worker_pool& pool, millis now);
@@ -102,7 +110,8 @@
   millis next_read_{0};
   millis complete_until_{INT64_MIN / 4};
   std::map<std::string, worker_record> expected_;
-  std::set<std::string> gone_;  // workers whose rows have to be removed
+  std::set<std::string> gone_;                              // workers whose rows have to be removed
+  std::map<std::string, std::set<run_ref>> stored_starts_;  // in the rows, by worker id
   std::optional<row_transaction> writing_;
   journal_commit group_;
   std::optional<journal_commit> written_;
--- a/src/kernel/batch/run_closer.cc
+++ b/src/kernel/batch/run_closer.cc
@@ -14,6 +14,8 @@
   if (unit_state* unit = jobs_.Find(found->second.unit)) {
     unit->open_runs = std::max(0, unit->open_runs - 1);
   }
+  const bool sent = found->second.phase != run_phase::kHeld;
+  pool_.starts().OnClosed(worker.profile, ref, sent, worker.lease_end + kLatestExecution);
   worker.runs.erase(found);
   worker.order_due = true;
   ++changes_;
@@ -29,13 +31,9 @@
       .With("born", worker.profile.self.born_ms)
       .With("term", term_)
       .With("reason", reason);
-  const run_record& record = worker.runs.at(run);
-  if (!record.began && record.phase != run_phase::kHeld) {
-    pool_.starts().Assume(worker.profile, run, worker.lease_end + kLatestExecution, over);
-  }
   ++given_up_;
   last_given_up_ = std::max(last_given_up_, over);
-  if (unit_state* unit = jobs_.Find(record.unit)) {
+  if (unit_state* unit = jobs_.Find(worker.runs.at(run).unit)) {
     unit->given_up_run = std::max(unit->given_up_run, run.run);
     unit->given_up = std::max(unit->given_up, over);
   }
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -89,6 +89,7 @@
   worker.more_ends = worker.listing && report.more_ends;
   if (!worker.listing) return false;
   pool_.starts().OnListed(worker.profile);
+  pool_.starts().Settle(agent, report, now);
   if (!was_usable) ++changes_;
   ApplyEnds(worker, report, config, now);
   ApplyRunning(worker, report, now);
@@ -370,20 +371,27 @@
           .With("saved", record.saved)
           .With("waited_ms", (now - unit->ready_since).count());
       ++unit->open_runs;
-      worker->runs.emplace(run_ref{record.task, record.run}, std::move(record));
+      const run_ref ref{record.task, record.run};
+      pool_.starts().Order(worker->profile, worker->agent, ref, now);
+      worker->runs.emplace(ref, std::move(record));
     }
   }
   ReleaseHeld(now);
 }
 
-/** Orders the held units all of whose members fit on their workers now. */
+/** Orders the held units that are known elsewhere and all of whose members fit on their workers. */
 void run_tracker::ReleaseHeld(millis now) {
   std::map<unit_ref, std::vector<std::pair<pool_worker*, run_record*>>> held;
+  std::set<unit_ref> unknown;
   for (auto& [id, worker] : pool_.all()) {
     for (auto& [ref, record] : worker.runs) {
-      if (record.phase == run_phase::kHeld) held[record.unit].emplace_back(&worker, &record);
+      if (record.phase != run_phase::kHeld) continue;
+      held[record.unit].emplace_back(&worker, &record);
+      const bool known = !options_.announce_starts || pool_.starts().Known(id, ref);
+      if (!known) unknown.insert(record.unit);
     }
   }
+  for (const auto& unit : unknown) held.erase(unit);
   for (auto& [unit, members] : held) {
     std::map<pool_worker*, amounts> need;
     for (auto& [worker, record] : members) need[worker] += record->each;
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -19,7 +19,8 @@
 namespace eelgrass {
 
 struct tracker_options {
-  millis grant{4000};  // lease that a worker gets for one report
+  millis grant{4000};            // lease that a worker gets for one report
+  bool announce_starts = false;  // a start is ordered only when it is known elsewhere
 };
 
 /**
--- a/src/kernel/batch/sent_starts.cc
+++ b/src/kernel/batch/sent_starts.cc
@@ -1,6 +1,7 @@
 #include "kernel/batch/sent_starts.h"
 
 #include <algorithm>
+#include <set>
 
 namespace eelgrass {
 
@@ -38,6 +39,17 @@
   note(answer.ended);
 }
 
+std::vector<worker_open_starts> sent_starts::Unanswered(millis now) {
+  std::set<std::string> workers;
+  for (const auto& entry : runs_) workers.insert(entry.first.first);
+  std::vector<worker_open_starts> all;
+  for (const auto& worker : workers) {
+    worker_open_starts open{worker, "", "", Unanswered(worker, now)};
+    if (!open.starts.empty()) all.push_back(std::move(open));
+  }
+  return all;
+}
+
 std::vector<unanswered_start> sent_starts::Unanswered(std::string_view worker, millis now) {
   std::vector<unanswered_start> unanswered;
   for (auto entry = runs_.begin(); entry != runs_.end();) {
--- a/src/kernel/batch/sent_starts.h
+++ b/src/kernel/batch/sent_starts.h
@@ -29,6 +29,9 @@
   /** The starts under a worker's id that may still be carried out. */
   std::vector<unanswered_start> Unanswered(std::string_view worker, millis now);
 
+  /** Those under all ids, also of workers that have left. */
+  std::vector<worker_open_starts> Unanswered(millis now);
+
  private:
   struct sent_call {
     int64_t fence = 0;
--- a/src/kernel/model/worker_messages.h
+++ b/src/kernel/model/worker_messages.h
@@ -117,14 +117,38 @@
   std::string address;  // empty: not known
   std::string vm;       // on which it lived; empty: not known
   std::vector<unanswered_start> starts;
+  std::string agent{};        // that calls the worker; empty: not known
+  int64_t agent_process = 0;  // the agent's incarnation; 0: not known
+};
+
+/** Names one run. */
+struct run_ref {
+  std::string task;
+  int64_t run = 0;
+  auto operator<=>(const run_ref&) const = default;
+};
+
+/** Starts under one worker's id that cannot be carried out any more. */
+struct worker_settled_starts {
+  std::string worker;  // id
+  std::vector<run_ref> runs;
 };
 
 /**
- * Entry to entry, when they connect: an entry that has just started, or was out of reach, may plan
- * next, and the agent that sent these calls may have ended.
+ * Entry to entry: the starts that may still be carried out. Sent when they connect, to each next
+ * planner, and by the planner before it orders starts. Agent to planner, when it follows a new one:
+ * the calls of its process without an answer; no other call of it is open.
  */
 struct open_starts_notice {
   std::vector<worker_open_starts> workers;
+  std::vector<worker_settled_starts> settled{};
+  int64_t number = 0;  // that the answer names; 0: no answer is wanted
+  int64_t term = 0;    // of the planner that the agent follows; 0: from an entry
+};
+
+/** Entry to planner: the starts of a notice are known here. */
+struct open_starts_received {
+  int64_t number = 0;
 };
 
 /** A run that the planner wants on the worker. */
@@ -139,13 +163,6 @@
   bool confirmed = false;  // the planner has seen it listed; sent for pacing only
 };
 
-/** Names one run. */
-struct run_ref {
-  std::string task;
-  int64_t run = 0;
-  auto operator<=>(const run_ref&) const = default;
-};
-
 /** Whether a list of runs, of whatever kind, has this one. */
 template <typename List>
 bool Contains(const List& list, const run_ref& run) {
--- a/src/plugins/peer/cbor/cbor_codec.cc
+++ b/src/plugins/peer/cbor/cbor_codec.cc
@@ -82,8 +82,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_inquiry, id, question, job, queue)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_accepted, job, record, revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_reply, id, outcome, state, waiting)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_open_starts, worker, address, vm, starts)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(open_starts_notice, workers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_open_starts, worker, address, vm, starts,
+                                                agent, agent_process)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_settled_starts, worker, runs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(open_starts_notice, workers, settled, number, term)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(open_starts_received, number)
 
 namespace {
 
--- a/src/plugins/records/json/json_records.cc
+++ b/src/plugins/records/json/json_records.cc
@@ -24,7 +24,10 @@
                                                 failed_runs, saved)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_progress, job, part, state, tasks)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(term_record, holder, nonce, fence, write, sent_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_record, id, agent, address, born_ms, vm)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(open_start_record, task, run, agent_process,
+                                                until_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_record, id, agent, address, born_ms, vm,
+                                                gone, starts)
 
 namespace {
 
--- a/tests/stories/unanswered_start_story.cc
+++ b/tests/stories/unanswered_start_story.cc
@@ -87,34 +87,48 @@
   }
 }
 
-TEST_CASE("a start whose agent and planner end before its answer runs beside no other run") {
-  batch_world_options options;
-  std::function<void(batch_world&)> end = [](batch_world& world) {
-    world.KillEntry(world.Planner(), millis(20000));
-  };
-  SUBCASE("while another entry goes on") {}
-  SUBCASE("while one of many entries goes on, which was out of reach of the planner") {
-    options.entries = 5;
-    end = [](batch_world& world) {
-      const int planner = world.Planner();
-      for (int entry = 0; entry < world.entries(); ++entry) world.KillEntry(entry, millis(1500));
-      world.KillEntry(planner, millis(20000));
-    };
-  }
-  SUBCASE("while no other entry is there") { options.entries = 1; }
+/** Ends the agent beside unanswered starts and some entries, and keeps the id of the worker. */
+void EndAgentAnd(const std::function<void(batch_world&)>& end, batch_world_options options) {
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     CAPTURE(seed);
     options.seed = seed;
     batch_world world(options);
     StartUnanswered(world, millis(9000));
-    world.KillAgent(kWorker, millis(14000));
     end(world);
+    world.KillAgent(kWorker, millis(14000));
     world.RestartWorker(kWorker, millis(2500), millis(0));
     world.RunFor(millis(80000));
     RequireKept(world);
   }
 }
 
+void EndAllEntries(batch_world& world) {
+  for (int entry = 0; entry < world.entries(); ++entry) world.KillEntry(entry, millis(1500));
+}
+
+TEST_CASE("a start whose agent and planner end before its answer runs beside no other run") {
+  batch_world_options options;
+  std::function<void(batch_world&)> end = [](batch_world& world) {
+    world.KillEntry(world.Planner(), millis(20000));
+  };
+  SUBCASE("while another entry goes on") {}
+  SUBCASE("while no other entry is there") { options.entries = 1; }
+  SUBCASE("together with all other entries, a second after the call") {
+    options.entries = 5;
+    end = [](batch_world& world) {
+      world.RunFor(millis(1000));
+      EndAllEntries(world);
+    };
+  }
+  EndAgentAnd(end, options);
+}
+
+TEST_CASE("a start whose agent and all entries end at once runs beside no other run") {
+  batch_world_options options;
+  options.entries = 5;
+  EndAgentAnd(EndAllEntries, options);
+}
+
 TEST_CASE("a worker that another has replaced on its VM delays none of its units") {
   batch_world world;
   StartUnanswered(world, millis(9000));
