A start of an agent's former process is not refused by the next one alone

Starts get no answer, their agent ends within 0.3 s of them and starts again, and its worker drains. No worker starts again; ids play no part.

Cause: a conclusion from silence. The next process of the agent gets the order from the planner, has sent no call for it, and refuses it at once as the worker drains (or when the worker refuses its own call for want of room). The refusal says that the start never happens; the former process's call is still on its way to the same incarnation, under the same fence.

Change: until the calls of a former process are over (12.5 s from the first heartbeat that a process gets) such a start is barred at the worker by a stop, and is refused once later lists do not show it, as a start that this process sent without an answer already is. The log says start-barred.

Why it works: the worker rejects every run that is not higher than one stopped there, for as long as the incarnation lives.

Left: a worker that answers 429 or 503 to the stop keeps the unit until it answers otherwise.

--- a/src/kernel/batch/worker_controller.cc
+++ b/src/kernel/batch/worker_controller.cc
@@ -45,8 +45,10 @@
 
 }  // namespace
 
-worker_controller::worker_controller(const worker_heartbeat& first, millis now)
+worker_controller::worker_controller(const worker_heartbeat& first, millis now,
+                                     millis earlier_calls_until)
     : profile_(first.worker),
+      earlier_calls_until_(earlier_calls_until),
       heartbeat_sequence_(first.sequence),
       worker_clock_ms_(first.clock_ms),
       clock_read_(now),
@@ -155,7 +157,9 @@
     if (run.fills || run.target_ms > 0) pacing_[ref] = {ref, run.target_ms, 0, run.fills};
     if (run.confirmed || starts_.contains(ref) || refused_.contains(ref) || IsListed(ref)) continue;
     if (stops_.contains(ref)) continue;
-    starts_.emplace(ref, ordered_start{run});
+    ordered_start start{run};
+    start.sent_before = now < earlier_calls_until_;
+    starts_.emplace(ref, std::move(start));
   }
   for (const auto& ref : order.stops) {
     if (!refused_.contains(ref)) stops_.try_emplace(ref);
@@ -171,7 +175,7 @@
     const run_ref& ref = entry.first;
     const ordered_start& start = entry.second;
     if (Contains(order.starts, ref) || start.phase == start_phase::kRefused) return false;
-    const bool called = start.phase == start_phase::kCalling || start.outcome_unknown;
+    const bool called = start.phase == start_phase::kCalling || start.may_take_effect();
     const bool known = called && !stops_.try_emplace(ref).second;
     if (known) return false;  // a stop is pending already
     log_event("start-unwanted")
@@ -345,6 +349,21 @@
   }
 }
 
+/**
+ * Ends a start of which an earlier call may still take effect, which a stop prevents. Its run may
+ * also have ended, which later lists show.
+ */
+void worker_controller::Bar(const run_ref& run, ordered_start& start) {
+  log_event("start-barred")
+      .With("worker", profile_.self.id)
+      .With("task", run.task)
+      .With("run", run.run)
+      .With("called", start.phase == start_phase::kWanted ? 0 : 1)
+      .With("term", term_);
+  start.phase = start_phase::kRefused;
+  stops_.try_emplace(run);
+}
+
 void worker_controller::Refuse(const run_ref& run, start_refusal reason) {
   starts_.erase(run);
   stops_.erase(run);
@@ -383,11 +402,8 @@
           .With("term", term_);
       return;
     case call_outcome::kRefused:
-      if (start.outcome_unknown && (answer.refusal != start_refusal::kOld || more_ends_)) {
-        // An earlier unanswered call may still take effect, which a stop prevents, or its run may
-        // have ended, which later lists show.
-        start.phase = start_phase::kRefused;
-        stops_.try_emplace(answer.run);
+      if (start.may_take_effect() && (answer.refusal != start_refusal::kOld || more_ends_)) {
+        Bar(answer.run, start);
       } else {
         Refuse(answer.run, answer.refusal);
       }
@@ -491,7 +507,14 @@
     start.phase = start_phase::kCalling;
     calls.emplace_back(start_call{profile_.address, profile_.self, fence(), deadline, start.run});
   }
-  for (const auto& ref : refused) Refuse(ref, start_refusal::kBarred);
+  for (const auto& ref : refused) {
+    ordered_start& start = starts_.at(ref);
+    if (start.sent_before) {
+      Bar(ref, start);
+    } else {
+      Refuse(ref, start_refusal::kBarred);
+    }
+  }
 }
 
 /** Fills in how long each run has been listed; a later planner did not see it start. */
--- a/src/kernel/batch/worker_controller.h
+++ b/src/kernel/batch/worker_controller.h
@@ -28,7 +28,12 @@
  */
 class worker_controller {
  public:
-  explicit worker_controller(const worker_heartbeat& first, millis now);
+  /**
+   * Until `earlier_calls_until` the worker may carry out starts that a former process of the agent
+   * has sent.
+   */
+  worker_controller(const worker_heartbeat& first, millis now,
+                    millis earlier_calls_until = millis(0));
 
   /** Applies a heartbeat of this incarnation. Returns false if a later one was applied before. */
   bool On(const worker_heartbeat& heartbeat, millis now);
@@ -91,6 +96,9 @@
     start_phase phase = start_phase::kWanted;
     millis not_before{0};
     bool outcome_unknown = false;  // an unanswered call may still take effect
+    bool sent_before = false;      // so may one of a former process of the agent
+
+    bool may_take_effect() const { return outcome_unknown || sent_before; }
   };
   enum class stop_phase { kWanted, kCalling, kAnswered };
   struct ordered_stop {
@@ -120,6 +128,7 @@
   void UpdatePacing(millis now);
   void FillRunTimes(std::span<listed_run> runs, millis now);
   millis NextHold(millis now) const;
+  void Bar(const run_ref& run, ordered_start& start);
   void Refuse(const run_ref& run, start_refusal reason);
   void DropOmittedStarts(const worker_order& order);
   bool IsListed(const run_ref& run) const;
@@ -129,6 +138,7 @@
   void CallStops(millis now, std::vector<worker_call>& calls);
 
   worker_profile profile_;
+  millis earlier_calls_until_;
   liveness_proof proof_;
   departure_check departure_;
   bool departed_ = false;
--- a/src/kernel/batch/worker_incarnations.cc
+++ b/src/kernel/batch/worker_incarnations.cc
@@ -46,7 +46,8 @@
 }
 
 void worker_incarnations::AddCandidate(const worker_heartbeat& heartbeat, millis now) {
-  worker_controller incarnation(heartbeat, now);
+  if (!earlier_calls_until_) earlier_calls_until_ = now + kLatestExecution;
+  worker_controller incarnation(heartbeat, now, *earlier_calls_until_);
   incarnation.SetTerm(term_, now);
   FenceCandidate(incarnation, now);
   if (HasNoConflict(heartbeat.worker)) return MakePresent(std::move(incarnation));
--- a/src/kernel/batch/worker_incarnations.h
+++ b/src/kernel/batch/worker_incarnations.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,6 +56,7 @@
   std::vector<worker_controller> candidates_;
   std::vector<worker_identity> ended_incarnations_;
   std::map<std::string, int64_t, std::less<>> removed_;  // highest number in this term, by id
+  std::optional<millis> earlier_calls_until_;  // of a former process; none: no heartbeat yet
   int64_t term_ = 0;
 };
 
--- /dev/null
+++ b/tests/stories/ended_run_story.cc
@@ -0,0 +1,140 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <variant>
+#include <vector>
+
+#include "kernel/batch/worker_incarnations.h"
+#include "tests/world/batch_world.h"
+#include "tests/world/require_kept.h"
+
+namespace eelgrass {
+namespace {
+
+constexpr int kWorker = 1;
+constexpr uint64_t kSeeds = 12;  // each draws when late calls are carried out
+
+TEST_CASE("a start of an agent's former process is not refused by the next one alone") {
+  std::function<void(batch_world&)> part = [](batch_world&) {};
+  SUBCASE("while its worker drains") {
+    part = [](batch_world& world) { world.DrainWorker(kWorker); };
+  }
+  SUBCASE("while its worker goes on") {}
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    batch_world_options options;
+    options.seed = seed;
+    batch_world world(options);
+    world.RunFor(millis(5000));
+    world.SetLateOrders(1);
+    const batch_job job = MakeBatchJob("e1", "usual", 30, millis(9000), 1);
+    world.Submit(job);
+    world.Watch(job.id);
+    world.RunFor(millis(300));
+    world.SetLateOrders(0);
+    world.KillAgent(kWorker, millis(300));
+    part(world);
+    world.RunFor(millis(60000));
+    RequireKept(world);
+  }
+}
+
+TEST_CASE("an agent that has just started refuses no start before its worker has barred it") {
+  constexpr int64_t kTerm = 5;
+  const run_ref run{"a.0.0.0", 501};
+  worker_incarnations worker;
+  worker.SetTerm(kTerm, millis(1000));
+  worker_heartbeat beat;
+  beat.worker.self = {"w1", 100};
+  beat.worker.address = "10.0.0.1:80";
+  beat.sequence = 1;
+  beat.clock_ms = 1000;
+  millis now(1000);
+  std::vector<worker_call> calls;
+  const auto pass = [&](millis time) {
+    now += time;
+    calls.clear();
+    worker.Tick(now, calls);
+  };
+  const auto answer_holds = [&] {
+    for (const auto& call : calls) {
+      const auto* hold = std::get_if<hold_call>(&call);
+      if (hold == nullptr) continue;
+      hold_answer lists;
+      lists.worker = hold->worker;
+      lists.fence = hold->fence;
+      lists.sent = hold->sent;
+      lists.outcome = call_outcome::kDone;
+      lists.born_ms = 100;
+      lists.clock_ms = now.count();
+      worker.On(lists, now);
+    }
+  };
+  const auto called = [&](auto kind) {
+    return std::any_of(calls.begin(), calls.end(), [](const auto& call) {
+      return std::holds_alternative<decltype(kind)>(call);
+    });
+  };
+  const auto refused = [&] { return worker.Find("w1")->Report(9, now).refused.size(); };
+  const auto drain = [&] {
+    beat.worker.draining = true;
+    ++beat.sequence;
+    worker.On(beat, now);
+  };
+  const auto order = [&] {
+    worker.Find("w1")->Report(1, now);
+    worker_order wanted;
+    wanted.term = kTerm;
+    wanted.sequence = 1;
+    wanted.worker = {"w1", 100};
+    wanted.grant_sequence = 1;
+    wanted.grant_ms = 4000;
+    wanted.starts.push_back({run.task, run.run, "", ""});
+    worker.Find("w1")->On(wanted, now);
+  };
+  worker.On(beat, now);
+  pass(millis(0));
+  answer_holds();
+
+  SUBCASE("which a former process of the agent may have sent") {
+    SUBCASE("and which the worker refuses to this one") {
+      order();
+      pass(millis(10));
+      REQUIRE(called(start_call{}));
+      worker.Find("w1")->On(
+          start_answer{
+              {"w1", 100}, run, FenceOf(kTerm, 0), call_outcome::kRefused, start_refusal::kRoom},
+          now);
+    }
+    SUBCASE("and which this one does not send, as the worker drains") {
+      drain();
+      order();
+      pass(millis(10));
+      CHECK_FALSE(called(start_call{}));
+    }
+    answer_holds();
+    CHECK(refused() == 0);
+    pass(millis(100));
+    REQUIRE(called(stop_call{}));
+    worker.Find("w1")->On(stop_answer{{"w1", 100}, run, FenceOf(kTerm, 0), call_outcome::kDone},
+                          now);
+    CHECK(refused() == 0);
+    answer_holds();
+    pass(millis(200));
+    answer_holds();
+    CHECK(refused() == 1);
+  }
+  SUBCASE("unless no call of a former process can still be carried out") {
+    now += kLatestExecution;
+    drain();
+    pass(millis(0));
+    answer_holds();
+    order();
+    pass(millis(10));
+    CHECK(refused() == 1);
+  }
+}
+
+}  // namespace
+}  // namespace eelgrass
