A hold names acknowledged ends only while its worker lists some to forget

What callers would see: TWICE, tasks that have ended done run again, wherever a worker starts again under its id.

Cause: a word on one incarnation given to another. Every hold named the last acknowledged end. A call names an id only, so that a hold to the former incarnation that is repeated before the next one is announced, or that is carried out late, is carried out by the next one. "Ends up to SeenUpto are forgotten": if that holds for ends that come later too, the next incarnation forgets its own first ends unread. Their runs then are in neither list, which the planner takes for runs that never began.

Change: a hold names acknowledged ends only while the last answered hold lists an end to forget; after a hold without an answer it names none until lists come again. The workers of the virtual clock carry out holds late too, behind a switch.

Why it works: a worker that has forgotten ends needs no second word, and one that lists ends and answers was there an instant before.

Left: a hold that does name an end, is carried out late, and finds the next incarnation before its agent has held it (an agent that is away for seconds).

--- a/src/kernel/batch/worker_controller.cc
+++ b/src/kernel/batch/worker_controller.cc
@@ -202,6 +202,7 @@
   if (other_incarnation_answers_) DiscardLists(answer);
   if (departure_.pending()) CheckDeparture(answer, now);
   if (NotDelivered(answer.outcome)) last_failure_ = now;
+  first_listed_end_ = 0;
   if (answer.outcome != call_outcome::kDone || other_incarnation_answers_) {
     // A process of this agent that has ended may have used a higher number.
     if (answer.outcome == call_outcome::kRefused) ++incarnation_;
@@ -265,6 +266,7 @@
   for (const auto& end : answer.ended) {
     if (end.number > seen_upto_) unseen.push_back(end);
   }
+  if (!answer.ended.empty()) first_listed_end_ = answer.ended.front().number;
   const auto last_end = [](const auto& list) { return list.empty() ? 0 : list.back().number; };
   const bool same = confirmed() && key(running_) == key(answer.running) &&
                     ended_.size() == unseen.size() && last_end(ended_) == last_end(unseen) &&
@@ -452,6 +454,15 @@
   return worker_clock_ms_ + passed + (lease_until_ - now).count();
 }
 
+/**
+ * The ends that the next hold lets the worker forget. The next incarnation under the id may carry
+ * the hold out, and would forget its own ends up to that number, so that it names one only while
+ * this incarnation lists ends to forget.
+ */
+int64_t worker_controller::Acknowledged() const {
+  return first_listed_end_ > 0 && first_listed_end_ <= seen_upto_ ? seen_upto_ : 0;
+}
+
 void worker_controller::Tick(millis now, std::vector<worker_call>& calls) {
   CheckLease(now);
   if (term_ == 0) return;
@@ -473,7 +484,8 @@
   hold_address_ = profile_.address;
   hold_number_ = ++holds_begun_;
   const bool wait = confirmed() && ended_.empty() && !running_.empty() && !departure_.pending();
-  hold_call call{profile_.address, profile_.self, fence(), seen_upto_, DeadlineFor(now), millis(0)};
+  hold_call call{profile_.address, profile_.self,    fence(),
+                 Acknowledged(),   DeadlineFor(now), millis(0)};
   if (wait) call.wait = kHoldWait;
   call.sent = now;
   calls.emplace_back(std::move(call));
--- a/src/kernel/batch/worker_controller.h
+++ b/src/kernel/batch/worker_controller.h
@@ -133,6 +133,7 @@
   void DropOmittedStarts(const worker_order& order);
   bool IsListed(const run_ref& run) const;
   int64_t DeadlineFor(millis now) const;
+  int64_t Acknowledged() const;
   void CallHold(millis now, std::vector<worker_call>& calls);
   void CallStarts(millis now, std::vector<worker_call>& calls);
   void CallStops(millis now, std::vector<worker_call>& calls);
@@ -163,6 +164,7 @@
   pace_policy pace_;
   std::vector<pace_change> pace_changes_;  // still to be sent
   int64_t seen_upto_ = 0;
+  int64_t first_listed_end_ = 0;  // by the latest hold, if it was answered; 0: none
   millis lease_until_{0};
   int64_t lease_term_ = 0;    // under which the lease was last extended
   bool lease_lapsed_ = true;  // since the latest lists, or none was granted before them
--- a/standins/standin_runner.cc
+++ b/standins/standin_runner.cc
@@ -215,8 +215,12 @@
     (how == run_end::kDone ? gang.done : gang.broken) = true;
   }
   const int64_t kept = how == run_end::kStopped ? WorkDone(run, now) : 0;
-  ended_.push_back({++last_number_, ref.task, ref.run, how, kept > 0 ? std::to_string(kept) : ""});
+  ++last_number_;
   observe_(MakeEvent(runner_event::kind::kEnded, run, now, last_number_, how));
+  if (last_number_ <= seen_upto_) {  // by a hold to a former incarnation, carried out here
+    return observe_(MakeEvent(runner_event::kind::kSeen, run, now, last_number_, how));
+  }
+  ended_.push_back({last_number_, ref.task, ref.run, how, kept > 0 ? std::to_string(kept) : ""});
 }
 
 void standin_runner::Die(millis now) {
--- a/tests/stories/ended_run_story.cc
+++ b/tests/stories/ended_run_story.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -15,6 +16,41 @@
 constexpr int kWorker = 1;
 constexpr uint64_t kSeeds = 12;  // each draws when late calls are carried out
 
+/** A job every second; each worker ends some of its tasks. */
+void EndTasks(batch_world& world, const std::string& name, int seconds) {
+  for (int i = 0; i < seconds; ++i) {
+    const batch_job job = MakeBatchJob(name + std::to_string(10 + i), "usual", 24, millis(700), 1);
+    world.Submit(job);
+    world.Watch(job.id);
+    world.RunFor(millis(1000));
+  }
+}
+
+TEST_CASE("a hold that the next incarnation carries out forgets no end that nobody has read") {
+  double late = 0;
+  SUBCASE("sent before it was announced") {}
+  SUBCASE("sent to the former incarnation and carried out late") {
+    SUBCASE("once in a while") { late = 0.3; }
+    SUBCASE("as all holds are") { late = 1; }
+  }
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    batch_world_options options;
+    options.seed = seed;
+    batch_world world(options);
+    world.SetLongestAnnouncement(millis(1500));
+    world.RunFor(millis(5000));
+    EndTasks(world, "e", 3);
+    world.SetLateHolds(late);
+    EndTasks(world, "f", 3);
+    world.SetLateHolds(0);
+    world.RestartWorker(kWorker, millis(300), millis(0));
+    EndTasks(world, "a", 12);
+    world.RunFor(millis(60000));
+    RequireKept(world);
+  }
+}
+
 TEST_CASE("a start of an agent's former process is not refused by the next one alone") {
   std::function<void(batch_world&)> part = [](batch_world&) {};
   SUBCASE("while its worker drains") {
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -115,6 +115,9 @@
   /** Orders to workers get no answer and are carried out seconds later, with this probability. */
   void SetLateOrders(double share) { worker_faults_.late_orders = share; }
 
+  /** The same for holds. */
+  void SetLateHolds(double share) { worker_faults_.late_holds = share; }
+
   /** A worker's first heartbeat comes up to this long after its start. */
   void SetLongestAnnouncement(millis time) { worker_faults_.longest_announcement = time; }
 
--- a/tests/world/fake_worker.cc
+++ b/tests/world/fake_worker.cc
@@ -9,6 +9,7 @@
 constexpr millis kBeat{1500};
 constexpr millis kShortestAnnouncement{85};
 constexpr millis kOrderTimeout{500};
+constexpr millis kHoldSlack{700};  // of an agent's patience beyond the wait of its hold
 constexpr millis kHoldLook{10};
 constexpr millis kShortestDelay{2000};
 constexpr millis kLongestDelay{12000};
@@ -104,6 +105,7 @@
         runner_ == nullptr ? call_outcome::kConnectionRefused : call_outcome::kOtherIncarnation;
     return WaitForEnd(call, answer, millis(0));
   }
+  if (faults_.late_holds > 0 && random_.Chance(faults_.late_holds)) return HoldLate(call, answer);
   runner_->Hold(call, now());
   WatchLease();
   answer.born_ms = runner_->self().born_ms;
@@ -111,6 +113,17 @@
   WaitForEnd(call, answer, now() + call.wait);
 }
 
+/** The call gets no answer and is carried out seconds later. */
+void fake_worker::HoldLate(const hold_call& call, hold_answer answer) {
+  events_.After(random_.Between(kShortestDelay, kLongestDelay), [this, call] {
+    if (!Is(call.worker)) return;
+    runner_->Hold(call, now());
+    WatchLease();
+  });
+  answer.outcome = call_outcome::kNoAnswer;
+  Reply(std::move(answer), call.wait + kHoldSlack);
+}
+
 void fake_worker::WatchLease() {
   constexpr millis kPast{1};  // a lease has lapsed when its end is past
   events_.After(runner_->LeaseLeft(now()) + kPast, [this, born = born_ms_] {
--- a/tests/world/fake_worker.h
+++ b/tests/world/fake_worker.h
@@ -29,6 +29,7 @@
 struct worker_faults {
   bool vm_named = true;    // they say on which VM they live
   double late_orders = 0;  // share of orders that get no answer and are carried out seconds later
+  double late_holds = 0;   // the same for holds
   millis longest_announcement{120};  // from a worker's start until its first heartbeat
 };
 
@@ -89,6 +90,7 @@
   void Beat();
   void BeatAfter(millis delay);
   worker_heartbeat MakeBeat();
+  void HoldLate(const hold_call& call, hold_answer answer);
   /** Ends what runs when its lease does, not only when the worker is called next. */
   void WatchLease();
   void WaitForEnd(const hold_call& call, hold_answer answer, millis until);
