A start counts as open from its latest possible sending on

What callers would see: TWICE, if an agent's process is suspended between taking the time and sending a start: the call may be carried out for 12.5 s from its sending, and was forgotten 12.5 s after the time that was taken. Not seen; shown at the agent's list of its calls.

Cause: a conclusion from silence. A pending call counted as sent at the time of the decision, and was dropped 12.5 s after that even while it was pending.

Change: a pending call is open for the whole time from now on. One that ends without an answer was sent no later than its timeout before that. The timeout stands beside the bound that is made of it, which repeated its value.

Left: the report that states a call carries the time that is left by the agent's clock at the decision; a planner reads it later, which errs on the safe side. A call that is sent long after all others have forgotten it is for the client to prevent.

--- a/src/daemons/node/batch_agent.cc
+++ b/src/daemons/node/batch_agent.cc
@@ -13,9 +13,6 @@
 /** A hold call returns within its own wait time; this margin is added to its timeout. */
 constexpr millis kHoldSlack{700};
 
-/** A worker on the same VM replies within a few milliseconds or not at all. */
-constexpr millis kOrderTimeout{500};
-
 }  // namespace
 
 batch_agent::batch_agent(deployment place, const clock& time)
@@ -77,12 +74,12 @@
     control_->Hold(*hold, hold->wait + kHoldSlack, deliver);
   } else if (const auto* start = std::get_if<start_call>(&action)) {
     counters_.Count("worker_calls_total{call=\"start\"}");
-    control_->Start(*start, kOrderTimeout, deliver);
+    control_->Start(*start, kCallTimeout, deliver);
   } else if (const auto* stop = std::get_if<stop_call>(&action)) {
     counters_.Count("worker_calls_total{call=\"stop\"}");
-    control_->Stop(*stop, kOrderTimeout, deliver);
+    control_->Stop(*stop, kCallTimeout, deliver);
   } else if (const auto* pace = std::get_if<pace_call>(&action)) {
-    control_->Pace(*pace, kOrderTimeout, deliver);
+    control_->Pace(*pace, kCallTimeout, deliver);
   }
 }
 
--- a/src/kernel/batch/agent_core.cc
+++ b/src/kernel/batch/agent_core.cc
@@ -59,7 +59,7 @@
 }
 
 void agent_core::On(const start_answer& answer, millis now) {
-  sent_starts_.On(answer);
+  sent_starts_.On(answer, now);
   if (worker_controller* controller = incarnations_.Find(answer.worker.id)) {
     controller->On(answer, now);
   }
--- a/src/kernel/batch/sent_starts.cc
+++ b/src/kernel/batch/sent_starts.cc
@@ -13,7 +13,7 @@
   runs_[{call.worker.id, {call.run.task, call.run.run}}].calls.push_back({call.fence, now});
 }
 
-void sent_starts::On(const start_answer& answer) {
+void sent_starts::On(const start_answer& answer, millis now) {
   sent_run* run = Find(answer.worker.id, answer.run);
   if (run == nullptr) return;
   const auto call = std::find_if(run->calls.begin(), run->calls.end(), [&](const sent_call& sent) {
@@ -22,6 +22,7 @@
   if (call == run->calls.end()) return;
   if (answer.outcome == call_outcome::kNoAnswer) {
     call->pending = false;
+    call->at = std::max(call->at, now - kCallTimeout);
     return;
   }
   run->answered = run->answered || answer.outcome == call_outcome::kDone;
@@ -38,12 +39,20 @@
   note(answer.ended);
 }
 
+/** The process may have been suspended before it sent a call that is still pending. */
+millis sent_starts::LatestSending(const sent_run& run, millis now) {
+  millis latest = run.calls.back().at;
+  for (const auto& call : run.calls) latest = std::max(latest, call.pending ? now : call.at);
+  return latest;
+}
+
 std::vector<unanswered_start> sent_starts::Unanswered(std::string_view worker, millis now) {
   std::vector<unanswered_start> unanswered;
   for (auto entry = runs_.begin(); entry != runs_.end();) {
     sent_run& run = entry->second;
-    std::erase_if(run.calls,
-                  [&](const sent_call& call) { return now - call.at >= kLatestExecution; });
+    std::erase_if(run.calls, [&](const sent_call& call) {
+      return !call.pending && now - call.at >= kLatestExecution;
+    });
     if (run.calls.empty()) {
       entry = runs_.erase(entry);
       continue;
@@ -51,8 +60,8 @@
     const run_ref& ref = entry->first.second;
     const size_t carried_out = run.listed && !run.answered ? 1 : 0;
     if (entry->first.first == worker && run.calls.size() > carried_out) {
-      const millis until = run.calls.back().at + kLatestExecution;
-      unanswered.push_back({ref.task, ref.run, (until - now).count()});
+      unanswered.push_back(
+          {ref.task, ref.run, (LatestSending(run, now) + kLatestExecution - now).count()});
     }
     ++entry;
   }
--- a/src/kernel/batch/sent_starts.h
+++ b/src/kernel/batch/sent_starts.h
@@ -21,7 +21,7 @@
 class sent_starts {
  public:
   void OnSent(const start_call& call, millis now);
-  void On(const start_answer& answer);
+  void On(const start_answer& answer, millis now);
 
   /** A run that is listed was started by one of its calls. */
   void On(const hold_answer& answer);
@@ -32,7 +32,7 @@
  private:
   struct sent_call {
     int64_t fence = 0;
-    millis at{0};
+    millis at{0};  // it was sent no later than this, once it is not pending
     bool pending = true;
   };
   struct sent_run {
@@ -42,6 +42,7 @@
   };
   using run_key = std::pair<std::string, run_ref>;  // the worker's id and the run
 
+  static millis LatestSending(const sent_run& run, millis now);
   sent_run* Find(std::string_view worker, const run_ref& run);
 
   std::map<run_key, sent_run> runs_;
--- a/src/kernel/batch/worker_calls.h
+++ b/src/kernel/batch/worker_calls.h
@@ -23,11 +23,14 @@
   millis sent{0};           // agent's clock
 };
 
+/** A start, stop or pace call is broken off this long after its sending. */
+inline constexpr millis kCallTimeout{500};
+
 /**
  * A call without an answer is carried out within this time of its sending, or never: the platform
- * carries calls out up to 12 s late, and a call that has not arrived within 0.5 s is broken off.
+ * carries calls out up to 12 s late, and a call that has not arrived in its time is broken off.
  */
-inline constexpr millis kLatestExecution{12500};
+inline constexpr millis kLatestExecution = millis(12000) + kCallTimeout;
 
 /** Starts a run. */
 struct start_call {
--- a/tests/stories/unanswered_start_story.cc
+++ b/tests/stories/unanswered_start_story.cc
@@ -163,8 +163,8 @@
     call.run.run = run.run;
     starts.OnSent(call, now);
   };
-  const auto answer = [&](int64_t fence, call_outcome outcome) {
-    starts.On(start_answer{worker, run, fence, outcome, start_refusal::kOld});
+  const auto answer = [&](int64_t fence, call_outcome outcome, millis now = millis(1000)) {
+    starts.On(start_answer{worker, run, fence, outcome, start_refusal::kOld}, now);
   };
   const auto list = [&] {
     hold_answer lists;
@@ -212,6 +212,15 @@
       CHECK(open(millis(2400)) == 1);
       CHECK(open(millis(1800) + kLatestExecution) == 0);
     }
+    SUBCASE("from its latest possible sending on, as the agent may have been suspended before") {
+      send(8, millis(2000));
+      CHECK(open(millis(2000) + kLatestExecution) == 1);
+      answer(8, call_outcome::kNoAnswer, millis(9000));
+      const auto stated = starts.Unanswered(worker.id, millis(9000));
+      REQUIRE(stated.size() == 1);
+      CHECK(stated[0].left_ms >= 12000);
+      CHECK(open(millis(9000) + kLatestExecution) == 0);
+    }
     SUBCASE("also under a later term, though a call of that term is answered") {
       send(9, millis(1800));
       answer(9, call_outcome::kRefused);
