A call is not sent once its time is over

What callers would see: TWICE, if a process is suspended while a start waits for the client's thread: the call was sent with its whole time when the process went on, seconds after everybody had counted it as over, and a worker that had started again under its id meanwhile would carry it out. Not seen; shown at the client.

Cause: the client counted a call's time from when its thread took it, not from when its sender began to wait.

Change: a call that the thread takes after its time is over was never sent, and is logged as late. One that it takes in time has its whole time, as before.

Left: a suspension between that look and the sending.

--- a/src/plugins/store/curl/curl_client.cc
+++ b/src/plugins/store/curl/curl_client.cc
@@ -169,7 +169,18 @@
     return static_cast<int>(std::max<int64_t>(0, time.count()));
   }
 
+  /** Sends nothing that its sender has stopped waiting for, as after the process was suspended. */
+  static bool IsOutdated(const transfer& item) {
+    const auto timeout = std::chrono::milliseconds(item.call.timeout.count());
+    return std::chrono::steady_clock::now() - item.started >= timeout;
+  }
+
   void Begin(std::unique_ptr<transfer> item) {
+    if (IsOutdated(*item)) {
+      LogLateStart(*item);
+      return item->done(
+          Fail(error_kind::kUnavailable, "http-call", item->call.url, "its time is over"));
+    }
     item->deadline =
         std::chrono::steady_clock::now() + std::chrono::milliseconds(item->call.timeout.count());
     CURL* handle = curl_easy_init();
--- a/tests/stories/http_client_threads_story.cc
+++ b/tests/stories/http_client_threads_story.cc
@@ -235,6 +235,30 @@
   client->Stop();
 }
 
+TEST_CASE("a call is not sent once its time is over, though the client stood still meanwhile") {
+  const mute_server server;
+  const auto client = std::move(client_registry::Instance().Create("curl", {}).value());
+  const auto call = [&](const std::string& url, millis timeout, http_client::callback done) {
+    http_call sent;
+    sent.method = "POST";
+    sent.url = url;
+    sent.timeout = timeout;
+    client->Start(std::move(sent), std::move(done));
+  };
+  std::promise<void> standing;
+  std::promise<error_kind> ended;
+  call("http://127.0.0.1:0/", millis(2000), [&](const result<http_response>&) {
+    standing.set_value();
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  });
+  standing.get_future().wait();
+  call(server.url(), millis(300), [&](const result<http_response>& answer) {
+    ended.set_value(answer ? error_kind::kInvalid : answer.error().kind);
+  });
+  CHECK(ended.get_future().get() == error_kind::kUnavailable);
+  client->Stop();
+}
+
 TEST_CASE("a call to what is no address was never sent, and the next calls go on") {
   patient_caller caller(millis(2000));
   for (const std::string host :
