The stand-in's feed reads only the changed table's rows

Cause: each look at a feed went over all rows of all tables, and every entry looks every 10 ms. Change: tables without a change are skipped, and a table's rows are read as one range.

--- a/standins/standin_rows.cc
+++ b/standins/standin_rows.cc
@@ -47,10 +47,13 @@
   answer.revision = ++revision_;
   for (const auto& write : change.writes) {
     rows_[PlaceOf(write.at)] = {write.at, write.value, revision_, false};
+    changed_[write.at.table] = revision_;
   }
   for (const auto& removal : change.removals) {
     const auto found = rows_.find(PlaceOf(removal));
-    if (found != rows_.end()) found->second = {removal, "", revision_, true};
+    if (found == rows_.end()) continue;
+    found->second = {removal, "", revision_, true};
+    changed_[removal.table] = revision_;
   }
   answer.outcome = row_outcome::kDone;
   return answer;
@@ -82,8 +85,12 @@
     return answer;
   }
   answer.outcome = row_outcome::kDone;
-  for (const auto& [at, found] : rows_) {
-    if (found.at.table == table && found.revision > after) answer.rows.push_back(found);
+  const auto changed = changed_.find(table);
+  if (changed == changed_.end() || changed->second <= after) return answer;
+  for (auto at = rows_.lower_bound({std::string(table), "", ""}); at != rows_.end(); ++at) {
+    const row& found = at->second;
+    if (found.at.table != table) break;
+    if (found.revision > after) answer.rows.push_back(found);
   }
   std::sort(answer.rows.begin(), answer.rows.end(),
             [](const row& a, const row& b) { return a.revision < b.revision; });
--- a/standins/standin_rows.h
+++ b/standins/standin_rows.h
@@ -34,7 +34,8 @@
 
   int64_t revision_ = 0;
   int64_t history_from_ = 0;
-  std::map<place, row> rows_;  // dropped rows stay, marked as deleted
+  std::map<place, row> rows_;                            // dropped rows stay, marked as deleted
+  std::map<std::string, int64_t, std::less<>> changed_;  // revision of the last change, by table
 };
 
 }  // namespace eelgrass
