Cut links and workers of the virtual clock can refuse connections

Cause: all cuts of the virtual clock were silent, and a machine's loss had to be put together from calls that end one process each. Agents knew one entry at their start, which a large deployment does not have. Change: entries, agents and domains can be cut off by refusal, from each other and from the store; a worker that lives can refuse its agent's calls; agents may know several entries from the start. All of it is off by default.

--- a/tests/world/batch_links.cc
+++ b/tests/world/batch_links.cc
@@ -10,6 +10,11 @@
 constexpr millis kNetwork{1};
 constexpr millis kRedial{300};
 
+/** How long the ends of a connection that is cut off take to learn of it. */
+millis NoticedAfter(cut_kind kind) {
+  return kind == cut_kind::kRefused ? kNetwork : batch_links::kSilence;
+}
+
 }  // namespace
 
 batch_links::batch_links(timeline& events, deliver hand_over)
@@ -38,23 +43,46 @@
   return !cut_.contains(one.id) && !cut_domains_.contains(DomainOf(one));
 }
 
-void batch_links::CutDomain(int domain, bool cut) {
+bool batch_links::CutOff(const world_process& one, cut_kind kind) const {
+  const auto found = cut_.find(one.id);
+  return found != cut_.end() && found->second == kind;
+}
+
+bool batch_links::DomainCutOff(const world_process& one, cut_kind kind) const {
+  const auto found = cut_domains_.find(DomainOf(one));
+  return found != cut_domains_.end() && found->second == kind;
+}
+
+bool batch_links::RefusedByStore(const world_process& one) const {
+  return !ReachesStore(one) && !CutOff(one, cut_kind::kSilent) &&
+         !DomainCutOff(one, cut_kind::kSilent);
+}
+
+/** Whether connections between two processes are refused; a cut that is silent hides all others. */
+bool batch_links::Refused(const world_process& a, const world_process& b) const {
+  if (Connected(a, b)) return false;
+  if (CutOff(a, cut_kind::kSilent) || CutOff(b, cut_kind::kSilent)) return false;
+  const bool apart = DomainOf(a) != DomainOf(b);
+  return !apart || !(DomainCutOff(a, cut_kind::kSilent) || DomainCutOff(b, cut_kind::kSilent));
+}
+
+void batch_links::CutDomain(int domain, bool cut, cut_kind kind) {
   if (!cut) {
     cut_domains_.erase(domain);
     return;
   }
-  cut_domains_.insert(domain);
+  cut_domains_[domain] = kind;
   Drop([this](const world_process& a, const world_process& b) { return !Connected(a, b); },
-       kSilence);
+       NoticedAfter(kind));
 }
 
-void batch_links::SetCut(const std::string& id, bool cut) {
+void batch_links::SetCut(const std::string& id, bool cut, cut_kind kind) {
   if (!cut) {
     cut_.erase(id);
     return;
   }
-  cut_.insert(id);
-  Drop(id, kSilence);
+  cut_[id] = kind;
+  Drop(id, NoticedAfter(kind));
 }
 
 void batch_links::Drop(const std::string& id, millis delay) {
@@ -97,7 +125,8 @@
   world_process* a = Find(from);
   world_process* b = Find(to);
   if (a == nullptr || b == nullptr || a == b || !a->alive) return;
-  if (!b->alive && Connected(*a, *b)) return Deliver(a->id, peer_refused{PeerAddress(b->id)});
+  const bool refused = Refused(*a, *b) || (!b->alive && Connected(*a, *b));
+  if (refused) return Deliver(a->id, peer_refused{PeerAddress(b->id)});
   if (!b->alive) return;
   const bool suspended = events_.now() < a->frozen_until || events_.now() < b->frozen_until;
   if (suspended || !Connected(*a, *b)) return;
--- a/tests/world/batch_links.h
+++ b/tests/world/batch_links.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -20,6 +21,9 @@
 /** Failure domains of a batch world; processes are spread over them by their index. */
 inline constexpr int kBatchDomains = 3;
 
+/** What others see of what is cut off. */
+enum class cut_kind { kSilent, kRefused };
+
 /** Keeps up the connections that are wanted, brings messages, and cuts processes and domains off.
  */
 class batch_links {
@@ -41,10 +45,13 @@
   static int DomainOf(const world_process& one) { return one.index % kBatchDomains; }
   bool ReachesStore(const world_process& one) const;
 
-  void SetCut(const std::string& id, bool cut);
+  /** Whether the connections of a process that does not reach the store are refused. */
+  bool RefusedByStore(const world_process& one) const;
+
+  void SetCut(const std::string& id, bool cut, cut_kind kind = cut_kind::kSilent);
 
   /** Cuts a failure domain off from the others and the store; inside, all is reachable. */
-  void CutDomain(int domain, bool cut);
+  void CutDomain(int domain, bool cut, cut_kind kind = cut_kind::kSilent);
 
   void Dial(world_process& from, std::string_view address);
   void Undial(world_process& from, std::string_view address);
@@ -61,6 +68,9 @@
 
   world_process* Find(std::string_view id);
   bool Connected(const world_process& a, const world_process& b) const;
+  bool CutOff(const world_process& one, cut_kind kind) const;
+  bool DomainCutOff(const world_process& one, cut_kind kind) const;
+  bool Refused(const world_process& a, const world_process& b) const;
   void Link(std::string_view from, std::string_view to);
   void Redial();
   void Drop(const std::string& id, millis delay);
@@ -71,8 +81,8 @@
   const deliver hand_over_;
   std::vector<world_process*> processes_;
   std::set<std::pair<std::string, std::string>> links_;
-  std::set<std::string> cut_;
-  std::set<int> cut_domains_;
+  std::map<std::string, cut_kind> cut_;
+  std::map<int, cut_kind> cut_domains_;
 };
 
 }  // namespace eelgrass
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -44,6 +44,10 @@
     return world_.links_.ReachesStore(*world_.FindEntry(caller.entry));
   }
 
+  bool Refused(const store_caller& caller) const override {
+    return world_.links_.RefusedByStore(*world_.FindEntry(caller.entry));
+  }
+
   void Answer(const store_caller& caller, store_reply reply, millis delay) override {
     const millis at = std::max(world_.now() + delay, world_.FindEntry(caller.entry)->frozen_until);
     world_.events_.At(at, [this, caller, reply = std::move(reply)]() mutable {
@@ -183,7 +187,9 @@
 void batch_world::StartAgent(machine& vm) {
   vm.alive = true;
   vm.life = ++last_life_;
-  vm.agent = std::make_unique<agent_core>(vm.id, std::vector<std::string>{PeerAddress(EntryId(0))});
+  std::vector<std::string> entries;
+  for (int i = 0; i < options_.first_entries; ++i) entries.push_back(PeerAddress(EntryId(i)));
+  vm.agent = std::make_unique<agent_core>(vm.id, std::move(entries));
   Tick(vm.id, vm.life);
 }
 
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -34,6 +34,7 @@
   runner_options worker;
   std::map<int, int> time_percent;  // of work at single workers; 100 at the others
   std::string order = "deadline";
+  int first_entries = 1;  // whose addresses agents know from the start
   uint64_t seed = 1;
 };
 
@@ -61,12 +62,18 @@
 
   void KillEntry(int entry, millis down);
   void FreezeEntry(int entry, millis time);
-  void CutEntry(int entry, bool cut) { links_.SetCut(EntryId(entry), cut); }
+  void CutEntry(int entry, bool cut, cut_kind kind = cut_kind::kSilent) {
+    links_.SetCut(EntryId(entry), cut, kind);
+  }
   void KillAgent(int worker, millis down);
-  void CutAgent(int worker, bool cut) { links_.SetCut(AgentId(worker), cut); }
+  void CutAgent(int worker, bool cut, cut_kind kind = cut_kind::kSilent) {
+    links_.SetCut(AgentId(worker), cut, kind);
+  }
 
   /** Cuts a failure domain (0 to 2) off from the others and the store; inside, all is reachable. */
-  void CutDomain(int domain, bool cut) { links_.CutDomain(domain, cut); }
+  void CutDomain(int domain, bool cut, cut_kind kind = cut_kind::kSilent) {
+    links_.CutDomain(domain, cut, kind);
+  }
   /** What happens at single workers: see fake_worker. */
   void CrashWorker(int index, millis down) { WorkerAt(index).Crash(down); }
   void DrainWorker(int index) { WorkerAt(index).Drain(); }
@@ -89,6 +96,7 @@
   void Leave(int index, millis away) { WorkerAt(index).Leave(away); }
   void TakeAway(int index, millis notice, millis away) { WorkerAt(index).TakeAway(notice, away); }
   void SetMute(int index, bool mute) { WorkerAt(index).SetMute(mute); }
+  void SetRefusing(int index, bool refusing) { WorkerAt(index).SetRefusing(refusing); }
   void SetSick(int index, bool sick) { WorkerAt(index).runner()->SetSick(sick); }
   void PowerOffAll(millis down);
 
--- a/tests/world/fake_row_store.cc
+++ b/tests/world/fake_row_store.cc
@@ -19,6 +19,7 @@
     : events_(events), random_(random), callers_(callers) {}
 
 store_fault fake_row_store::FaultFor(const store_caller& caller) const {
+  if (callers_.Refused(caller)) return store_fault::kRefuses;
   if (!callers_.Reaches(caller)) return store_fault::kSilent;
   const auto own = entry_faults_.find(caller.entry);
   if (own != entry_faults_.end() && own->second != store_fault::kNone) return own->second;
--- a/tests/world/fake_row_store.h
+++ b/tests/world/fake_row_store.h
@@ -34,6 +34,9 @@
   virtual bool Lives(const store_caller& caller) const = 0;
   virtual bool Reaches(const store_caller& caller) const = 0;
 
+  /** Whether the connections of a caller that does not reach the store are refused. */
+  virtual bool Refused(const store_caller& caller) const = 0;
+
   /** Hands an answer over after a time. */
   virtual void Answer(const store_caller& caller, store_reply reply, millis delay) = 0;
 };
--- a/tests/world/fake_worker.cc
+++ b/tests/world/fake_worker.cc
@@ -99,9 +99,9 @@
   answer.worker = call.worker;
   answer.fence = call.fence;
   answer.sent = call.sent;
-  if (!Is(call.worker)) {
-    answer.outcome =
-        runner_ == nullptr ? call_outcome::kConnectionRefused : call_outcome::kOtherIncarnation;
+  const bool refused = runner_ == nullptr || refusing_;
+  if (refused || !Is(call.worker)) {
+    answer.outcome = refused ? call_outcome::kConnectionRefused : call_outcome::kOtherIncarnation;
     return WaitForEnd(call, answer, millis(0));
   }
   runner_->Hold(call, now());
@@ -143,7 +143,9 @@
 template <typename Answer, typename Carry>
 void fake_worker::Order(Answer answer, const Carry& carry) {
   millis delay = kWorkerTime;
-  if (random_.Chance(faults_.late_orders)) {
+  if (refusing_) {
+    answer.outcome = call_outcome::kNeverSent;
+  } else if (random_.Chance(faults_.late_orders)) {
     events_.After(random_.Between(kShortestDelay, kLongestDelay),
                   [carry, answer]() mutable { carry(answer, true); });
     answer.outcome = call_outcome::kNoAnswer;
--- a/tests/world/fake_worker.h
+++ b/tests/world/fake_worker.h
@@ -83,6 +83,9 @@
   /** Carries out all calls and answers none. */
   void SetMute(bool mute) { mute_ = mute; }
 
+  /** Lives, and refuses new connections. */
+  void SetRefusing(bool refusing) { refusing_ = refusing; }
+
  private:
   millis now() const { return events_.now(); }
   bool Is(const worker_identity& meant) const;
@@ -115,6 +118,7 @@
   bool draining_ = false;
   millis leaves_at_{0};  // 0: not said
   bool mute_ = false;
+  bool refusing_ = false;
 };
 
 }  // namespace eelgrass
