--- a/tests/stories/batch_hunt_story.cc
+++ b/tests/stories/batch_hunt_story.cc
@@ -1,16 +1,12 @@
 #include <doctest/doctest.h>
 
-#include <cstdlib>
-
 #include "tests/world/batch_world.h"
+#include "tests/world/hunt_days.h"
 #include "tests/world/require_kept.h"
 
 namespace eelgrass {
 namespace {
 
-/** Whether workers may start again under the ids that they had. */
-enum class worker_ids { kNew, kKept };
-
 /** Longest time from a worker's start until its first heartbeat; a heartbeat comes every 1.5 s. */
 constexpr millis kPromptAnnouncement{120};
 constexpr millis kLostAnnouncement{1500};
@@ -134,24 +130,14 @@
   RequireKept(world);
 }
 
-/** Days to play; EELGRASS_HUNT_FIRST and EELGRASS_HUNT_DAYS choose others. */
-uint64_t Setting(const char* name, uint64_t otherwise) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
 constexpr uint64_t kDays = 40;
 
-/** Plays the days that the environment names, or these many. */
-void PlayDays(uint64_t usual, worker_ids ids, millis longest_announcement = kPromptAnnouncement) {
-  const uint64_t first = Setting("EELGRASS_HUNT_FIRST", 1);
-  const uint64_t days = Setting("EELGRASS_HUNT_DAYS", usual);
-  for (uint64_t seed = first; seed < first + days; ++seed) {
-    PlayDay(seed, ids, longest_announcement);
-  }
+/** Plays these many days, or those that the environment names. */
+void PlayUsualDays(worker_ids ids, millis longest_announcement = kPromptAnnouncement) {
+  PlayDays(kDays, [&](uint64_t seed) { PlayDay(seed, ids, longest_announcement); });
 }
 
-TEST_CASE("random days keep the promises about batch jobs") { PlayDays(kDays, worker_ids::kNew); }
+TEST_CASE("random days keep the promises about batch jobs") { PlayUsualDays(worker_ids::kNew); }
 
 TEST_CASE("days that broke a promise once keep it") {
   SUBCASE("a replaced planner started what its successor had heard to be done") {
@@ -163,12 +149,12 @@
 }
 
 TEST_CASE("days on which workers start again under their ids keep the promises") {
-  PlayDays(kDays, worker_ids::kKept);
+  PlayUsualDays(worker_ids::kKept);
 }
 
 TEST_CASE("days on which a first heartbeat is lost keep the promises") {
-  SUBCASE("with new ids") { PlayDays(kDays, worker_ids::kNew, kLostAnnouncement); }
-  SUBCASE("with ids that are used again") { PlayDays(kDays, worker_ids::kKept, kLostAnnouncement); }
+  SUBCASE("with new ids") { PlayUsualDays(worker_ids::kNew, kLostAnnouncement); }
+  SUBCASE("with ids that are used again") { PlayUsualDays(worker_ids::kKept, kLostAnnouncement); }
 }
 
 }  // namespace
