Agents of the virtual clock can be suspended

Cause: entries could stand still, agents could not; what an agent sends after a pause was not played.

--- a/tests/stories/large_days_story.cc
+++ b/tests/stories/large_days_story.cc
@@ -33,7 +33,8 @@
   kRefusingWorkers,
   kRefusingLeavers,
   kPowerLoss,
-  kReplacedPlanners
+  kReplacedPlanners,
+  kSuspendedAgents
 };
 
 constexpr disruption kAllDisruptions[] = {
@@ -133,6 +134,8 @@
         return LosePower();
       case disruption::kReplacedPlanners:
         return ReplacePlanners();
+      case disruption::kSuspendedAgents:
+        return SuspendAgents();
     }
   }
 
@@ -321,6 +324,17 @@
     }
   }
 
+  /** Agents stand still; the planner ends, or workers start again, meanwhile. */
+  void SuspendAgents() {
+    const int entry = AnyEntry();
+    for (const int agent : WorkersBeside(entry, 8)) {
+      world_.FreezeAgent(agent, Between(200, 8000));
+      if (Pick(4) == 0) After(Between(0, 3000), [this, agent] { Restart(agent); });
+    }
+    const int planner = world_.Planner();
+    if (planner >= 0 && Pick(3) == 0) EndPlanner(planner, Between(500, 4000));
+  }
+
   const worker_ids ids_;
   std::mt19937_64 random_;
   batch_world world_;
@@ -356,6 +370,7 @@
   SUBCASE("planners are replaced while late calls are under way, and agents with them") {
     play(disruption::kReplacedPlanners);
   }
+  SUBCASE("agents are suspended") { play(disruption::kSuspendedAgents); }
 }
 
 TEST_CASE("days of a large deployment keep the promises") {
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -70,7 +70,7 @@
  public:
   agent_door(batch_world& world, machine& vm) : world_(world), vm_(vm) {}
   int64_t life() const override { return vm_.alive ? vm_.life : 0; }
-  void Tell(agent_event event) override { world_.ToAgent(vm_, std::move(event)); }
+  void Tell(agent_event event) override { world_.ToAgentWhenItRuns(vm_, std::move(event)); }
 
  private:
   batch_world& world_;
@@ -273,6 +273,13 @@
   CarryOut(vm, actions);
 }
 
+void batch_world::ToAgentWhenItRuns(machine& vm, agent_event event) {
+  if (now() >= vm.frozen_until) return ToAgent(vm, std::move(event));
+  events_.At(vm.frozen_until, [this, &vm, life = vm.life, event = std::move(event)]() mutable {
+    if (vm.alive && vm.life == life) ToAgentWhenItRuns(vm, std::move(event));
+  });
+}
+
 void batch_world::CarryOut(entry_process& entry, std::vector<gateway_action>& actions) {
   const int64_t life = entry.life;
   for (auto& action : actions) {
@@ -398,6 +405,12 @@
   });
 }
 
+void batch_world::FreezeAgent(int worker, millis time) {
+  machine& vm = *machines_.at(worker);
+  vm.frozen_until = std::max(vm.frozen_until, now() + time);
+  if (time > batch_links::kSilence) links_.FallSilent(vm.id);
+}
+
 void batch_world::MoveWorker(int from, int to) {
   fake_worker& left = WorkerAt(from);
   fake_worker& taken = WorkerAt(to);
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -66,6 +66,7 @@
     links_.SetCut(EntryId(entry), cut, kind);
   }
   void KillAgent(int worker, millis down);
+  void FreezeAgent(int worker, millis time);
   void CutAgent(int worker, bool cut, cut_kind kind = cut_kind::kSilent) {
     links_.SetCut(AgentId(worker), cut, kind);
   }
@@ -176,6 +177,7 @@
   void ToGateway(entry_process& entry, gateway_event event);
   void ToPlanner(entry_process& entry, planner_event event);
   void ToAgent(machine& vm, agent_event event);
+  void ToAgentWhenItRuns(machine& vm, agent_event event);
   void CarryOut(entry_process& entry, std::vector<gateway_action>& actions);
   void CarryOut(entry_process& entry, std::vector<planner_action>& actions);
   void NoteLists(machine& vm, const send_to_peer& sent);
