--- a/tests/world/fake_worker.cc
+++ b/tests/world/fake_worker.cc
@@ -100,9 +100,9 @@
   answer.worker = call.worker;
   answer.fence = call.fence;
   answer.sent = call.sent;
-  if (!Is(call.worker)) {
-    answer.outcome =
-        runner_ == nullptr ? call_outcome::kConnectionRefused : call_outcome::kOtherIncarnation;
+  const bool refused = runner_ == nullptr || refusing_;
+  if (refused || !Is(call.worker)) {
+    answer.outcome = refused ? call_outcome::kConnectionRefused : call_outcome::kOtherIncarnation;
     return WaitForEnd(call, answer, millis(0));
   }
   if (faults_.late_holds > 0 && random_.Chance(faults_.late_holds)) return HoldLate(call, answer);
@@ -156,7 +156,9 @@
 template <typename Answer, typename Carry>
 void fake_worker::Order(Answer answer, const Carry& carry) {
   millis delay = kWorkerTime;
-  if (random_.Chance(faults_.late_orders)) {
+  if (refusing_) {
+    answer.outcome = call_outcome::kNeverSent;
+  } else if (random_.Chance(faults_.late_orders)) {
     events_.After(random_.Between(kShortestDelay, kLongestDelay),
                   [carry, answer]() mutable { carry(answer, true); });
     answer.outcome = call_outcome::kNoAnswer;
@@ -217,10 +219,12 @@
   if (agent_.life() != 0 && !former.empty()) agent_.Tell(worker_departure{former});
 }
 
-void fake_worker::Leave(millis away) {
+void fake_worker::Leave(millis away) { LeaveUnheard(kWorkerTime, away); }
+
+void fake_worker::LeaveUnheard(millis linger, millis away) {
   if (runner_ == nullptr) return;
   if (agent_.life() != 0) agent_.Tell(worker_departure{runner_->self().id});
-  events_.After(kWorkerTime, [this, away] { Crash(away); });
+  events_.After(linger, [this, away] { Crash(away); });
 }
 
 void fake_worker::Drain() {
--- a/tests/world/fake_worker.h
+++ b/tests/world/fake_worker.h
@@ -76,6 +76,9 @@
 
   /** Says that it leaves, and its process ends. */
   void Leave(millis away);
+
+  /** Says that it leaves; nobody seems to have heard it, so that its process ends after a while. */
+  void LeaveUnheard(millis linger, millis away);
   void Drain();
 
   /** Says that it leaves, is gone after the notice, and comes anew later. */
@@ -84,6 +87,9 @@
   /** Carries out all calls and answers none. */
   void SetMute(bool mute) { mute_ = mute; }
 
+  /** Lives, and refuses new connections. */
+  void SetRefusing(bool refusing) { refusing_ = refusing; }
+
  private:
   millis now() const { return events_.now(); }
   bool Is(const worker_identity& meant) const;
@@ -117,6 +123,7 @@
   bool draining_ = false;
   millis leaves_at_{0};  // 0: not said
   bool mute_ = false;
+  bool refusing_ = false;
 };
 
 }  // namespace eelgrass
