--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -116,6 +116,7 @@
   counters_.Set("workers", stats.workers);
   counters_.Set("runs", stats.runs);
   counters_.Set("runs_given_up_total", stats.runs_given_up);
+  counters_.Set("open_starts", stats.open_starts);
   counters_.Set("term", stats.term);
 }
 
--- a/src/kernel/batch/open_starts.cc
+++ b/src/kernel/batch/open_starts.cc
@@ -33,6 +33,12 @@
 
 }  // namespace
 
+size_t open_starts::count() const {
+  size_t count = 0;
+  for (const auto& entry : workers_) count += entry.second.starts.size();
+  return count;
+}
+
 int64_t open_starts::ProcessOf(std::string_view agent) const {
   const auto found = processes_.find(agent);
   return found == processes_.end() ? 0 : found->second;
@@ -180,12 +186,15 @@
       if (known.vm.empty()) known.vm = stated.vm;
       if (known.agent.empty()) known.agent = stated.agent;
       open_start* start = Find(known, task, told.run, stated.agent_process);
-      if (start == nullptr) {
+      const bool is_new = start == nullptr;
+      if (is_new) {
         known.starts.push_back({task, told.run, stated.agent_process});
         start = &known.starts.back();
       }
       start->told = true;
       start->until = std::max(start->until, now + left);
+      // The news of a planner that goes on are too many to be logged.
+      if (is_new && notice.number == 0) LogOpen("open-start-told", stated.worker, *start);
       known.since.try_emplace(ToText(task), now);
     }
   }
@@ -371,10 +380,22 @@
   return open;
 }
 
+bool open_starts::IsOpen(std::string_view worker, std::string_view task, millis now) const {
+  const auto at = workers_.find(worker);
+  return at != workers_.end() &&
+         std::any_of(at->second.starts.begin(), at->second.starts.end(), [&](const auto& start) {
+           return start.until > now && ToText(start.task) == task;
+         });
+}
+
 void open_starts::Expire(millis now) {
   for (auto& entry : workers_) {
     worker_starts& known = entry.second;
-    std::erase_if(known.starts, [now](const open_start& start) { return start.until <= now; });
+    std::erase_if(known.starts, [&](const open_start& start) {
+      if (start.until > now) return false;
+      LogOpen("open-start-over", entry.first, start);
+      return true;
+    });
     std::erase_if(known.since, [&known](const auto& task) {
       return std::none_of(known.starts.begin(), known.starts.end(), [&](const open_start& start) {
         return ToText(start.task) == task.first;
--- a/src/kernel/batch/open_starts.h
+++ b/src/kernel/batch/open_starts.h
@@ -117,6 +117,9 @@
   /** Marks starts that are in the store. */
   void OnStored(std::string_view worker, std::span<const run_ref> runs);
 
+  /** Number of starts, some of which may not be open any more. */
+  size_t count() const;
+
   /** All starts by worker id; some may not be open any more. */
   const std::map<std::string, worker_starts, std::less<>>& all() const { return workers_; }
 
@@ -126,6 +129,9 @@
   /** The starts of a unit's tasks that may still be carried out; valid until the next change. */
   std::vector<task_at_worker> Of(const unit_ref& unit, const batch_step& step, millis now) const;
 
+  /** Whether a task may still be started under a worker's id. */
+  bool IsOpen(std::string_view worker, std::string_view task, millis now) const;
+
   /** Removes the starts that cannot be carried out any more. */
   void Expire(millis now);
 
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -220,6 +220,7 @@
 void planner_core::BeginTerm(millis now) {
   was_holding_ = true;
   term_start_ = now;
+  LogOpenStarts(now);
   last_forgotten_ = millis(INT64_MIN / 4);
   ResetTermState();
   tracker_->Begin(term_.fence());
@@ -230,6 +231,19 @@
   start_notices_.BeginTerm();
 }
 
+void planner_core::LogOpenStarts(millis now) const {
+  for (const auto& worker : pool_.starts().Notice(now).workers) {
+    for (const auto& start : worker.starts) {
+      log_event("open-start-at-takeover")
+          .With("term", term_.fence())
+          .With("worker", worker.worker)
+          .With("task", start.task)
+          .With("run", start.run)
+          .With("left_ms", start.left_ms);
+    }
+  }
+}
+
 void planner_core::EndTerm(millis now) {
   was_holding_ = false;
   pool_.starts().OnTermEnded(now);
@@ -360,6 +374,7 @@
   planner_statistics stats;
   stats.planning = planning_;
   stats.runs_given_up = given_up_in_earlier_terms_ + tracker_->given_up();
+  stats.open_starts = static_cast<int64_t>(pool_.starts().count());
   if (!term_.holding()) return stats;
   stats.term = term_.fence();
   stats.open_jobs = static_cast<int64_t>(jobs_->open().size());
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -69,6 +69,7 @@
   int64_t workers = 0;
   int64_t runs = 0;           // held, ordered, running or stopping
   int64_t runs_given_up = 0;  // by this process: considered ended without a reported end
+  int64_t open_starts = 0;    // that workers may still carry out, as far as this entry knows
 };
 
 /**
@@ -129,6 +130,7 @@
   void Notify(millis now);
   void RepeatNotice(const planner_notice& notice, millis now);
   void OnPlannerNotice(const planner_notice& notice, millis now);
+  void LogOpenStarts(millis now) const;
   void SendOpenStarts(const std::string& entry, millis now);
   void OnOpenStarts(const std::string& peer, const open_starts_notice& notice, millis now);
   planner_notice Notice(millis now) const;
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -74,6 +74,7 @@
     incarnations_.Raise(self, report.life);
   }
   const bool was_usable = worker.listing && !worker.profile.draining;
+  NoteRunsAgain(report, now);
   pool_.starts().Report(agent, report.worker, report.unanswered, now);
   worker.agent = agent;
   worker.linked = true;
@@ -157,6 +158,19 @@
   pool_.Erase(id);
 }
 
+/** A start that was still open has been carried out though its unit was done, and has ended. */
+void run_tracker::NoteRunsAgain(const worker_report& report, millis now) {
+  for (const auto& end : report.ended) {
+    task_ref task;
+    if (!ParseTask(end.task, task)) continue;
+    const batch_step* step = jobs_.StepOf({task.job, task.occurrence, task.step, 0});
+    unit_state* unit = step == nullptr ? nullptr : jobs_.Find(UnitOf(task, *step));
+    if (unit == nullptr || !unit->done || end.run == unit->done_run) continue;
+    const bool late = pool_.starts().IsOpen(report.worker.self.id, end.task, now);
+    unit->ran_again = unit->ran_again || late;
+  }
+}
+
 void run_tracker::ApplyEnds(pool_worker& worker, const worker_report& report,
                             const batch_config& config, millis now) {
   for (const auto& end : report.ended) {
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -85,6 +85,7 @@
                         millis now);
   void ApplyEnds(pool_worker& worker, const worker_report& report, const batch_config& config,
                  millis now);
+  void NoteRunsAgain(const worker_report& report, millis now);
   void ApplyRunning(pool_worker& worker, const worker_report& report, millis now);
   void ApplyRefused(pool_worker& worker, const worker_report& report, millis now);
   void StopUnlisted(pool_worker& worker, const worker_report& report, millis now);
--- a/src/kernel/batch/start_planner.cc
+++ b/src/kernel/batch/start_planner.cc
@@ -19,8 +19,8 @@
 constexpr int64_t kRackWaitFactor = 2;
 
 /**
- * A member keeps to a worker that may still start it for this long, also if starts there remain
- * unanswered again and again: as long as a single one can be carried out.
+ * A member is started again at a worker that may still start it for this long. If starts there
+ * remain unanswered again and again, it then waits until none can be carried out any more.
  */
 constexpr millis kLongestBinding = kLatestExecution;
 
@@ -57,22 +57,23 @@
 }
 
 /**
- * The members of a unit that a usable worker may still start. Anywhere else, such a member could
- * run beside the one that the worker starts.
+ * The members of a unit that a worker may still start. Anywhere else, such a member could run
+ * beside the one that the worker starts. None: that worker cannot be used, so that the unit waits.
  */
-std::map<int, std::string> start_planner::BoundMembers(const ready_unit& unit,
-                                                       const planning_view& view) {
+std::optional<std::map<int, std::string>> start_planner::BoundMembers(const ready_unit& unit,
+                                                                      const planning_view& view) {
   std::map<int, std::string> bound;
   for (const auto& open : view.pool.starts().Of(unit.unit, *unit.step, view.now)) {
     const pool_worker* worker = view.pool.Find(open.worker);
-    if (worker == nullptr || view.now - open.since >= kLongestBinding) continue;
+    if (worker == nullptr || view.now - open.since >= kLongestBinding) return std::nullopt;
     const std::string& label = unit.step->required_label;
     const bool takes_it = worker->profile.service == unit.queue->service &&
                           (label.empty() || worker->HasLabel(label)) &&
                           unit.each.Fits(worker->profile.capacity);
     const bool leaves = worker->profile.draining || view.now < worker->avoid_until ||
                         view.evacuated.contains(worker->profile.domain);
-    if (takes_it && !leaves) bound.emplace(unit.step->gang ? open.task.index : 0, open.worker);
+    if (!takes_it || leaves) return std::nullopt;
+    bound.emplace(unit.step->gang ? open.task.index : 0, open.worker);
   }
   return bound;
 }
@@ -161,8 +162,10 @@
           unit.each = ResourcesPerTask(*unit.step);
           unit.members = UnitSize(*unit.step);
           unit.rank = rank;
-          unit.bound = BoundMembers(unit, view);
-          ready.push_back(unit);
+          auto bound = BoundMembers(unit, view);
+          if (!bound) continue;
+          unit.bound = std::move(*bound);
+          ready.push_back(std::move(unit));
         }
       }
     }
--- a/src/kernel/batch/start_planner.h
+++ b/src/kernel/batch/start_planner.h
@@ -28,7 +28,8 @@
   start_plan Plan(const planning_view& view);
 
  private:
-  static std::map<int, std::string> BoundMembers(const ready_unit& unit, const planning_view& view);
+  static std::optional<std::map<int, std::string>> BoundMembers(const ready_unit& unit,
+                                                                const planning_view& view);
   static void KeepBoundWorker(const ready_unit& unit, std::vector<candidate_worker*>& candidates);
   void MoveFromLeavingWorkers(const planning_view& view, start_plan& plan) const;
   std::vector<ready_unit> Ready(const planning_view& view) const;
--- a/tests/stories/open_starts_story.cc
+++ b/tests/stories/open_starts_story.cc
@@ -96,8 +96,18 @@
   SUBCASE("for good if another run was seen after it") {
     report.ended = {{1, task, 701, run_end::kDone, ""}};
     report.unanswered = {{task, 699, 9000}};
-    workers.Report("w1", millis(10));
-    workers.reports.at("w2").running = {{task, 699, "", 100, 0}};
+    SUBCASE("which runs") {
+      workers.Report("w1", millis(10));
+      workers.reports.at("w2").running = {{task, 699, "", 100, 0}};
+    }
+    SUBCASE("which has ended before it was seen") {
+      report.unanswered.clear();
+      workers.reports.at("w2").unanswered = {{task, 699, 9000}};
+      workers.Report("w2", millis(5));
+      workers.Report("w1", millis(10));
+      workers.reports.at("w2").unanswered.clear();
+      workers.reports.at("w2").ended = {{1, task, 699, run_end::kFailed, ""}};
+    }
     workers.Report("w2", millis(20));
     CHECK(workers.SeenUpto("w1", millis(20000)) == 0);
   }
@@ -269,17 +279,18 @@
       report.unanswered.clear();
       CHECK(places(plan(millis(20))) == placed{{"w1"}, {"w1"}});
     }
-    SUBCASE("for a bounded time, though starts there remain unanswered") {
+    SUBCASE("for a bounded time if starts there remain unanswered, after which it waits") {
       plan(millis(6000));
-      CHECK(places(plan(kLatestExecution + millis(20))) == placed{{"w1"}, {"w1"}});
-    }
-    SUBCASE("unless that worker is of another kind now") {
-      report.worker.service = "smoking";
-      CHECK(places(plan(millis(20))) == placed{{"w1"}, {"w1"}});
+      CHECK(places(plan(kLatestExecution + millis(20))) == placed{{"w1"}});
+      report.unanswered.clear();
+      CHECK(places(plan(kLatestExecution + millis(30))) == placed{{"w1"}, {"w1"}});
     }
-    SUBCASE("unless that worker leaves") {
-      report.worker.draining = true;
-      CHECK(places(plan(millis(20))) == placed{{"w1"}, {"w1"}});
+    SUBCASE("and waits if that worker cannot take it") {
+      SUBCASE("as it is of another kind now") { report.worker.service = "smoking"; }
+      SUBCASE("as it leaves") { report.worker.draining = true; }
+      CHECK(places(plan(millis(20))) == placed{{"w1"}});
+      report.unanswered.clear();
+      CHECK(places(plan(millis(30))) == placed{{"w1"}, {"w1"}});
     }
   }
   SUBCASE("a gang's member") {
