A story of a worker that refuses connections while it is up

A refused connection ends nothing while no departure is reported, nor when the departure of a former incarnation that says its birth comes late.

Not held: a late departure without a birth, of a former incarnation under the same id, beside refused connections.

Change: workers of the virtual clock can refuse connections. No program changes.

--- a/tests/stories/ended_run_story.cc
+++ b/tests/stories/ended_run_story.cc
@@ -51,6 +51,27 @@
   }
 }
 
+TEST_CASE("a worker that refuses connections runs on") {
+  batch_world world;
+  world.RunFor(millis(5000));
+  world.RestartWorker(kWorker, millis(300), millis(0));
+  world.RunFor(millis(3000));
+  const batch_job job = MakeBatchJob("e1", "usual", 30, millis(6000), 1);
+  world.Submit(job);
+  world.Watch(job.id);
+  world.RunFor(millis(1000));
+  REQUIRE(world.worker(kWorker).running() > 0);
+  world.SetRefusing(kWorker, true);
+  SUBCASE("while nobody reports its departure") {}
+  SUBCASE("while the departure of its former incarnation comes late") {
+    world.LateLeave(kWorker, true);
+  }
+  world.RunFor(millis(2500));
+  world.SetRefusing(kWorker, false);
+  world.RunFor(millis(30000));
+  RequireKept(world);
+}
+
 TEST_CASE("a start of an agent's former process is not refused by the next one alone") {
   std::function<void(batch_world&)> part = [](batch_world&) {};
   SUBCASE("while its worker drains") {
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -85,10 +85,11 @@
   void LateBeat(int index) { WorkerAt(index).LateBeat(); }
   /** The last lists of a worker's former life come to the planner now. */
   void LateReport(int index);
-  void LateLeave(int index) { WorkerAt(index).LateLeave(); }
+  void LateLeave(int index, bool dated = false) { WorkerAt(index).LateLeave(dated); }
   void Leave(int index, millis away) { WorkerAt(index).Leave(away); }
   void TakeAway(int index, millis notice, millis away) { WorkerAt(index).TakeAway(notice, away); }
   void SetMute(int index, bool mute) { WorkerAt(index).SetMute(mute); }
+  void SetRefusing(int index, bool refusing) { WorkerAt(index).SetRefusing(refusing); }
   void SetSick(int index, bool sick) { WorkerAt(index).runner()->SetSick(sick); }
   void PowerOffAll(millis down);
 
--- a/tests/world/fake_worker.cc
+++ b/tests/world/fake_worker.cc
@@ -100,9 +100,9 @@
   answer.worker = call.worker;
   answer.fence = call.fence;
   answer.sent = call.sent;
-  if (!Is(call.worker)) {
-    answer.outcome =
-        runner_ == nullptr ? call_outcome::kConnectionRefused : call_outcome::kOtherIncarnation;
+  if (refusing_ || !Is(call.worker)) {
+    const bool refused = refusing_ || runner_ == nullptr;
+    answer.outcome = refused ? call_outcome::kConnectionRefused : call_outcome::kOtherIncarnation;
     return WaitForEnd(call, answer, millis(0));
   }
   if (faults_.late_holds > 0 && random_.Chance(faults_.late_holds)) return HoldLate(call, answer);
@@ -156,6 +156,10 @@
 template <typename Answer, typename Carry>
 void fake_worker::Order(Answer answer, const Carry& carry) {
   millis delay = kWorkerTime;
+  if (refusing_) {
+    answer.outcome = call_outcome::kConnectionRefused;
+    return Reply(std::move(answer), delay);
+  }
   if (random_.Chance(faults_.late_orders)) {
     events_.After(random_.Between(kShortestDelay, kLongestDelay),
                   [carry, answer]() mutable { carry(answer, true); });
@@ -212,9 +216,10 @@
   if (agent_.life() != 0 && !former_beat_.worker.self.id.empty()) agent_.Tell(former_beat_);
 }
 
-void fake_worker::LateLeave() {
-  const std::string& former = former_beat_.worker.self.id;
-  if (agent_.life() != 0 && !former.empty()) agent_.Tell(worker_departure{former});
+void fake_worker::LateLeave(bool dated) {
+  const worker_identity& former = former_beat_.worker.self;
+  if (agent_.life() == 0 || former.id.empty()) return;
+  agent_.Tell(worker_departure{former.id, dated ? former.born_ms : 0});
 }
 
 void fake_worker::Leave(millis away) {
--- a/tests/world/fake_worker.h
+++ b/tests/world/fake_worker.h
@@ -70,9 +70,9 @@
   /** The VM's time of day is stepped; a life that begins later is born by it. */
   void StepClock(millis step) { clock_step_ += step; }
 
-  /** A heartbeat, or the departure, of the former life arrives now. */
+  /** A heartbeat, or the departure, of the former life arrives now; `dated`: with its birth. */
   void LateBeat();
-  void LateLeave();
+  void LateLeave(bool dated);
 
   /** Says that it leaves, and its process ends. */
   void Leave(millis away);
@@ -84,6 +84,9 @@
   /** Carries out all calls and answers none. */
   void SetMute(bool mute) { mute_ = mute; }
 
+  /** Connections to it are refused, although it is up. */
+  void SetRefusing(bool refusing) { refusing_ = refusing; }
+
  private:
   millis now() const { return events_.now(); }
   bool Is(const worker_identity& meant) const;
@@ -117,6 +120,7 @@
   bool draining_ = false;
   millis leaves_at_{0};  // 0: not said
   bool mute_ = false;
+  bool refusing_ = false;
 };
 
 }  // namespace eelgrass
