A failing story: a start that is carried out late runs on for its lease

What callers see: TWICE, on the virtual clock. Starts get no answer, their worker starts again under its id, and its agent is away for 30 s. A start that the new incarnation carries out up to 12 s late runs for a lease of HoldMaxMs from then on, as the deadline of its call is far ahead on the new clock. The unit starts elsewhere when the call cannot begin any more, 12.5 s after its sending (16.9 s after the last report where it is assumed).

Cause: a conclusion from silence; the bound is that of the start, not that of the run. It grows with HoldMaxMs, a setting that the planner's bounds do not contain.

Proposed: the planner keeps a unit from starting elsewhere until that bound plus a lease of HoldMaxMs on a slow clock, while no incarnation under the id lists.

The test is red with this commit: build/bin/eelgrass_stories -tc="a run that began late*"

--- a/tests/stories/ended_run_story.cc
+++ b/tests/stories/ended_run_story.cc
@@ -193,5 +193,30 @@
   }
 }
 
+TEST_CASE("a run that began late on a worker that nobody reaches lasts as long as its lease") {
+  millis longest_hold(6000);
+  SUBCASE("of six seconds") {}
+  SUBCASE("of ten seconds") { longest_hold = millis(10000); }
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    batch_world_options options;
+    options.seed = seed;
+    options.worker.longest_hold = longest_hold;
+    batch_world world(options);
+    world.RunFor(millis(40000));
+    world.SetLateOrders(1);
+    const batch_job job = MakeBatchJob("e1", "usual", 30, millis(9000), 1);
+    world.Submit(job);
+    world.Watch(job.id);
+    world.RunFor(millis(300));
+    world.SetLateOrders(0);
+    world.RunFor(millis(400));
+    world.KillAgent(kWorker, millis(30000));
+    world.RestartWorker(kWorker, millis(1000), millis(0));
+    world.RunFor(millis(60000));
+    RequireKept(world);
+  }
+}
+
 }  // namespace
 }  // namespace eelgrass
