A failing story: a late hold has ends forgotten while the agent is away

What callers would see: TWICE. A hold that names acknowledged ends gets no answer, its worker starts again under its id, and its agent is away for 9 s. The new incarnation carries the hold out before any hold of its own, forgets its first ends unread, and their tasks run again.

The fence stops such a hold only once the incarnation has seen a higher one.

Proposed: the agent asks a new incarnation first with fence 0; it refuses that if it has carried out any call before. One that was never held by an agent and refuses gets no starts. It needs a word on who has held it before, for an agent that has started anew.

The test is red with this commit: build/bin/eelgrass_stories -tc="a hold that is carried out while*"

--- a/tests/stories/ended_run_story.cc
+++ b/tests/stories/ended_run_story.cc
@@ -72,6 +72,25 @@
   RequireKept(world);
 }
 
+TEST_CASE("a hold that is carried out while the agent is away forgets no end unread") {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    batch_world_options options;
+    options.seed = seed;
+    batch_world world(options);
+    world.RunFor(millis(5000));
+    EndTasks(world, "e", 3);
+    world.SetLateHolds(0.3);
+    EndTasks(world, "f", 3);
+    world.SetLateHolds(0);
+    world.KillAgent(kWorker, millis(9000));
+    world.RestartWorker(kWorker, millis(300), millis(0));
+    EndTasks(world, "a", 12);
+    world.RunFor(millis(60000));
+    RequireKept(world);
+  }
+}
+
 TEST_CASE("a start of an agent's former process is not refused by the next one alone") {
   std::function<void(batch_world&)> part = [](batch_world&) {};
   SUBCASE("while its worker drains") {
