--- a/tests/stories/ended_run_story.cc
+++ b/tests/stories/ended_run_story.cc
@@ -51,6 +51,46 @@
   }
 }
 
+TEST_CASE("a worker that refuses connections runs on") {
+  batch_world world;
+  world.RunFor(millis(5000));
+  world.RestartWorker(kWorker, millis(300), millis(0));
+  world.RunFor(millis(3000));
+  const batch_job job = MakeBatchJob("e1", "usual", 30, millis(6000), 1);
+  world.Submit(job);
+  world.Watch(job.id);
+  world.RunFor(millis(1000));
+  REQUIRE(world.worker(kWorker).running() > 0);
+  world.SetRefusing(kWorker, true);
+  SUBCASE("while nobody reports its departure") {}
+  SUBCASE("while the departure of its former incarnation comes late") {
+    world.LateLeave(kWorker, true);
+  }
+  world.RunFor(millis(2500));
+  world.SetRefusing(kWorker, false);
+  world.RunFor(millis(30000));
+  RequireKept(world);
+}
+
+TEST_CASE("a hold that is carried out while the agent is away forgets no end unread") {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    batch_world_options options;
+    options.seed = seed;
+    batch_world world(options);
+    world.RunFor(millis(5000));
+    EndTasks(world, "e", 3);
+    world.SetLateHolds(0.3);
+    EndTasks(world, "f", 3);
+    world.SetLateHolds(0);
+    world.KillAgent(kWorker, millis(9000));
+    world.RestartWorker(kWorker, millis(300), millis(0));
+    EndTasks(world, "a", 12);
+    world.RunFor(millis(60000));
+    RequireKept(world);
+  }
+}
+
 TEST_CASE("a start of an agent's former process is not refused by the next one alone") {
   std::function<void(batch_world&)> part = [](batch_world&) {};
   SUBCASE("while its worker drains") {
@@ -172,5 +212,30 @@
   }
 }
 
+TEST_CASE("a run that began late on a worker that nobody reaches lasts as long as its lease") {
+  millis longest_hold(6000);
+  SUBCASE("of six seconds") {}
+  SUBCASE("of ten seconds") { longest_hold = millis(10000); }
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    batch_world_options options;
+    options.seed = seed;
+    options.worker.longest_hold = longest_hold;
+    batch_world world(options);
+    world.RunFor(millis(40000));
+    world.SetLateOrders(1);
+    const batch_job job = MakeBatchJob("e1", "usual", 30, millis(9000), 1);
+    world.Submit(job);
+    world.Watch(job.id);
+    world.RunFor(millis(300));
+    world.SetLateOrders(0);
+    world.RunFor(millis(400));
+    world.KillAgent(kWorker, millis(30000));
+    world.RestartWorker(kWorker, millis(1000), millis(0));
+    world.RunFor(millis(60000));
+    RequireKept(world);
+  }
+}
+
 }  // namespace
 }  // namespace eelgrass
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -93,7 +93,7 @@
   void LateBeat(int index) { WorkerAt(index).LateBeat(); }
   /** The last lists of a worker's former life come to the planner now. */
   void LateReport(int index);
-  void LateLeave(int index) { WorkerAt(index).LateLeave(); }
+  void LateLeave(int index, bool dated = false) { WorkerAt(index).LateLeave(dated); }
   void Leave(int index, millis away) { WorkerAt(index).Leave(away); }
   void LeaveUnheard(int index, millis linger, millis away) {
     WorkerAt(index).LeaveUnheard(linger, away);
--- a/tests/world/fake_worker.cc
+++ b/tests/world/fake_worker.cc
@@ -157,8 +157,10 @@
 void fake_worker::Order(Answer answer, const Carry& carry) {
   millis delay = kWorkerTime;
   if (refusing_) {
-    answer.outcome = call_outcome::kNeverSent;
-  } else if (random_.Chance(faults_.late_orders)) {
+    answer.outcome = call_outcome::kConnectionRefused;
+    return Reply(std::move(answer), delay);
+  }
+  if (random_.Chance(faults_.late_orders)) {
     events_.After(random_.Between(kShortestDelay, kLongestDelay),
                   [carry, answer]() mutable { carry(answer, true); });
     answer.outcome = call_outcome::kNoAnswer;
@@ -214,9 +216,10 @@
   if (agent_.life() != 0 && !former_beat_.worker.self.id.empty()) agent_.Tell(former_beat_);
 }
 
-void fake_worker::LateLeave() {
-  const std::string& former = former_beat_.worker.self.id;
-  if (agent_.life() != 0 && !former.empty()) agent_.Tell(worker_departure{former});
+void fake_worker::LateLeave(bool dated) {
+  const worker_identity& former = former_beat_.worker.self;
+  if (agent_.life() == 0 || former.id.empty()) return;
+  agent_.Tell(worker_departure{former.id, dated ? former.born_ms : 0});
 }
 
 void fake_worker::Leave(millis away) { LeaveUnheard(kWorkerTime, away); }
--- a/tests/world/fake_worker.h
+++ b/tests/world/fake_worker.h
@@ -70,9 +70,9 @@
   /** The VM's time of day is stepped; a life that begins later is born by it. */
   void StepClock(millis step) { clock_step_ += step; }
 
-  /** A heartbeat, or the departure, of the former life arrives now. */
+  /** A heartbeat, or the departure, of the former life arrives now; `dated`: with its birth. */
   void LateBeat();
-  void LateLeave();
+  void LateLeave(bool dated);
 
   /** Says that it leaves, and its process ends. */
   void Leave(millis away);
