--- a/src/kernel/batch/worker_controller.cc
+++ b/src/kernel/batch/worker_controller.cc
@@ -28,6 +28,12 @@
 /** A worker without an answer for this long is removed; longer than any lease. */
 constexpr millis kForgetAfter{20000};
 
+/** No planner grants a longer lease; a former process of the agent may have passed one on. */
+constexpr millis kLongestLease{4000};
+
+/** How much longer a lease may last on a worker with a slow clock. */
+constexpr millis kLeaseSlack{400};
+
 /** A candidate that has not answered is called for this long after its last heartbeat. */
 constexpr millis kCandidateTimeout{3000};
 
@@ -49,6 +55,7 @@
                                      millis earlier_calls_until)
     : profile_(first.worker),
       earlier_calls_until_(earlier_calls_until),
+      began_(now),
       heartbeat_sequence_(first.sequence),
       worker_clock_ms_(first.clock_ms),
       clock_read_(now),
@@ -222,15 +229,22 @@
   ApplyLists(answer, now);
 }
 
-/** Whether the refused connection proves the end: this incarnation has answered at that address. */
-bool worker_controller::RefusalProvesEnd() const {
-  return refused_connection_ && hold_address_ == answered_address_ && hold_address_ == address();
+/**
+ * Whether nothing can run any more: connections are refused where this incarnation has answered,
+ * and it has no runs or their lease is over. The refusal alone does not show that it has ended, as
+ * a worker whose departure was not acknowledged goes on for a while.
+ */
+bool worker_controller::RefusalProvesEnd(millis now) const {
+  const bool refused =
+      refused_connection_ && hold_address_ == answered_address_ && hold_address_ == address();
+  const bool idle = running_.empty() && starts_.empty() && stops_.empty();
+  return refused && (idle || now - std::max(lease_until_, began_ + kLongestLease) > kLeaseSlack);
 }
 
 /** Only a hold that was sent after the departure was reported shows whether it has ended. */
 void worker_controller::CheckDeparture(const hold_answer& answer, millis now) {
   if (answer.sent < departure_.reported_at()) return;
-  departed_ = RefusalProvesEnd() || other_incarnation_answers_;
+  departed_ = RefusalProvesEnd(now) || other_incarnation_answers_;
   const millis reported_at = departure_.reported_at();
   const bool answered = !departed_ && answer.outcome == call_outcome::kDone;
   departure_.OnAnswer(answered);
--- a/src/kernel/batch/worker_controller.h
+++ b/src/kernel/batch/worker_controller.h
@@ -118,7 +118,7 @@
   void RestartHold(millis at);
   /** Whether a hold that was sent after the latest failed call has been answered. */
   bool answered_since_failure() const { return answered_hold_sent_ >= last_failure_; }
-  bool RefusalProvesEnd() const;
+  bool RefusalProvesEnd(millis now) const;
   void CheckDeparture(const hold_answer& answer, millis now);
   void DiscardLists(const hold_answer& answer);
   void ApplyLists(const hold_answer& answer, millis now);
@@ -140,6 +140,7 @@
 
   worker_profile profile_;
   millis earlier_calls_until_;
+  millis began_;
   liveness_proof proof_;
   departure_check departure_;
   bool departed_ = false;
--- a/tests/stories/ended_run_story.cc
+++ b/tests/stories/ended_run_story.cc
@@ -91,6 +91,27 @@
   }
 }
 
+TEST_CASE("a worker that says that it leaves and refuses connections runs on until it ends") {
+  for (const int64_t linger : {300, 900, 1500, 3000}) {
+    CAPTURE(linger);
+    batch_world_options options;
+    options.workers = 2;
+    batch_world world(options);
+    world.RunFor(millis(4000));
+    const batch_job job = MakeBatchJob("e1", "usual", 1, millis(6000), 1);
+    world.Submit(job);
+    world.Watch(job.id);
+    world.RunFor(millis(1500));
+    const int at = world.worker(0).running() > 0 ? 0 : 1;
+    world.SetRefusing(at, true);
+    world.LeaveUnheard(at, millis(linger), millis(2000));
+    world.RunFor(millis(linger));
+    world.SetRefusing(at, false);
+    world.RunFor(millis(40000));
+    RequireKept(world);
+  }
+}
+
 TEST_CASE("a start of an agent's former process is not refused by the next one alone") {
   std::function<void(batch_world&)> part = [](batch_world&) {};
   SUBCASE("while its worker drains") {
