--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -16,6 +16,7 @@
 #include "kernel/batch/order_writer.h"
 #include "kernel/batch/planner_journal.h"
 #include "kernel/batch/run_tracker.h"
+#include "kernel/batch/start_notices.h"
 #include "kernel/batch/start_planner.h"
 #include "kernel/batch/term_election.h"
 #include "kernel/batch/ticket_cache.h"
@@ -68,6 +69,7 @@
   int64_t workers = 0;
   int64_t runs = 0;           // held, ordered, running or stopping
   int64_t runs_given_up = 0;  // by this process: considered ended without a reported end
+  int64_t open_starts = 0;    // that workers may still carry out, as far as this entry knows
 };
 
 /**
@@ -111,7 +113,7 @@
 
   void ResetTermState();
   void BeginTerm(millis now);
-  void EndTerm();
+  void EndTerm(millis now);
   void ApplyReport(const std::string& agent, worker_report& report, millis now);
   void AnswerInquiry(const std::string& asker, const job_inquiry& inquiry, millis now);
   void SettleUnknownCancels(millis now);
@@ -128,7 +130,9 @@
   void Notify(millis now);
   void RepeatNotice(const planner_notice& notice, millis now);
   void OnPlannerNotice(const planner_notice& notice, millis now);
+  void LogOpenStarts(millis now) const;
   void SendOpenStarts(const std::string& entry, millis now);
+  void OnOpenStarts(const std::string& peer, const open_starts_notice& notice, millis now);
   planner_notice Notice(millis now) const;
   int64_t CountWaiting(std::string_view queue) const;
 
@@ -142,6 +146,7 @@
   std::unique_ptr<run_tracker> tracker_;
   std::unique_ptr<order_writer> orders_;
   start_planner starts_;
+  start_notices start_notices_;
   operator_state operators_;
   millis operators_confirmed_{INT64_MIN / 4};
   std::vector<planner_action>* out_ = nullptr;
--- a/src/kernel/batch/sent_starts.h
+++ b/src/kernel/batch/sent_starts.h
@@ -21,7 +21,7 @@
 class sent_starts {
  public:
   void OnSent(const start_call& call, millis now);
-  void On(const start_answer& answer);
+  void On(const start_answer& answer, millis now);
 
   /** A run that is listed was started by one of its calls. */
   void On(const hold_answer& answer);
@@ -29,10 +29,13 @@
   /** The starts under a worker's id that may still be carried out. */
   std::vector<unanswered_start> Unanswered(std::string_view worker, millis now);
 
+  /** Those under all ids, also of workers that have left. */
+  std::vector<worker_open_starts> Unanswered(millis now);
+
  private:
   struct sent_call {
     int64_t fence = 0;
-    millis at{0};
+    millis at{0};  // it was sent no later than this, once it is not pending
     bool pending = true;
   };
   struct sent_run {
@@ -42,6 +45,7 @@
   };
   using run_key = std::pair<std::string, run_ref>;  // the worker's id and the run
 
+  static millis LatestSending(const sent_run& run, millis now);
   sent_run* Find(std::string_view worker, const run_ref& run);
 
   std::map<run_key, sent_run> runs_;
--- a/src/kernel/batch/worker_controller.cc
+++ b/src/kernel/batch/worker_controller.cc
@@ -28,6 +28,12 @@
 /** A worker without an answer for this long is removed; longer than any lease. */
 constexpr millis kForgetAfter{20000};
 
+/** No planner grants a longer lease; a former process of the agent may have passed one on. */
+constexpr millis kLongestLease{4000};
+
+/** How much longer a lease may last on a worker with a slow clock. */
+constexpr millis kLeaseSlack{400};
+
 /** A candidate that has not answered is called for this long after its last heartbeat. */
 constexpr millis kCandidateTimeout{3000};
 
@@ -45,8 +51,11 @@
 
 }  // namespace
 
-worker_controller::worker_controller(const worker_heartbeat& first, millis now)
+worker_controller::worker_controller(const worker_heartbeat& first, millis now,
+                                     millis earlier_calls_until)
     : profile_(first.worker),
+      earlier_calls_until_(earlier_calls_until),
+      began_(now),
       heartbeat_sequence_(first.sequence),
       worker_clock_ms_(first.clock_ms),
       clock_read_(now),
@@ -155,7 +164,9 @@
     if (run.fills || run.target_ms > 0) pacing_[ref] = {ref, run.target_ms, 0, run.fills};
     if (run.confirmed || starts_.contains(ref) || refused_.contains(ref) || IsListed(ref)) continue;
     if (stops_.contains(ref)) continue;
-    starts_.emplace(ref, ordered_start{run});
+    ordered_start start{run};
+    start.sent_before = now < earlier_calls_until_;
+    starts_.emplace(ref, std::move(start));
   }
   for (const auto& ref : order.stops) {
     if (!refused_.contains(ref)) stops_.try_emplace(ref);
@@ -171,7 +182,7 @@
     const run_ref& ref = entry.first;
     const ordered_start& start = entry.second;
     if (Contains(order.starts, ref) || start.phase == start_phase::kRefused) return false;
-    const bool called = start.phase == start_phase::kCalling || start.outcome_unknown;
+    const bool called = start.phase == start_phase::kCalling || start.may_take_effect();
     const bool known = called && !stops_.try_emplace(ref).second;
     if (known) return false;  // a stop is pending already
     log_event("start-unwanted")
@@ -198,6 +209,7 @@
   if (other_incarnation_answers_) DiscardLists(answer);
   if (departure_.pending()) CheckDeparture(answer, now);
   if (NotDelivered(answer.outcome)) last_failure_ = now;
+  first_listed_end_ = 0;
   if (answer.outcome != call_outcome::kDone || other_incarnation_answers_) {
     // A process of this agent that has ended may have used a higher number.
     if (answer.outcome == call_outcome::kRefused) ++incarnation_;
@@ -217,15 +229,22 @@
   ApplyLists(answer, now);
 }
 
-/** Whether the refused connection proves the end: this incarnation has answered at that address. */
-bool worker_controller::RefusalProvesEnd() const {
-  return refused_connection_ && hold_address_ == answered_address_ && hold_address_ == address();
+/**
+ * Whether nothing can run any more: connections are refused where this incarnation has answered,
+ * and it has no runs or their lease is over. The refusal alone does not show that it has ended, as
+ * a worker whose departure was not acknowledged goes on for a while.
+ */
+bool worker_controller::RefusalProvesEnd(millis now) const {
+  const bool refused =
+      refused_connection_ && hold_address_ == answered_address_ && hold_address_ == address();
+  const bool idle = running_.empty() && starts_.empty() && stops_.empty();
+  return refused && (idle || now - std::max(lease_until_, began_ + kLongestLease) > kLeaseSlack);
 }
 
 /** Only a hold that was sent after the departure was reported shows whether it has ended. */
 void worker_controller::CheckDeparture(const hold_answer& answer, millis now) {
   if (answer.sent < departure_.reported_at()) return;
-  departed_ = RefusalProvesEnd() || other_incarnation_answers_;
+  departed_ = RefusalProvesEnd(now) || other_incarnation_answers_;
   const millis reported_at = departure_.reported_at();
   const bool answered = !departed_ && answer.outcome == call_outcome::kDone;
   departure_.OnAnswer(answered);
@@ -261,6 +280,7 @@
   for (const auto& end : answer.ended) {
     if (end.number > seen_upto_) unseen.push_back(end);
   }
+  if (!answer.ended.empty()) first_listed_end_ = answer.ended.front().number;
   const auto last_end = [](const auto& list) { return list.empty() ? 0 : list.back().number; };
   const bool same = confirmed() && key(running_) == key(answer.running) &&
                     ended_.size() == unseen.size() && last_end(ended_) == last_end(unseen) &&
@@ -345,6 +365,21 @@
   }
 }
 
+/**
+ * Ends a start of which an earlier call may still take effect, which a stop prevents. Its run may
+ * also have ended, which later lists show.
+ */
+void worker_controller::Bar(const run_ref& run, ordered_start& start) {
+  log_event("start-barred")
+      .With("worker", profile_.self.id)
+      .With("task", run.task)
+      .With("run", run.run)
+      .With("called", start.phase == start_phase::kWanted ? 0 : 1)
+      .With("term", term_);
+  start.phase = start_phase::kRefused;
+  stops_.try_emplace(run);
+}
+
 void worker_controller::Refuse(const run_ref& run, start_refusal reason) {
   starts_.erase(run);
   stops_.erase(run);
@@ -383,11 +418,8 @@
           .With("term", term_);
       return;
     case call_outcome::kRefused:
-      if (start.outcome_unknown && (answer.refusal != start_refusal::kOld || more_ends_)) {
-        // An earlier unanswered call may still take effect, which a stop prevents, or its run may
-        // have ended, which later lists show.
-        start.phase = start_phase::kRefused;
-        stops_.try_emplace(answer.run);
+      if (start.may_take_effect() && (answer.refusal != start_refusal::kOld || more_ends_)) {
+        Bar(answer.run, start);
       } else {
         Refuse(answer.run, answer.refusal);
       }
@@ -436,6 +468,15 @@
   return worker_clock_ms_ + passed + (lease_until_ - now).count();
 }
 
+/**
+ * The ends that the next hold lets the worker forget. The next incarnation under the id may carry
+ * the hold out, and would forget its own ends up to that number, so that it names one only while
+ * this incarnation lists ends to forget.
+ */
+int64_t worker_controller::Acknowledged() const {
+  return first_listed_end_ > 0 && first_listed_end_ <= seen_upto_ ? seen_upto_ : 0;
+}
+
 void worker_controller::Tick(millis now, std::vector<worker_call>& calls) {
   CheckLease(now);
   if (term_ == 0) return;
@@ -457,7 +498,8 @@
   hold_address_ = profile_.address;
   hold_number_ = ++holds_begun_;
   const bool wait = confirmed() && ended_.empty() && !running_.empty() && !departure_.pending();
-  hold_call call{profile_.address, profile_.self, fence(), seen_upto_, DeadlineFor(now), millis(0)};
+  hold_call call{profile_.address, profile_.self,    fence(),
+                 Acknowledged(),   DeadlineFor(now), millis(0)};
   if (wait) call.wait = kHoldWait;
   call.sent = now;
   calls.emplace_back(std::move(call));
@@ -491,7 +533,14 @@
     start.phase = start_phase::kCalling;
     calls.emplace_back(start_call{profile_.address, profile_.self, fence(), deadline, start.run});
   }
-  for (const auto& ref : refused) Refuse(ref, start_refusal::kBarred);
+  for (const auto& ref : refused) {
+    ordered_start& start = starts_.at(ref);
+    if (start.sent_before) {
+      Bar(ref, start);
+    } else {
+      Refuse(ref, start_refusal::kBarred);
+    }
+  }
 }
 
 /** Fills in how long each run has been listed; a later planner did not see it start. */
--- a/tests/stories/unanswered_start_story.cc
+++ b/tests/stories/unanswered_start_story.cc
@@ -87,6 +87,48 @@
   }
 }
 
+/** Ends the agent beside unanswered starts and some entries, and keeps the id of the worker. */
+void EndAgentAnd(const std::function<void(batch_world&)>& end, batch_world_options options) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    options.seed = seed;
+    batch_world world(options);
+    StartUnanswered(world, millis(9000));
+    end(world);
+    world.KillAgent(kWorker, millis(14000));
+    world.RestartWorker(kWorker, millis(2500), millis(0));
+    world.RunFor(millis(80000));
+    RequireKept(world);
+  }
+}
+
+void EndAllEntries(batch_world& world) {
+  for (int entry = 0; entry < world.entries(); ++entry) world.KillEntry(entry, millis(1500));
+}
+
+TEST_CASE("a start whose agent and planner end before its answer runs beside no other run") {
+  batch_world_options options;
+  std::function<void(batch_world&)> end = [](batch_world& world) {
+    world.KillEntry(world.Planner(), millis(20000));
+  };
+  SUBCASE("while another entry goes on") {}
+  SUBCASE("while no other entry is there") { options.entries = 1; }
+  SUBCASE("together with all other entries, a second after the call") {
+    options.entries = 5;
+    end = [](batch_world& world) {
+      world.RunFor(millis(1000));
+      EndAllEntries(world);
+    };
+  }
+  EndAgentAnd(end, options);
+}
+
+TEST_CASE("a start whose agent and all entries end at once runs beside no other run") {
+  batch_world_options options;
+  options.entries = 5;
+  EndAgentAnd(EndAllEntries, options);
+}
+
 TEST_CASE("a worker that another has replaced on its VM delays none of its units") {
   batch_world world;
   StartUnanswered(world, millis(9000));
@@ -163,8 +205,8 @@
     call.run.run = run.run;
     starts.OnSent(call, now);
   };
-  const auto answer = [&](int64_t fence, call_outcome outcome) {
-    starts.On(start_answer{worker, run, fence, outcome, start_refusal::kOld});
+  const auto answer = [&](int64_t fence, call_outcome outcome, millis now = millis(1000)) {
+    starts.On(start_answer{worker, run, fence, outcome, start_refusal::kOld}, now);
   };
   const auto list = [&] {
     hold_answer lists;
@@ -212,6 +254,15 @@
       CHECK(open(millis(2400)) == 1);
       CHECK(open(millis(1800) + kLatestExecution) == 0);
     }
+    SUBCASE("from its latest possible sending on, as the agent may have been suspended before") {
+      send(8, millis(2000));
+      CHECK(open(millis(2000) + kLatestExecution) == 1);
+      answer(8, call_outcome::kNoAnswer, millis(9000));
+      const auto stated = starts.Unanswered(worker.id, millis(9000));
+      REQUIRE(stated.size() == 1);
+      CHECK(stated[0].left_ms >= 12000);
+      CHECK(open(millis(9000) + kLatestExecution) == 0);
+    }
     SUBCASE("also under a later term, though a call of that term is answered") {
       send(9, millis(1800));
       answer(9, call_outcome::kRefused);
--- a/tests/world/fake_worker.cc
+++ b/tests/world/fake_worker.cc
@@ -9,6 +9,7 @@
 constexpr millis kBeat{1500};
 constexpr millis kShortestAnnouncement{85};
 constexpr millis kOrderTimeout{500};
+constexpr millis kHoldSlack{700};  // of an agent's patience beyond the wait of its hold
 constexpr millis kHoldLook{10};
 constexpr millis kShortestDelay{2000};
 constexpr millis kLongestDelay{12000};
@@ -99,11 +100,12 @@
   answer.worker = call.worker;
   answer.fence = call.fence;
   answer.sent = call.sent;
-  if (!Is(call.worker)) {
-    answer.outcome =
-        runner_ == nullptr ? call_outcome::kConnectionRefused : call_outcome::kOtherIncarnation;
+  const bool refused = runner_ == nullptr || refusing_;
+  if (refused || !Is(call.worker)) {
+    answer.outcome = refused ? call_outcome::kConnectionRefused : call_outcome::kOtherIncarnation;
     return WaitForEnd(call, answer, millis(0));
   }
+  if (faults_.late_holds > 0 && random_.Chance(faults_.late_holds)) return HoldLate(call, answer);
   runner_->Hold(call, now());
   WatchLease();
   answer.born_ms = runner_->self().born_ms;
@@ -111,6 +113,17 @@
   WaitForEnd(call, answer, now() + call.wait);
 }
 
+/** The call gets no answer and is carried out seconds later. */
+void fake_worker::HoldLate(const hold_call& call, hold_answer answer) {
+  events_.After(random_.Between(kShortestDelay, kLongestDelay), [this, call] {
+    if (!Is(call.worker)) return;
+    runner_->Hold(call, now());
+    WatchLease();
+  });
+  answer.outcome = call_outcome::kNoAnswer;
+  Reply(std::move(answer), call.wait + kHoldSlack);
+}
+
 void fake_worker::WatchLease() {
   constexpr millis kPast{1};  // a lease has lapsed when its end is past
   events_.After(runner_->LeaseLeft(now()) + kPast, [this, born = born_ms_] {
@@ -143,6 +156,10 @@
 template <typename Answer, typename Carry>
 void fake_worker::Order(Answer answer, const Carry& carry) {
   millis delay = kWorkerTime;
+  if (refusing_) {
+    answer.outcome = call_outcome::kConnectionRefused;
+    return Reply(std::move(answer), delay);
+  }
   if (random_.Chance(faults_.late_orders)) {
     events_.After(random_.Between(kShortestDelay, kLongestDelay),
                   [carry, answer]() mutable { carry(answer, true); });
@@ -199,15 +216,18 @@
   if (agent_.life() != 0 && !former_beat_.worker.self.id.empty()) agent_.Tell(former_beat_);
 }
 
-void fake_worker::LateLeave() {
-  const std::string& former = former_beat_.worker.self.id;
-  if (agent_.life() != 0 && !former.empty()) agent_.Tell(worker_departure{former});
+void fake_worker::LateLeave(bool dated) {
+  const worker_identity& former = former_beat_.worker.self;
+  if (agent_.life() == 0 || former.id.empty()) return;
+  agent_.Tell(worker_departure{former.id, dated ? former.born_ms : 0});
 }
 
-void fake_worker::Leave(millis away) {
+void fake_worker::Leave(millis away) { LeaveUnheard(kWorkerTime, away); }
+
+void fake_worker::LeaveUnheard(millis linger, millis away) {
   if (runner_ == nullptr) return;
   if (agent_.life() != 0) agent_.Tell(worker_departure{runner_->self().id});
-  events_.After(kWorkerTime, [this, away] { Crash(away); });
+  events_.After(linger, [this, away] { Crash(away); });
 }
 
 void fake_worker::Drain() {
--- a/tests/world/fake_worker.h
+++ b/tests/world/fake_worker.h
@@ -29,6 +29,7 @@
 struct worker_faults {
   bool vm_named = true;    // they say on which VM they live
   double late_orders = 0;  // share of orders that get no answer and are carried out seconds later
+  double late_holds = 0;   // the same for holds
   millis longest_announcement{120};  // from a worker's start until its first heartbeat
 };
 
@@ -69,12 +70,15 @@
   /** The VM's time of day is stepped; a life that begins later is born by it. */
   void StepClock(millis step) { clock_step_ += step; }
 
-  /** A heartbeat, or the departure, of the former life arrives now. */
+  /** A heartbeat, or the departure, of the former life arrives now; `dated`: with its birth. */
   void LateBeat();
-  void LateLeave();
+  void LateLeave(bool dated);
 
   /** Says that it leaves, and its process ends. */
   void Leave(millis away);
+
+  /** Says that it leaves; nobody seems to have heard it, so that its process ends after a while. */
+  void LeaveUnheard(millis linger, millis away);
   void Drain();
 
   /** Says that it leaves, is gone after the notice, and comes anew later. */
@@ -83,12 +87,16 @@
   /** Carries out all calls and answers none. */
   void SetMute(bool mute) { mute_ = mute; }
 
+  /** Lives, and refuses new connections. */
+  void SetRefusing(bool refusing) { refusing_ = refusing; }
+
  private:
   millis now() const { return events_.now(); }
   bool Is(const worker_identity& meant) const;
   void Beat();
   void BeatAfter(millis delay);
   worker_heartbeat MakeBeat();
+  void HoldLate(const hold_call& call, hold_answer answer);
   /** Ends what runs when its lease does, not only when the worker is called next. */
   void WatchLease();
   void WaitForEnd(const hold_call& call, hold_answer answer, millis until);
@@ -115,6 +123,7 @@
   bool draining_ = false;
   millis leaves_at_{0};  // 0: not said
   bool mute_ = false;
+  bool refusing_ = false;
 };
 
 }  // namespace eelgrass
