--- a/src/kernel/batch/open_starts.cc
+++ b/src/kernel/batch/open_starts.cc
@@ -54,7 +54,7 @@
 
 void open_starts::NoteSettled(std::string_view worker, const open_start& start) {
   if (start.notice != 0 || start.told) {
-    settled_.emplace_back(std::string(worker), run_ref{ToText(start.task), start.run});
+    settled_[std::string(worker)].push_back({ToText(start.task), start.run});
   }
 }
 
@@ -317,15 +317,7 @@
       news.workers.push_back(std::move(starts));
     }
   }
-  for (auto& [worker, run] : settled_) {
-    const auto same =
-        std::find_if(news.settled.begin(), news.settled.end(),
-                     [&](const worker_settled_starts& one) { return one.worker == worker; });
-    worker_settled_starts& of = same == news.settled.end()
-                                    ? news.settled.emplace_back(worker_settled_starts{worker, {}})
-                                    : *same;
-    of.runs.push_back(std::move(run));
-  }
+  for (auto& [worker, runs] : settled_) news.settled.push_back({worker, std::move(runs)});
   settled_.clear();
   if (!news.workers.empty()) news.number = number;
   return news;
--- a/src/kernel/batch/open_starts.h
+++ b/src/kernel/batch/open_starts.h
@@ -7,7 +7,6 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "kernel/base/millis.h"
@@ -146,7 +145,7 @@
 
   std::map<std::string, worker_starts, std::less<>> workers_;  // by id
   std::map<std::string, int64_t, std::less<>> processes_;      // by agent
-  std::vector<std::pair<std::string, run_ref>> settled_;  // of which entries were told, by worker
+  std::map<std::string, std::vector<run_ref>> settled_;        // not told yet, by worker
 };
 
 }  // namespace eelgrass
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -139,8 +139,8 @@
     return pool_.starts().OnStatement(peer, notice, now);
   }
   pool_.starts().Learn(notice, now);
-  if (notice.number != 0)
-    out_->emplace_back(send_to_peer{peer, open_starts_received{notice.number}});
+  if (notice.number == 0) return;
+  out_->emplace_back(send_to_peer{peer, open_starts_received{notice.number}});
 }
 
 /** Tells another entry which starts may still be carried out, as far as this entry knows. */
