A start counts as known only outside of the planner's failure domain (TWICE)

What callers would see: a task that runs after its end was acknowledged, or twice at once.

Cause: the first answer to a notice counted, also that of an entry which is cut off together with the planner.

Change: only an answer from another domain counts; without one the store has to hold the start. The virtual clock's entries have their domains. Rows that do not fit into one write follow at once. Looking up and expiring open starts costs less with many of them.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -182,6 +182,7 @@
   planner_options planning;
   planning.row_bytes = row_bytes;
   planning.node = place_.node;
+  planning.domain = place_.domain;
   planning.nonce = RandomHex(kNonceBytes);
   planning.peer_address = hub.self.address;
   planning.processor = place_.processor;
--- a/src/kernel/batch/open_starts.cc
+++ b/src/kernel/batch/open_starts.cc
@@ -7,6 +7,9 @@
 namespace eelgrass {
 namespace {
 
+/** A start that waits for longer than this before it is sent is told anew. */
+constexpr millis kToldAnew{2000};
+
 open_start* Find(worker_starts& known, const task_ref& task, int64_t run, int64_t process) {
   const auto found =
       std::find_if(known.starts.begin(), known.starts.end(), [&](const open_start& start) {
@@ -54,7 +57,7 @@
 
 void open_starts::NoteSettled(std::string_view worker, const open_start& start) {
   if (start.notice != 0 || start.told) {
-    settled_[std::string(worker)].push_back({ToText(start.task), start.run});
+    settled_[{std::string(worker), start.process}].push_back({ToText(start.task), start.run});
   }
 }
 
@@ -86,7 +89,7 @@
 /** Replaces what the agent's process has stated before. */
 void open_starts::State(std::string_view id, worker_starts& known, int64_t process,
                         std::span<const unanswered_start> starts, millis now) {
-  for (auto& start : known.starts) start.stated = false;
+  for (auto& start : known.starts) start.stated = start.stated && start.process != process;
   for (const auto& stated : starts) {
     task_ref task;
     if (!ParseTask(stated.task, task)) continue;
@@ -100,7 +103,7 @@
     known.since.try_emplace(ToText(task), now);
   }
   std::erase_if(known.starts, [&](const open_start& start) {
-    if (start.stated || start.told || start.ordered) return false;
+    if (start.process != process || start.stated || start.told || start.ordered) return false;
     NoteSettled(id, start);
     return true;
   });
@@ -202,12 +205,20 @@
     const auto known = workers_.find(settled.worker);
     if (known == workers_.end()) continue;
     std::erase_if(known->second.starts, [&](const open_start& start) {
-      return !start.stated && !start.ordered &&
+      return !start.stated && !start.ordered && start.process == settled.agent_process &&
              Contains(settled.runs, {ToText(start.task), start.run});
     });
   }
 }
 
+void open_starts::LearnFromAgent(std::string_view agent, open_starts_notice statement, millis now) {
+  for (auto& stated : statement.workers) {
+    stated.agent = agent;
+    stated.agent_process = ProcessOf(agent);
+  }
+  Learn(statement, now);
+}
+
 open_starts_notice open_starts::Notice(millis now) const {
   open_starts_notice notice;
   for (const auto& [id, known] : workers_) {
@@ -237,18 +248,28 @@
   start.process = ProcessOf(agent);
   start.until = kFarFuture;
   start.ordered = true;
+  start.told_at = now;
   worker_starts& known = Get(worker.self.id, worker.address, worker.vm);
   known.agent = agent;
   known.since.try_emplace(ToText(start.task), now);
   known.starts.push_back(std::move(start));
 }
 
-bool open_starts::Known(std::string_view worker, const run_ref& run) const {
-  const auto at = workers_.find(worker);
-  if (at == workers_.end()) return true;
-  return std::none_of(
-      at->second.starts.begin(), at->second.starts.end(),
-      [&](const open_start& start) { return start.ordered && !start.known && Is(start, run); });
+bool open_starts::Confirm(const worker_profile& worker, std::string_view agent, const run_ref& run,
+                          millis now) {
+  const auto at = workers_.find(worker.self.id);
+  if (at != workers_.end()) {
+    for (auto& start : at->second.starts) {
+      if (!start.ordered || !Is(start, run)) continue;
+      if (now - start.told_at < kToldAnew) return start.known;
+      start.told_at = now;
+      start.known = false;
+      start.notice = 0;
+      return false;
+    }
+  }
+  Order(worker, agent, run, now);
+  return false;
 }
 
 void open_starts::OnClosed(const worker_profile& worker, const run_ref& run, bool sent,
@@ -291,11 +312,15 @@
 }
 
 bool open_starts::HasUnknown() const {
-  return std::any_of(workers_.begin(), workers_.end(), [](const auto& entry) {
-    const std::vector<open_start>& starts = entry.second.starts;
-    return std::any_of(starts.begin(), starts.end(),
-                       [](const open_start& start) { return start.ordered && !start.known; });
-  });
+  return std::any_of(workers_.begin(), workers_.end(),
+                     [this](const auto& entry) { return HasUnknown(entry.first); });
+}
+
+bool open_starts::HasUnknown(std::string_view worker) const {
+  const auto at = workers_.find(worker);
+  return at != workers_.end() &&
+         std::any_of(at->second.starts.begin(), at->second.starts.end(),
+                     [](const open_start& start) { return start.ordered && !start.known; });
 }
 
 open_starts_notice open_starts::TakeNews(int64_t number, millis now) {
@@ -317,7 +342,9 @@
       news.workers.push_back(std::move(starts));
     }
   }
-  for (auto& [worker, runs] : settled_) news.settled.push_back({worker, std::move(runs)});
+  for (auto& [at, runs] : settled_) {
+    news.settled.push_back({at.first, std::move(runs), at.second});
+  }
   settled_.clear();
   if (!news.workers.empty()) news.number = number;
   return news;
@@ -365,7 +392,8 @@
   std::vector<task_at_worker> open;
   for (const auto& [id, known] : workers_) {
     for (const auto& start : known.starts) {
-      if (start.until <= now || !(UnitOf(start.task, step) == unit)) continue;
+      const bool same_job = start.task.job == unit.job;
+      if (!same_job || start.until <= now || !(UnitOf(start.task, step) == unit)) continue;
       open.push_back({start.task, id, known.since.at(ToText(start.task))});
     }
   }
@@ -383,11 +411,12 @@
 void open_starts::Expire(millis now) {
   for (auto& entry : workers_) {
     worker_starts& known = entry.second;
-    std::erase_if(known.starts, [&](const open_start& start) {
+    const size_t over = std::erase_if(known.starts, [&](const open_start& start) {
       if (start.until > now) return false;
       LogOpen("open-start-over", entry.first, start);
       return true;
     });
+    if (over == 0 && known.since.size() <= known.starts.size()) continue;
     std::erase_if(known.since, [&known](const auto& task) {
       return std::none_of(known.starts.begin(), known.starts.end(), [&](const open_start& start) {
         return ToText(start.task) == task.first;
--- a/src/kernel/batch/open_starts.h
+++ b/src/kernel/batch/open_starts.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "kernel/base/millis.h"
@@ -38,6 +39,7 @@
   bool ordered = false;     // by this planner: calls may still be sent
   bool known = false;       // to another entry or the store
   int64_t notice = 0;       // the last one that tells of it; 0: none
+  millis told_at{0};        // when it became due to be told
 };
 
 /** The starts that may still be carried out under one worker's id. */
@@ -80,14 +82,21 @@
   /** Adds what another entry knows, which outlasts the agent's next statement. */
   void Learn(const open_starts_notice& notice, millis now);
 
+  /** The same for what an agent states that follows another planner. */
+  void LearnFromAgent(std::string_view agent, open_starts_notice statement, millis now);
+
   /** What another entry has to know. */
   open_starts_notice Notice(millis now) const;
 
   /** Adds a start that this planner is about to order. */
   void Order(const worker_profile& worker, std::string_view agent, const run_ref& run, millis now);
 
-  /** Whether another process or the store knows of a start; also if it is settled. */
-  bool Known(std::string_view worker, const run_ref& run) const;
+  /**
+   * Whether an ordered start that has not been sent is known to another process or the store. What
+   * they were told some time ago is told anew, as they count its time from then.
+   */
+  bool Confirm(const worker_profile& worker, std::string_view agent, const run_ref& run,
+               millis now);
 
   /**
    * Handles the removal of a run. If its start was sent and is not settled, it may be carried out
@@ -103,6 +112,7 @@
 
   /** Whether an ordered start is not known to another process or the store. */
   bool HasUnknown() const;
+  bool HasUnknown(std::string_view worker) const;
 
   /** Takes what entries have to be told that know of all earlier notices. */
   open_starts_notice TakeNews(int64_t number, millis now);
@@ -145,7 +155,8 @@
 
   std::map<std::string, worker_starts, std::less<>> workers_;  // by id
   std::map<std::string, int64_t, std::less<>> processes_;      // by agent
-  std::map<std::string, std::vector<run_ref>> settled_;        // not told yet, by worker
+  /** Not told yet, by worker and process of the agent. */
+  std::map<std::pair<std::string, int64_t>, std::vector<run_ref>> settled_;
 };
 
 }  // namespace eelgrass
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -36,7 +36,8 @@
       term_({options_.node, options_.nonce, options_.processor}, codec),
       journal_(codec, term_, options_.row_bytes),
       lost_(pool_, journal_),
-      starts_(order) {
+      starts_(order),
+      start_notices_(options_.domain) {
   ResetTermState();
 }
 
@@ -129,7 +130,7 @@
   } else if (const auto* known = std::get_if<open_starts_notice>(&event.message)) {
     OnOpenStarts(event.peer, *known, now);
   } else if (const auto* received = std::get_if<open_starts_received>(&event.message)) {
-    start_notices_.On(*received, pool_.starts());
+    start_notices_.On(event.peer, *received, pool_.starts());
   }
 }
 
@@ -138,6 +139,7 @@
   if (term_.holding() && notice.term == term_.fence()) {
     return pool_.starts().OnStatement(peer, notice, now);
   }
+  if (agents_.contains(peer)) return pool_.starts().LearnFromAgent(peer, notice, now);
   pool_.starts().Learn(notice, now);
   if (notice.number == 0) return;
   out_->emplace_back(send_to_peer{peer, open_starts_received{notice.number}});
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -53,6 +53,7 @@
 struct planner_options {
   std::string node;          // id of this entry
   std::string nonce;         // different for each start of the process
+  std::string domain;        // failure domain of this entry; empty: not known
   std::string peer_address;  // address at which agents reach this entry
   double processor = 0;      // of this entry, see term_candidate
   tracker_options tracking;
--- a/src/kernel/batch/planner_journal.cc
+++ b/src/kernel/batch/planner_journal.cc
@@ -112,10 +112,10 @@
   group_ = {};
   hurry_ = false;
   dirty_since_ = kFarFuture;
-  AddWorkers(pool, now, change);
+  const bool complete = AddWorkers(pool, now, change);
   if (loaded_) {
     AddProgress(jobs, kMaxEntries - std::min(kMaxEntries, Entries(change)), change);
-    hurry_ = jobs.dirty();
+    hurry_ = jobs.dirty() || !complete;
     // Ends count as stored only once every job that they changed is in this or an earlier group.
     if (!jobs.dirty()) {
       for (const auto& [id, worker] : pool.all()) {
@@ -147,38 +147,41 @@
   return open;
 }
 
-/** Whether a worker's row holds exactly these starts. */
-bool planner_journal::HoldsStarts(const std::string& id,
+/** Whether a worker's row holds exactly these starts, and none of them has to be told anew. */
+bool planner_journal::HoldsStarts(const open_starts& all, const std::string& id,
                                   std::span<const open_start_record> starts) const {
+  if (all.HasUnknown(id)) return false;
+  std::set<run_ref> runs;
+  for (const auto& start : starts) runs.insert({start.task, start.run});
   const auto stored = stored_starts_.find(id);
-  if (stored == stored_starts_.end()) return starts.empty();
-  return stored->second.size() == starts.size() &&
-         std::all_of(starts.begin(), starts.end(), [&](const open_start_record& start) {
-           return stored->second.contains({start.task, start.run});
-         });
+  return stored == stored_starts_.end() ? runs.empty() : stored->second == runs;
 }
 
-/** Adds rows of workers that have changed, and removes those of workers that are gone. */
-void planner_journal::AddWorkers(worker_pool& pool, millis now, row_transaction& change) {
+/**
+ * Adds rows of workers that have changed, and removes those of workers that are gone. Returns
+ * false if there are more than one write can take.
+ */
+bool planner_journal::AddWorkers(worker_pool& pool, millis now, row_transaction& change) {
   const auto full = [&change] {
     return Entries(change) >= kMaxEntries || Bytes(change) >= kFullTransaction;
   };
   for (auto& [id, worker] : pool.all()) {
-    if (full()) return;
+    if (full()) return false;
     std::vector<open_start_record> starts = StartsToStore(pool.starts(), id, now);
     const bool recorded = worker.recorded || worker.recording;
-    if (recorded && HoldsStarts(id, starts)) continue;
+    if (recorded && HoldsStarts(pool.starts(), id, starts)) continue;
     worker.recording = true;
     AddWorker({id, worker.agent, worker.profile.address, worker.profile.self.born_ms,
                worker.profile.vm, false, std::move(starts)},
               change);
   }
   // Before that, a worker that has not reported may still have a row.
-  if (!loaded_) return;
+  if (!loaded_) return true;
   for (const auto& [id, known] : pool.starts().all()) {
-    if (full()) return;
+    if (full()) return false;
     std::vector<open_start_record> starts = StartsToStore(pool.starts(), id, now);
-    if (pool.Find(id) != nullptr || starts.empty() || HoldsStarts(id, starts)) continue;
+    if (pool.Find(id) != nullptr || starts.empty()) continue;
+    if (HoldsStarts(pool.starts(), id, starts)) continue;
     const auto expected = expected_.find(id);
     worker_record record{id, known.agent, known.address, 0, known.vm, true};
     if (expected != expected_.end()) record = expected->second;
@@ -199,6 +202,7 @@
     stored_starts_.erase(*id);
     id = gone_.erase(id);
   }
+  return true;
 }
 
 /** Starts that do not fit into the row are stored when others are settled. */
--- a/src/kernel/batch/planner_journal.h
+++ b/src/kernel/batch/planner_journal.h
@@ -84,8 +84,9 @@
   void Group(job_table& jobs, worker_pool& pool, millis now);
   std::vector<open_start_record> StartsToStore(const open_starts& starts, std::string_view id,
                                                millis now) const;
-  bool HoldsStarts(const std::string& id, std::span<const open_start_record> starts) const;
-  void AddWorkers(worker_pool& pool, millis now, row_transaction& change);
+  bool HoldsStarts(const open_starts& all, const std::string& id,
+                   std::span<const open_start_record> starts) const;
+  bool AddWorkers(worker_pool& pool, millis now, row_transaction& change);
   void AddWorker(worker_record record, row_transaction& change);
   void TakeWorker(const row& found, worker_pool& pool, millis now);
   void AddProgress(job_table& jobs, size_t entries, row_transaction& change);
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -401,7 +401,8 @@
     for (auto& [ref, record] : worker.runs) {
       if (record.phase != run_phase::kHeld) continue;
       held[record.unit].emplace_back(&worker, &record);
-      const bool known = !options_.announce_starts || pool_.starts().Known(id, ref);
+      const bool known = !options_.announce_starts ||
+                         pool_.starts().Confirm(worker.profile, worker.agent, ref, now);
       if (!known) unknown.insert(record.unit);
     }
   }
--- a/src/kernel/batch/sent_starts.cc
+++ b/src/kernel/batch/sent_starts.cc
@@ -62,9 +62,11 @@
   std::vector<unanswered_start> unanswered;
   for (auto entry = runs_.begin(); entry != runs_.end();) {
     sent_run& run = entry->second;
-    std::erase_if(run.calls, [&](const sent_call& call) {
+    const size_t over = std::erase_if(run.calls, [&](const sent_call& call) {
       return !call.pending && now - call.at >= kLatestExecution;
     });
+    // The listed run may have been started by one of these.
+    run.answered = run.answered || over > 0;
     if (run.calls.empty()) {
       entry = runs_.erase(entry);
       continue;
--- a/src/kernel/batch/start_notices.cc
+++ b/src/kernel/batch/start_notices.cc
@@ -1,10 +1,9 @@
 #include "kernel/batch/start_notices.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
-#include "kernel/base/log_event.h"
-
 namespace eelgrass {
 namespace {
 
@@ -34,29 +33,29 @@
   unanswered_.clear();
 }
 
-/** Those that claim the term first, so that the next planner is likely among them. */
+/** Whether a failure domain may outlive this entry's; one that is not known may. */
+bool start_notices::IsElsewhere(std::string_view domain) const {
+  return domain_.empty() || domain.empty() || domain != domain_;
+}
+
+/** Those in other failure domains, and among them those that claim the term first. */
 std::set<std::string> start_notices::Holders() const {
-  std::vector<std::pair<double, std::string>> order;
-  for (const auto& [id, entry] : entries_) order.emplace_back(-entry.processor, id);
+  std::vector<std::tuple<bool, double, std::string>> order;
+  for (const auto& [id, entry] : entries_) {
+    order.emplace_back(!IsElsewhere(entry.domain), -entry.processor, id);
+  }
   std::sort(order.begin(), order.end());
   std::set<std::string> holders;
-  std::set<std::string> domains;
-  for (const auto& [processor, id] : order) {
-    const std::string& domain = entries_.at(id).domain;
-    const bool last = holders.size() + 1 == kHolders;
-    const bool another = order.size() > kHolders && last && domains.size() == 1;
-    if (another && domains.contains(domain)) continue;
-    holders.insert(id);
-    domains.insert(domain);
-    if (holders.size() == kHolders) return holders;
-  }
-  for (const auto& [processor, id] : order) {
-    if (holders.size() < kHolders) holders.insert(id);
+  for (const auto& entry : order) {
+    if (holders.size() < kHolders) holders.insert(std::get<std::string>(entry));
   }
   return holders;
 }
 
-void start_notices::On(const open_starts_received& answer, open_starts& starts) {
+void start_notices::On(std::string_view entry, const open_starts_received& answer,
+                       open_starts& starts) {
+  const auto known = entries_.find(entry);
+  if (known == entries_.end() || !IsElsewhere(known->second.domain)) return;
   unanswered_.erase(answer.number);
   starts.OnReceived(answer.number);
 }
@@ -89,9 +88,12 @@
 
 bool start_notices::StoreNeeded(const open_starts& starts, millis now) const {
   if (!starts.HasUnknown()) return false;
-  return holders_.empty() ||
-         std::any_of(unanswered_.begin(), unanswered_.end(),
-                     [now](const auto& sent) { return now - sent.second >= kAnswerTimeout / 2; });
+  const bool awaited = std::any_of(holders_.begin(), holders_.end(), [this](const auto& id) {
+    return IsElsewhere(entries_.at(id).domain);
+  });
+  return !awaited || std::any_of(unanswered_.begin(), unanswered_.end(), [now](const auto& sent) {
+    return now - sent.second >= kAnswerTimeout / 2;
+  });
 }
 
 }  // namespace eelgrass
--- a/src/kernel/batch/start_notices.h
+++ b/src/kernel/batch/start_notices.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "kernel/base/millis.h"
@@ -16,12 +17,15 @@
 namespace eelgrass {
 
 /**
- * A start is ordered only once another process knows of it: its agent and this entry may end
- * together before it is answered. A few entries hold the open starts, in two failure domains if
- * there are as many, and the first answer is enough. Without an answer the store has to hold them.
+ * A start is ordered only once it is known outside of this entry's failure domain: its agent and
+ * this entry may end, or be cut off, together before it is answered. A few entries hold the open
+ * starts, and the first answer from another domain is enough. Otherwise the store has to hold them.
  */
 class start_notices {
  public:
+  /** `domain`: of this entry; empty: not known. */
+  explicit start_notices(std::string domain) : domain_(std::move(domain)) {}
+
   /** Handles a connection to an entry with this much processor, see term_candidate. */
   void OnConnected(std::string_view entry, std::string_view domain, double processor);
   void OnDisconnected(std::string_view entry);
@@ -29,7 +33,7 @@
   /** Discards the holders at the start of a term. */
   void BeginTerm();
 
-  void On(const open_starts_received& answer, open_starts& starts);
+  void On(std::string_view entry, const open_starts_received& answer, open_starts& starts);
 
   /** Appends the notices that are due. */
   void Next(open_starts& starts, millis now, std::vector<send_to_peer>& notices);
@@ -44,6 +48,9 @@
   };
 
   std::set<std::string> Holders() const;
+  bool IsElsewhere(std::string_view domain) const;
+
+  const std::string domain_;
 
   std::map<std::string, candidate, std::less<>> entries_;  // connected, by id
   std::set<std::string> holders_;
--- a/src/kernel/model/worker_messages.h
+++ b/src/kernel/model/worker_messages.h
@@ -132,6 +132,7 @@
 struct worker_settled_starts {
   std::string worker;  // id
   std::vector<run_ref> runs;
+  int64_t agent_process = 0;  // that called, see worker_open_starts
 };
 
 /**
--- a/src/plugins/peer/cbor/cbor_codec.cc
+++ b/src/plugins/peer/cbor/cbor_codec.cc
@@ -84,7 +84,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_reply, id, outcome, state, waiting)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_open_starts, worker, address, vm, starts,
                                                 agent, agent_process)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_settled_starts, worker, runs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_settled_starts, worker, runs, agent_process)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(open_starts_notice, workers, settled, number, term)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(open_starts_received, number)
 
--- a/tests/stories/batch_hunt_story.cc
+++ b/tests/stories/batch_hunt_story.cc
@@ -45,22 +45,22 @@
     }
     switch (pick(18)) {
       case 0: {
-        const int a = pick(world.entries());
-        const millis b(500 + pick(3000));
-        world.KillEntry(a, b);
+        const int entry = pick(world.entries());
+        const millis down(500 + pick(3000));
+        world.KillEntry(entry, down);
       } break;
       case 1:
         if (world.Planner() >= 0) world.KillEntry(world.Planner(), millis(500 + pick(3000)));
         break;
       case 2: {
-        const int a = pick(world.entries());
-        const millis b(500 + pick(5000));
-        world.FreezeEntry(a, b);
+        const int entry = pick(world.entries());
+        const millis time(500 + pick(5000));
+        world.FreezeEntry(entry, time);
       } break;
       case 3: {
-        const int a = pick(world.workers());
-        const millis b(500 + pick(3000));
-        world.KillAgent(a, b);
+        const int worker = pick(world.workers());
+        const millis down(500 + pick(3000));
+        world.KillAgent(worker, down);
       } break;
       case 4: {
         const int worker = pick(world.workers());
@@ -70,9 +70,9 @@
         break;
       }
       case 5: {
-        const int a = pick(world.workers());
-        const millis b(500 + pick(3000));
-        world.CrashWorker(a, b);
+        const int worker = pick(world.workers());
+        const millis down(500 + pick(3000));
+        world.CrashWorker(worker, down);
       } break;
       case 6:
       case 7: {
@@ -108,10 +108,10 @@
         break;
       }
       case 13: {
-        const int a = pick(world.workers());
-        const millis b(500 + pick(4000));
-        const millis c(1000 + pick(5000));
-        world.TakeAway(a, b, c);
+        const int worker = pick(world.workers());
+        const millis notice(500 + pick(4000));
+        const millis away(1000 + pick(5000));
+        world.TakeAway(worker, notice, away);
       } break;
       case 14: {
         const int planner = world.Planner();
@@ -129,12 +129,10 @@
         break;
       case 17:
         if (ids == worker_ids::kKept) {
-          {
-            const int a = pick(world.workers());
-            const millis b(200 + pick(3000));
-            const millis c(pick(40000) - 20000);
-            world.RestartWorker(a, b, c);
-          }
+          const int worker = pick(world.workers());
+          const millis down(200 + pick(3000));
+          const millis clock_step(pick(40000) - 20000);
+          world.RestartWorker(worker, down, clock_step);
         }
         break;
       default:
--- a/tests/stories/unanswered_start_story.cc
+++ b/tests/stories/unanswered_start_story.cc
@@ -263,6 +263,15 @@
       CHECK(stated[0].left_ms >= 12000);
       CHECK(open(millis(9000) + kLatestExecution) == 0);
     }
+    SUBCASE("though an earlier call of the run, which is listed, cannot be carried out any more") {
+      answer(7, call_outcome::kNoAnswer, millis(1500));
+      send(8, millis(4000));
+      answer(8, call_outcome::kNoAnswer, millis(4500));
+      list();
+      CHECK(open(millis(4600)) == 1);
+      CHECK(open(millis(1500) + kLatestExecution) == 1);
+      CHECK(open(millis(4500) + kLatestExecution) == 0);
+    }
     SUBCASE("also under a later term, though a call of that term is answered") {
       send(9, millis(1800));
       answer(9, call_outcome::kRefused);
--- a/tests/stories/worker_incarnations_story.cc
+++ b/tests/stories/worker_incarnations_story.cc
@@ -287,6 +287,15 @@
       CHECK(scene.Gone(kPresent));
     }
   }
+  SUBCASE("it has no runs: it is reported gone at the first refusal") {
+    const worker_identity idle{"w2", 300};
+    scene.Beat(idle, millis(110), 1, "10.0.0.2:80");
+    scene.Answer(scene.holds.back(), millis(110), call_outcome::kDone, idle.born_ms, millis(112));
+    scene.Tell(worker_departure{idle.id}, millis(115));
+    REQUIRE(scene.holds.back().worker == idle);
+    scene.Answer(scene.holds.back(), millis(115), call_outcome::kConnectionRefused, 0, millis(117));
+    CHECK(scene.Gone(idle));
+  }
   SUBCASE("it answers once more before it ends: the same") {
     scene.Answer(scene.holds.back(), millis(20), call_outcome::kDone, kPresent.born_ms,
                  millis(102));
--- a/tests/world/batch_links.cc
+++ b/tests/world/batch_links.cc
@@ -136,6 +136,7 @@
     greeting.id = who.id;
     greeting.incarnation = who.life;
     greeting.address = PeerAddress(who.id);
+    greeting.domain = "domain-" + std::to_string(DomainOf(who));
     greeting.role = who.role;
     greeting.processor = who.processor;
     return peer_up{greeting};
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -175,6 +175,7 @@
   planner.node = entry.id;
   planner.nonce = entry.id + "-" + std::to_string(entry.life);
   planner.peer_address = PeerAddress(entry.id);
+  planner.domain = "domain-" + std::to_string(batch_links::DomainOf(entry));
   planner.processor = entry.processor;
   planner.tracking.grant = millis(4000);
   entry.planner = std::make_unique<planner_core>(planner, *codec_, *order_);
