--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -107,7 +107,7 @@
         self.version = 0
         self.log = {}  # table -> [(version, part, key, value or None)]
         self.changed = asyncio.Condition()
-        self.pages = {}
+        self.forgotten = 0  # history up to this version is gone
 
     async def start(self, host):
         self.server, port = await serve(host, self.handle)
@@ -141,6 +141,10 @@
         held.update((key, (value, self.version)) for key, value in rows)
         self.keys[(table, "")] = sorted(held)
 
+    def forget_history(self):
+        """As PROTOCOL.md allows: "It may also discard its history sooner than `HistoryS`"."""
+        self.forgotten = self.version
+
     async def operator_write(self, key, value):
         """The operator's write to the table 'op'."""
         self.version += 1
@@ -209,6 +213,8 @@
         table, after = given["Table"], int(given["After"])
         until = time.monotonic() + int(given.get("WaitMs", 0)) / 1000
         while True:
+            if after < self.forgotten:
+                return 410, {}
             changes = [entry for entry in self.log.get(table, []) if entry[0] > after]
             left = until - time.monotonic()
             if changes or left <= 0:
