--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -239,6 +239,7 @@
 
     STOP_S = 0.1
     STARTUP_S = 0.5
+    HOLD_MAX_MS = 6000
 
     def __init__(self, name, zone, rack, service, jobs, record, capacity, machine):
         self.id, self.zone, self.rack, self.service = name, zone, rack, service
@@ -340,7 +341,7 @@
 
     def extend(self, given):
         wanted = given.get("DeadlineMs", 0)
-        self.deadline = max(self.deadline, min(wanted, self.clock() + 6000))
+        self.deadline = max(self.deadline, min(wanted, self.clock() + self.HOLD_MAX_MS))
 
     def run_start(self, given):
         task, run = given["Task"], given["Run"]
@@ -444,7 +445,7 @@
             "Limits": {"CpuShare": 0.25 if edge else 0.15, "Cores": 1, "MemoryMb": 260 if edge else 128,
                        "MaxFds": 4100, "LinkMbps": 1000.0, "DiskMb": 0},
             "HeartbeatMs": 1500, "ControlMode": "call", "Tolerate": {"Machines": 1, "Zones": 1, "Regions": 0},
-            "Bounds": {"GraceS": 6, "ConfigApplyMs": 2000, "RevokeMs": 5000, "HoldMaxMs": 6000,
+            "Bounds": {"GraceS": 6, "ConfigApplyMs": 2000, "RevokeMs": 5000, "HoldMaxMs": Runner.HOLD_MAX_MS,
                        "early_ms": 250, "StopTimeoutMs": 900, "GangTimeoutMs": 3000},
             "platform": {"Addr": self.store.address, "form": "table", "WritesPerS": 800, "ReadsPerS": 2000,
                          "RowBytes": 65536, "Across": False, "HistoryS": 20},
