Agents find other entries when all those they know are gone

After all entries had been replaced at other addresses, jobs were accepted and never began.

Cause: an agent read its seeds once, at its start, and learned of other entries only from entries that it was connected to. It looked nowhere else when none of these was left, be it that they were replaced at once or while it was cut off or suspended; SIGHUP was logged and nothing more.

Change: an agent that misses the planner reads its settings again and the store's table of entries (entry_lookup, entry_table_reader), and dials what they name (entry_selection). Neither source needs the other. Waits are derived from the agent's id, so that agents that lose their entries together do not ask together. Addresses that nobody names any more are forgotten after 60 s. Log lines planner-missing, planner-found, entries-read, entries-unread and settings-unreadable, and gauges, show an agent without a planner.

Why it works: the entries register themselves in the store before they serve, so that every new entry can be found without any that went before.

--- a/src/daemons/eelgrass_batch.cc
+++ b/src/daemons/eelgrass_batch.cc
@@ -25,9 +25,7 @@
     "The deployment's settings are read from the file named by the platform.\n";
 
 template <typename Node>
-int RunNode(const eelgrass::deployment& place, const eelgrass::process_signals& signals) {
-  const eelgrass::system_clock time;
-  Node node(place, time);
+int RunNode(Node& node, const eelgrass::process_signals& signals) {
   const auto started = node.Start();
   if (!started) {
     std::cerr << eelgrass::ToString(started.error()) << "\n";
@@ -36,6 +34,17 @@
   return node.Run(signals);
 }
 
+int RunRole(std::string_view role, const eelgrass::deployment& place,
+            const eelgrass::deployment_file& settings, const eelgrass::process_signals& signals) {
+  const eelgrass::system_clock time;
+  if (role == "entry") {
+    eelgrass::batch_entry entry(place, time);
+    return RunNode(entry, signals);
+  }
+  eelgrass::batch_agent agent(place, settings, time);
+  return RunNode(agent, signals);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -67,13 +76,13 @@
               << " must name a settings file but is not set\n";
     return kExitUsage;
   }
-  const auto place = source.value()->Load(path);
+  const eelgrass::deployment_file settings(*source.value(), path);
+  const auto place = settings.Load();
   if (!place) {
     std::cerr << eelgrass::ToString(place.error()) << "\n";
     return kExitUsage;
   }
-  const int exit_code = role == "entry" ? RunNode<eelgrass::batch_entry>(place.value(), signals)
-                                        : RunNode<eelgrass::batch_agent>(place.value(), signals);
+  const int exit_code = RunRole(role, place.value(), settings, signals);
   eelgrass::StopLoggingToOutput();
   return exit_code;
 }
--- a/src/kernel/batch/agent_core.cc
+++ b/src/kernel/batch/agent_core.cc
@@ -8,10 +8,14 @@
 /** A report also serves as heartbeat and requests the next grant, which lasts several intervals. */
 constexpr millis kReportInterval{1000};
 
+/** A change of the planner takes less; a longer absence is logged, and again at the interval. */
+constexpr millis kMissingLogged{5000};
+constexpr millis kMissingLogInterval{30000};
+
 }  // namespace
 
 agent_core::agent_core(std::string node, std::vector<std::string> entries)
-    : entries_(std::move(node), std::move(entries)) {}
+    : entries_(node, std::move(entries)), lookup_(std::move(node)) {}
 
 void agent_core::Decide(std::span<agent_event> events, millis now,
                         std::vector<agent_action>& actions) {
@@ -26,6 +30,8 @@
     std::visit([&](auto& c) { out_->emplace_back(std::move(c)); }, call);
   }
   AdjustLinks(now);
+  LookForEntries(now);
+  LogPlannerMissing(now);
   ReportEndedWorkers(now);
   SendReports(now);
   out_ = nullptr;
@@ -120,6 +126,13 @@
   }
 }
 
+void agent_core::On(const store_reply& reply, millis now) {
+  auto listed = lookup_.On(std::get<rows_result>(reply.answer), now);
+  if (listed) entries_.SetListed(std::move(*listed));
+}
+
+void agent_core::On(const seeds_read& event, millis) { entries_.SetSeeds(event.seeds); }
+
 void agent_core::OnNotice(std::string_view peer, const planner_notice& notice, millis now) {
   entries_.OnNotice(notice);
   if (notice.term < term_ || notice.planner != peer) return;
@@ -168,4 +181,44 @@
   for (auto& address : changes.undial) out_->emplace_back(undial_peer{std::move(address)});
 }
 
+void agent_core::LookForEntries(millis now) {
+  lookup_.Update(entries_.planner_missing_since(), now);
+  if (auto call = lookup_.NextCall(now)) out_->emplace_back(std::move(*call));
+  if (const auto reload = lookup_.NextReload(now)) out_->emplace_back(*reload);
+}
+
+void agent_core::LogPlannerMissing(millis now) {
+  const auto since = entries_.planner_missing_since();
+  if (!since) {
+    if (!missing_logged_) return;
+    log_event("planner-found")
+        .With("planner", planner_)
+        .With("missing_ms", (now - *missing_logged_).count());
+    missing_logged_.reset();
+    return;
+  }
+  if (now - *since < kMissingLogged || (missing_logged_ && now < next_missing_log_)) return;
+  missing_logged_ = since;
+  next_missing_log_ = now + kMissingLogInterval;
+  log_event("planner-missing", log_level::kWarning)
+      .With("missing_ms", (now - *since).count())
+      .With("last", planner_)
+      .With("connected", static_cast<int64_t>(entries_.connected().size()))
+      .With("dialled", static_cast<int64_t>(entries_.dialled()))
+      .With("readings", lookup_.completed())
+      .With("failed", lookup_.failed());
+}
+
+agent_statistics agent_core::stats(millis now) const {
+  agent_statistics stats;
+  stats.connected_entries = static_cast<int64_t>(entries_.connected().size());
+  stats.dialled_addresses = static_cast<int64_t>(entries_.dialled());
+  const auto since = entries_.planner_missing_since();
+  stats.planner_connected = !since.has_value();
+  if (since) stats.planner_missing = now - *since;
+  stats.entry_readings = lookup_.completed();
+  stats.failed_readings = lookup_.failed();
+  return stats;
+}
+
 }  // namespace eelgrass
--- a/src/kernel/batch/entry_selection.h
+++ b/src/kernel/batch/entry_selection.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -27,12 +27,24 @@
  * Connections to all entries would make the work of every process grow with the fleet. Each agent
  * ranks the entries in an order of its own, which spreads the agents over the entries, and dials
  * the first ones until enough of them are connected.
+ *
+ * Entries may be replaced while the agent is away, so that none of those it has heard of is left.
+ * Without a planner it also dials the seeds and the entries that the store lists.
  */
 class entry_selection {
  public:
-  /** `agent`: id of this agent; `seeds`: addresses to dial while no entry is connected. */
+  /** `agent`: id of this agent; `seeds`: addresses that its settings name. */
   entry_selection(std::string agent, std::vector<std::string> seeds);
 
+  /** Replaces the addresses that the settings name. */
+  void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+
+  /**
+   * Replaces the addresses that the store lists; the first ones are dialled first. They are
+   * forgotten once the planner is connected.
+   */
+  void SetListed(std::vector<std::string> listed);
+
   /** Handles a planner's notice, which another entry may have forwarded. */
   void OnNotice(const planner_notice& notice);
 
@@ -42,23 +54,42 @@
   /** The connected entries: address by id. */
   const std::map<std::string, std::string, std::less<>>& connected() const { return connected_; }
 
+  /** Since when no planner that the store serves is connected, as of the last Next; none: one is.
+   */
+  std::optional<millis> planner_missing_since() const { return missing_since_; }
+
+  /** Number of addresses that are dialled. */
+  size_t dialled() const { return dialled_.size(); }
+
   /** The changes that are due now. */
   link_changes Next(millis now);
 
  private:
   bool IsConnected(std::string_view address) const;
+  bool PlannerConnected() const { return IsConnected(planner_); }
   size_t LiveStandbys(size_t reach) const;
+  void CheckPlanner(millis now);
+  bool NeedsOthers(millis now) const;
   void AdjustReach(millis now);
-  void DialMissing(link_changes& changes);
+  void TurnListed(millis now);
+  void Dial(const std::string& address, millis until, link_changes& changes);
+  void DialMissing(millis now, link_changes& changes);
   void UndialSurplus(link_changes& changes);
+  void UndialUnreachable(millis now, link_changes& changes);
 
   const std::string agent_;
-  const std::vector<std::string> seeds_;
+  std::vector<std::string> seeds_;
+  std::vector<std::string> listed_;
+  size_t listed_from_ = 0;  // first listed address that is dialled now
+  millis listed_turn_{0};   // when the next ones are dialled
   std::map<std::string, std::string, std::less<>> connected_;
   std::vector<std::pair<uint64_t, std::string>> ranked_;  // addresses that the last notice names
-  std::set<std::string> dialled_;
-  std::string planner_;     // its address; empty: none known
-  millis planner_seen_{0};  // when it was last known to be connected
+  std::map<std::string, millis> dialled_;                 // dialled at least until that time
+  std::string planner_;                                   // its address; empty: none known
+  bool planner_store_lost_ = false;
+  std::optional<millis> disconnected_since_;  // from the planner
+  std::optional<millis> store_lost_since_;    // by the planner
+  std::optional<millis> missing_since_;
   int64_t term_ = 0;
   size_t reach_ = 0;  // this many ranked addresses are dialled
   millis next_{0};
--- a/src/kernel/io/deployment.h
+++ b/src/kernel/io/deployment.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "kernel/base/millis.h"
@@ -52,6 +53,20 @@
   virtual std::string_view path_variable() const = 0;
 };
 
+/** The settings file of this process. */
+class deployment_file {
+ public:
+  deployment_file(const deployment_source& source, std::string path)
+      : source_(source), path_(std::move(path)) {}
+
+  /** Reads the file, which the platform may have changed since. */
+  result<deployment> Load() const { return source_.Load(path_); }
+
+ private:
+  const deployment_source& source_;
+  const std::string path_;
+};
+
 using deployment_registry = plugin_registry<deployment_source>;
 
 template <typename Implementation>
--- a/tests/stories/entry_selection_story.cc
+++ b/tests/stories/entry_selection_story.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <vector>
 
 #include "kernel/batch/entry_selection.h"
 #include "tests/world/batch_world.h"
@@ -136,6 +137,88 @@
   }
 }
 
+// Without them an agent that was away while its entries were replaced never found another one.
+TEST_CASE("an agent that misses the planner dials entries that no notice names") {
+  linked_agent agent(3);
+  agent.links.OnNotice(agent.notice);
+  agent.PassTime(millis(2000));
+  REQUIRE_FALSE(agent.links.planner_missing_since().has_value());
+  for (int entry = 0; entry <= 3; ++entry) agent.Fail(Address(entry));
+
+  SUBCASE("the seeds that its settings name by now") {
+    agent.PassTime(millis(5000));
+    agent.links.SetSeeds({Address(40)});
+    agent.PassTime(millis(500));
+    CHECK(agent.Connected(40));
+    CHECK(agent.links.planner_missing_since().has_value());
+    SUBCASE("until a notice of the next planner comes from there") {
+      agent.notice.term = 6;
+      agent.notice.planner = "e41";
+      agent.notice.entries = {Address(41), Address(40)};
+      agent.links.OnNotice(agent.notice);
+      agent.PassTime(millis(500));
+      CHECK(agent.Connected(41));
+      CHECK_FALSE(agent.links.planner_missing_since().has_value());
+      SUBCASE("and forgets the addresses that nobody names any more") {
+        agent.PassTime(millis(59000));
+        CHECK(agent.dialled.contains(Address(2)));
+        agent.PassTime(millis(3000));
+        CHECK(agent.dialled == std::set<std::string>{Address(40), Address(41)});
+      }
+    }
+  }
+  SUBCASE("the entries that the store lists, in turn, since many may be gone") {
+    std::vector<std::string> listed;
+    for (int entry = 100; entry < 200; ++entry) {
+      listed.push_back(Address(entry));
+      if (entry != 177) agent.Fail(listed.back());
+    }
+    agent.links.SetListed(listed);
+    size_t most = 0;
+    while (!agent.Connected(177) && agent.now < millis(40000)) {
+      agent.PassTime(millis(250));
+      most = std::max(most, agent.dialled.size());
+    }
+    CHECK(agent.Connected(177));
+    CHECK(most <= 4 + 2 * 12);
+    SUBCASE("from the first one on when others are listed") {
+      agent.Fail(Address(177));
+      agent.links.SetListed({Address(300)});
+      agent.PassTime(millis(500));
+      CHECK(agent.Connected(300));
+    }
+  }
+  SUBCASE("also while an entry is connected that does not hear of a planner") {
+    agent.failed.erase(Address(2));
+    agent.PassTime(millis(100));
+    agent.links.SetListed({Address(50)});
+    agent.PassTime(millis(2400));
+    CHECK(agent.Connected(2));
+    CHECK_FALSE(agent.Connected(50));
+    agent.PassTime(millis(2000));
+    CHECK(agent.Connected(50));
+  }
+  SUBCASE("also while the planner has no way to the store, and hands over to nobody") {
+    agent.failed.clear();
+    agent.PassTime(millis(1000));
+    agent.notice.store_lost = true;
+    agent.links.OnNotice(agent.notice);
+    agent.PassTime(millis(9000));
+    CHECK_FALSE(agent.links.planner_missing_since().has_value());
+    agent.PassTime(millis(2000));
+    CHECK(agent.links.planner_missing_since().has_value());
+    agent.links.SetListed({Address(50)});
+    agent.PassTime(millis(3000));
+    CHECK(agent.Connected(50));
+    SUBCASE("until it is served again") {
+      agent.notice.store_lost = false;
+      agent.links.OnNotice(agent.notice);
+      agent.PassTime(millis(100));
+      CHECK_FALSE(agent.links.planner_missing_since().has_value());
+    }
+  }
+}
+
 TEST_CASE("agents that know a few of many entries find each next planner") {
   batch_world_options options;
   options.entries = 20;
--- a/tests/stories/node_threads_story.cc
+++ b/tests/stories/node_threads_story.cc
@@ -190,6 +190,17 @@
   }
 }
 
+/** Settings that always say the same. */
+class placed_deployment : public deployment_source {
+ public:
+  explicit placed_deployment(deployment place) : place_(std::move(place)) {}
+  result<deployment> Load(std::string_view) const override { return place_; }
+  std::string_view path_variable() const override { return "SETTINGS"; }
+
+ private:
+  const deployment place_;
+};
+
 TEST_CASE("a batch process that cannot listen for its metrics") {
   const taken_address taken;
   silent_server store;
@@ -218,7 +229,9 @@
   }
   SUBCASE("ends as an agent that has been dialling an entry") {
     place.seeds = {store.text()};
-    auto node = std::make_unique<batch_agent>(place, time);
+    const placed_deployment source(place);
+    const deployment_file settings(source, "settings");
+    auto node = std::make_unique<batch_agent>(place, settings, time);
     REQUIRE_FALSE(node->Start());
     node.reset();
   }
--- a/tests/world/batch_links.h
+++ b/tests/world/batch_links.h
@@ -42,7 +42,7 @@
   /** Dials from now on what is wanted and not there. */
   void Begin();
 
-  static int DomainOf(const world_process& one) { return one.index % kBatchDomains; }
+  static int DomainOf(const world_process& one) { return one.domain; }
   bool ReachesStore(const world_process& one) const;
 
   /** Whether the connections of a process that does not reach the store are refused. */
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -9,6 +9,7 @@
 constexpr millis kTick{50};
 constexpr millis kNetwork{1};
 constexpr millis kListTime{8};
+constexpr millis kReloadTime{500};
 constexpr int64_t kWallOrigin = 1700000000000;
 
 }  // namespace
@@ -30,29 +31,33 @@
   return job;
 }
 
-/** The entries as the store sees them. */
-class batch_world::entry_doors : public store_callers {
+/** The processes as the store sees them. */
+class batch_world::store_doors : public store_callers {
  public:
-  explicit entry_doors(batch_world& world) : world_(world) {}
+  explicit store_doors(batch_world& world) : world_(world) {}
 
   bool Lives(const store_caller& caller) const override {
-    const entry_process& entry = *world_.FindEntry(caller.entry);
-    return entry.alive && entry.life == caller.life;
+    const world_process& process = *world_.FindProcess(caller.process);
+    return process.alive && process.life == caller.life;
   }
 
   bool Reaches(const store_caller& caller) const override {
-    return world_.links_.ReachesStore(*world_.FindEntry(caller.entry));
+    return world_.links_.ReachesStore(*world_.FindProcess(caller.process));
   }
 
   bool Refused(const store_caller& caller) const override {
-    return world_.links_.RefusedByStore(*world_.FindEntry(caller.entry));
+    return world_.links_.RefusedByStore(*world_.FindProcess(caller.process));
   }
 
   void Answer(const store_caller& caller, store_reply reply, millis delay) override {
-    const millis at = std::max(world_.now() + delay, world_.FindEntry(caller.entry)->frozen_until);
+    const millis frozen_until = world_.FindProcess(caller.process)->frozen_until;
+    const millis at = std::max(world_.now() + delay, frozen_until);
     world_.events_.At(at, [this, caller, reply = std::move(reply)]() mutable {
       if (!Lives(caller)) return;
-      entry_process& same = *world_.FindEntry(caller.entry);
+      if (machine* vm = world_.FindMachine(caller.process)) {
+        return world_.ToAgent(*vm, std::move(reply));
+      }
+      entry_process& same = *world_.FindEntry(caller.process);
       if (caller.gateway) {
         world_.ToGateway(same, std::move(reply));
       } else {
@@ -83,29 +88,20 @@
     : options_(std::move(options)),
       random_(options_.seed),
       links_(events_, [this](world_process& to, link_event& event) { Take(to, event); }),
-      doors_(std::make_unique<entry_doors>(*this)),
+      doors_(std::make_unique<store_doors>(*this)),
       store_(events_, random_, *doors_),
       operators_(store_.rows()),
-      callers_(events_, check_, [this](uint64_t turn, const caller_call& call) {
-        entry_process& entry = *entries_.at(turn % entries_.size());
-        if (entry.alive && now() >= entry.frozen_until) ToGateway(entry, call);
-      }) {
+      callers_(events_, check_,
+               [this](uint64_t turn, const caller_call& call) { HandIn(turn, call); }) {
   codec_ = std::move(record_codec_registry::Instance().Create("json").value());
   order_ = std::move(unit_order_registry::Instance().Create(options_.order).value());
-  for (int i = 0; i < options_.entries; ++i) {
-    auto entry = std::make_unique<entry_process>();
-    entry->id = EntryId(i);
-    entry->index = i;
-    if (const auto own = options_.processor.find(i); own != options_.processor.end()) {
-      entry->processor = own->second;
-    }
-    links_.Add(*entry);
-    entries_.push_back(std::move(entry));
-  }
+  for (int i = 0; i < options_.first_entries; ++i) seeds_.push_back(PeerAddress(EntryId(i)));
+  for (int i = 0; i < options_.entries; ++i) AddEntry(i);
   for (int i = 0; i < options_.workers; ++i) {
     auto vm = std::make_unique<machine>();
     vm->id = AgentId(i);
     vm->index = i;
+    vm->domain = i % kBatchDomains;
     vm->role = peer_role::kWorkerAgent;
     vm->door = std::make_unique<agent_door>(*this, *vm);
     vm->worker = std::make_unique<fake_worker>(
@@ -122,6 +118,28 @@
   links_.Begin();
 }
 
+/** Callers reach the entries that have not been removed, one after the other. */
+void batch_world::HandIn(uint64_t turn, const caller_call& call) {
+  std::vector<entry_process*> present;
+  for (const auto& entry : entries_) {
+    if (!entry->removed) present.push_back(entry.get());
+  }
+  entry_process& entry = *present.at(turn % present.size());
+  if (entry.alive && now() >= entry.frozen_until) ToGateway(entry, call);
+}
+
+void batch_world::AddEntry(int domain) {
+  auto entry = std::make_unique<entry_process>();
+  entry->index = entries();
+  entry->id = EntryId(entry->index);
+  entry->domain = domain % kBatchDomains;
+  if (const auto own = options_.processor.find(entry->index); own != options_.processor.end()) {
+    entry->processor = own->second;
+  }
+  links_.Add(*entry);
+  entries_.push_back(std::move(entry));
+}
+
 world_process* batch_world::FindProcess(std::string_view id) {
   if (world_process* entry = FindEntry(id)) return entry;
   return FindMachine(id);
@@ -179,18 +197,18 @@
   planner.processor = entry.processor;
   planner.tracking.grant = millis(4000);
   entry.planner = std::make_unique<planner_core>(planner, *codec_, *order_);
+  entry.dialled.insert(seeds_.begin(), seeds_.end());
   for (const auto& other : entries_) {
-    if (other->id != entry.id) entry.dialled.insert(PeerAddress(other->id));
+    if (!options_.discover) entry.dialled.insert(PeerAddress(other->id));
   }
+  entry.dialled.erase(PeerAddress(entry.id));
   Tick(entry.id, entry.life);
 }
 
 void batch_world::StartAgent(machine& vm) {
   vm.alive = true;
   vm.life = ++last_life_;
-  std::vector<std::string> entries;
-  for (int i = 0; i < options_.first_entries; ++i) entries.push_back(PeerAddress(EntryId(i)));
-  vm.agent = std::make_unique<agent_core>(vm.id, std::move(entries));
+  vm.agent = std::make_unique<agent_core>(vm.id, seeds_);
   Tick(vm.id, vm.life);
 }
 
@@ -370,10 +388,21 @@
       vm.worker->Call(*start);
     } else if (const auto* stop = std::get_if<stop_call>(&action)) {
       vm.worker->Call(*stop);
+    } else if (const auto* request = std::get_if<store_request>(&action)) {
+      store_.Call({vm.id, vm.life, false}, *request);
+    } else if (std::holds_alternative<reload_seeds>(action)) {
+      ReadSeeds(vm);
     }
   }
 }
 
+void batch_world::ReadSeeds(machine& vm) {
+  if (!settings_readable_) return;
+  events_.After(kReloadTime, [this, &vm, life = vm.life, seeds = seeds_] {
+    if (vm.alive && vm.life == life) ToAgentWhenItRuns(vm, seeds_read{seeds});
+  });
+}
+
 void batch_world::StopProcess(world_process& stopped) {
   stopped.alive = false;
   stopped.dialled.clear();
@@ -386,10 +415,25 @@
   StopProcess(entry);
   events_.After(down, [this, index] {
     entry_process& same = *entries_.at(static_cast<size_t>(index));
-    if (!same.alive) StartEntry(same);
+    if (!same.alive && !same.removed) StartEntry(same);
   });
 }
 
+int batch_world::ReplaceEntry(int index, millis down) {
+  entry_process& removed = *entries_.at(static_cast<size_t>(index));
+  removed.removed = true;
+  if (removed.alive) StopProcess(removed);
+  const int next = entries();
+  AddEntry(removed.domain);
+  events_.After(down, [this, next] { StartEntry(*entries_.at(static_cast<size_t>(next))); });
+  return next;
+}
+
+void batch_world::SetSeeds(std::span<const int> entries) {
+  seeds_.clear();
+  for (const int entry : entries) seeds_.push_back(PeerAddress(EntryId(entry)));
+}
+
 void batch_world::FreezeEntry(int index, millis time) {
   entry_process& entry = *entries_.at(static_cast<size_t>(index));
   entry.frozen_until = std::max(entry.frozen_until, now() + time);
@@ -423,7 +467,7 @@
 }
 
 void batch_world::PowerOffAll(millis down) {
-  for (int i = 0; i < options_.entries; ++i) KillEntry(i, down);
+  for (int i = 0; i < entries(); ++i) KillEntry(i, down);
   for (int i = 0; i < options_.workers; ++i) {
     CrashWorker(i, down);
     KillAgent(i, down);
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -34,7 +35,9 @@
   runner_options worker;
   std::map<int, int> time_percent;  // of work at single workers; 100 at the others
   std::string order = "deadline";
-  int first_entries = 1;  // whose addresses agents know from the start
+  int first_entries = 1;  // named as seeds in the settings from the start
+  /** Entries know only the seeds and the store at their start; otherwise they know all others. */
+  bool discover = false;
   uint64_t seed = 1;
 };
 
@@ -61,6 +64,22 @@
   void Evacuate(std::string_view domain, bool out) { operators_.Evacuate(domain, out); }
 
   void KillEntry(int entry, millis down);
+
+  /**
+   * An entry is removed for good. After `down` another one starts at another address, in the same
+   * domain. Returns its index.
+   */
+  int ReplaceEntry(int entry, millis down);
+
+  /** The settings name these entries as seeds from now on. */
+  void SetSeeds(std::span<const int> entries);
+
+  /** The settings can be read, or not. They can from the start. */
+  void SetSettingsReadable(bool readable) { settings_readable_ = readable; }
+
+  agent_statistics AgentStats(int worker) const {
+    return machines_.at(worker)->agent->stats(now());
+  }
   void FreezeEntry(int entry, millis time);
   void CutEntry(int entry, bool cut, cut_kind kind = cut_kind::kSilent) {
     links_.SetCut(EntryId(entry), cut, kind);
@@ -106,6 +125,9 @@
 
   void SetStore(store_fault fault) { store_.SetFault(fault); }
   void SetStoreFor(int entry, store_fault fault) { store_.SetFaultFor(EntryId(entry), fault); }
+  void SetStoreForAgents(store_fault fault) {
+    for (int i = 0; i < workers(); ++i) store_.SetFaultFor(AgentId(i), fault);
+  }
   void ForgetHistory() { store_.rows().ForgetHistory(); }
 
   /** Changes reach whoever follows them this much later. */
@@ -143,15 +165,17 @@
   int Holder() const;
   bool Ready(int entry) const { return entries_.at(static_cast<size_t>(entry))->gateway->ready(); }
   const standin_rows& rows() const { return store_.rows(); }
+  standin_rows& rows() { return store_.rows(); }
   int store_calls() const { return store_.calls(); }
   const standin_runner& worker(int index) const { return *machines_.at(index)->worker->runner(); }
-  int entries() const { return options_.entries; }
+  int entries() const { return static_cast<int>(entries_.size()); }
   int workers() const { return options_.workers; }
 
  private:
-  class entry_doors;
+  class store_doors;
   class agent_door;
   struct entry_process : world_process {
+    bool removed = false;  // for good
     std::unique_ptr<gateway_core> gateway;
     std::unique_ptr<planner_core> planner;
   };
@@ -170,6 +194,8 @@
   entry_process* FindEntry(std::string_view id);
   machine* FindMachine(std::string_view id);
 
+  void HandIn(uint64_t turn, const caller_call& call);
+  void AddEntry(int domain);
   void StartEntry(entry_process& entry);
   void StartAgent(machine& vm);
   void StopProcess(world_process& stopped);
@@ -185,13 +211,14 @@
   void CarryOut(entry_process& entry, std::vector<planner_action>& actions);
   void NoteLists(machine& vm, const send_to_peer& sent);
   void CarryOut(machine& vm, std::vector<agent_action>& actions);
+  void ReadSeeds(machine& vm);
   void ListVms(const entry_process& entry, const vm_listing_request& request);
 
   const batch_world_options options_;
   timeline events_;
   draws random_;
   batch_links links_;
-  std::unique_ptr<entry_doors> doors_;
+  std::unique_ptr<store_doors> doors_;
   fake_row_store store_;
   fake_operators operators_;
   standin_gangs gangs_;
@@ -203,6 +230,8 @@
   std::vector<std::unique_ptr<entry_process>> entries_;
   std::map<int, std::unique_ptr<machine>> machines_;
   fake_vm_list vm_list_;
+  std::vector<std::string> seeds_;  // peer addresses that the settings name
+  bool settings_readable_ = true;
   int64_t last_life_ = 0;
 };
 
--- a/tests/world/fake_row_store.cc
+++ b/tests/world/fake_row_store.cc
@@ -21,8 +21,8 @@
 store_fault fake_row_store::FaultFor(const store_caller& caller) const {
   if (callers_.Refused(caller)) return store_fault::kRefuses;
   if (!callers_.Reaches(caller)) return store_fault::kSilent;
-  const auto own = entry_faults_.find(caller.entry);
-  if (own != entry_faults_.end() && own->second != store_fault::kNone) return own->second;
+  const auto own = process_faults_.find(caller.process);
+  if (own != process_faults_.end() && own->second != store_fault::kNone) return own->second;
   return fault_;
 }
 
--- a/tests/world/fake_row_store.h
+++ b/tests/world/fake_row_store.h
@@ -1,5 +1,5 @@
 /** \file
- * The platform's store of rows as entries reach it, with its faults.
+ * The platform's store of rows as entries and agents reach it, with its faults.
  */
 #pragma once
 
@@ -18,19 +18,19 @@
 /** What the store does to calls. */
 enum class store_fault { kNone, kRefuses, kSilent, kLosesAnswers, kLateWrites };
 
-/** Who has called the store: the gateway or the planner in one life of an entry. */
+/** Who has called the store: an agent, or the gateway or the planner of an entry, in one life. */
 struct store_caller {
-  std::string entry;
+  std::string process;
   int64_t life = 0;
   bool gateway = false;
 };
 
-/** The entries, as the store sees them. */
+/** The processes, as the store sees them. */
 class store_callers {
  public:
   virtual ~store_callers() = default;
 
-  /** Whether that life of the entry is still there. */
+  /** Whether that life of the process is still there. */
   virtual bool Lives(const store_caller& caller) const = 0;
   virtual bool Reaches(const store_caller& caller) const = 0;
 
@@ -49,8 +49,8 @@
   void Call(const store_caller& caller, const store_request& request);
 
   void SetFault(store_fault fault) { fault_ = fault; }
-  void SetFaultFor(std::string_view entry, store_fault fault) {
-    entry_faults_[std::string(entry)] = fault;
+  void SetFaultFor(std::string_view process, store_fault fault) {
+    process_faults_[std::string(process)] = fault;
   }
 
   /** Changes reach whoever follows them this much later. */
@@ -73,7 +73,7 @@
   store_callers& callers_;
   standin_rows rows_;
   store_fault fault_ = store_fault::kNone;
-  std::map<std::string, store_fault, std::less<>> entry_faults_;
+  std::map<std::string, store_fault, std::less<>> process_faults_;
   millis feed_delay_{0};
   int calls_ = 0;
 };
--- a/tests/world/world_process.h
+++ b/tests/world/world_process.h
@@ -16,6 +16,7 @@
 struct world_process {
   std::string id;
   int index = 0;
+  int domain = 0;  // failure domain
   peer_role role = peer_role::kEntry;
   double processor = 0;  // entries: see term_candidate
   bool alive = false;
