An agent judges by its id whether the planner is connected

What callers would see: nothing starts any more on the worker of an agent that is connected to an entry at the address of a planner that has gone, while that entry hears of no planner.

Cause: entry_selection compared addresses, and an address may be another entry's by now.

Change: it compares the planner's id from the notice.

Evidence: 'an agent still misses the planner when another entry has its address' failed before, and passes; the other stories about agents' links pass.

--- a/src/kernel/batch/entry_selection.cc
+++ b/src/kernel/batch/entry_selection.cc
@@ -47,6 +47,7 @@
 void entry_selection::OnNotice(const planner_notice& notice) {
   if (notice.term < term_ || notice.entries.empty()) return;
   term_ = notice.term;
+  planner_id_ = notice.planner;
   planner_ = notice.planner.empty() ? std::string() : notice.entries.front();
   planner_store_lost_ = notice.store_lost;
   ranked_.clear();
@@ -148,7 +149,7 @@
 
 /** Gives up what is not wanted, once all that is wanted is connected. */
 void entry_selection::UndialSurplus(link_changes& changes) {
-  if (!IsConnected(planner_) || LiveStandbys(reach_) < kStandbyEntries) return;
+  if (!PlannerConnected() || LiveStandbys(reach_) < kStandbyEntries) return;
   const auto end = ranked_.begin() + static_cast<std::ptrdiff_t>(reach_);
   std::erase_if(dialled_, [&](const auto& dialled) {
     const std::string& address = dialled.first;
--- a/src/kernel/batch/entry_selection.h
+++ b/src/kernel/batch/entry_selection.h
@@ -66,7 +66,8 @@
 
  private:
   bool IsConnected(std::string_view address) const;
-  bool PlannerConnected() const { return IsConnected(planner_); }
+  /** An entry at the planner's address may be another one by now. */
+  bool PlannerConnected() const { return connected_.contains(planner_id_); }
   size_t LiveStandbys(size_t reach) const;
   void CheckPlanner(millis now);
   bool NeedsOthers(millis now) const;
@@ -85,6 +86,7 @@
   std::map<std::string, std::string, std::less<>> connected_;
   std::vector<std::pair<uint64_t, std::string>> ranked_;  // addresses that the last notice names
   std::map<std::string, millis> dialled_;                 // dialled at least until that time
+  std::string planner_id_;                                // empty: none known
   std::string planner_;                                   // its address; empty: none known
   bool planner_store_lost_ = false;
   std::optional<millis> disconnected_since_;  // from the planner
--- a/tests/stories/entry_selection_story.cc
+++ b/tests/stories/entry_selection_story.cc
@@ -219,6 +219,30 @@
   }
 }
 
+// The agent took the other entry for the planner, and did not look for the planner any more.
+TEST_CASE("an agent still misses the planner when another entry has its address") {
+  linked_agent agent(3);
+  agent.links.OnNotice(agent.notice);
+  agent.PassTime(millis(2000));
+  for (int entry = 0; entry <= 3; ++entry) agent.Fail(Address(entry));
+  agent.links.OnConnected("e9", Address(1));
+  agent.PassTime(millis(4000));
+  REQUIRE(agent.links.planner_missing_since().has_value());
+
+  SUBCASE("and looks elsewhere") {
+    agent.links.SetListed({Address(50)});
+    agent.PassTime(millis(1000));
+    CHECK(agent.Connected(50));
+  }
+  SUBCASE("until that entry plans") {
+    agent.notice.term = 6;
+    agent.notice.planner = "e9";
+    agent.links.OnNotice(agent.notice);
+    agent.PassTime(millis(100));
+    CHECK_FALSE(agent.links.planner_missing_since().has_value());
+  }
+}
+
 TEST_CASE("agents that know a few of many entries find each next planner") {
   batch_world_options options;
   options.entries = 20;
