Entries read the whole table of entries, again and again, and the planner prunes it

What callers would see: after some 500 replacements, entries that do not find each other, claim the term together, and lead the agents apart. Before that, work without end: each entry dials every address that an entry ever had.

Cause: an entry read one answer of the store, at most 500 rows, once after its start. No row was ever removed, and none that was lost or missed was looked for again.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -63,6 +63,8 @@
   counters_.Set("config_version", stats.config_version);
   counters_.Set("config_age_ms", stats.config_age.count());
   counters_.Set("operator_calls_failed_total", stats.failed_operator_calls);
+  counters_.Set("entries_listed", stats.listed_entries);
+  counters_.Set("entries_connected", stats.connected_entries);
 }
 
 void gateway_duty::Execute(gateway_action& action) {
@@ -86,6 +88,8 @@
     status_.SetReady(ready->ready);
   } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
     hub_.Dial(dial->address);
+  } else if (const auto* undial = std::get_if<undial_peer>(&action)) {
+    hub_.Undial(undial->address);
   }
 }
 
--- a/src/kernel/batch/entry_selection.h
+++ b/src/kernel/batch/entry_selection.h
@@ -12,16 +12,11 @@
 #include <vector>
 
 #include "kernel/base/millis.h"
+#include "kernel/batch/link_changes.h"
 #include "kernel/model/worker_messages.h"
 
 namespace eelgrass {
 
-/** Addresses to connect to, and those whose connections are given up. */
-struct link_changes {
-  std::vector<std::string> dial;
-  std::vector<std::string> undial;
-};
-
 /**
  * An agent needs the planner, and a few other entries from which it hears of the next planner.
  * Connections to all entries would make the work of every process grow with the fleet. Each agent
--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -64,6 +64,8 @@
 gateway_statistics gateway_core::stats(millis now) const {
   gateway_statistics stats;
   stats.failed_operator_calls = operators_.failed_calls();
+  stats.listed_entries = static_cast<int64_t>(entries_.listed());
+  stats.connected_entries = static_cast<int64_t>(entries_.connected());
   if (!operators_.known()) return stats;
   stats.config_revision = operators_.state().config_revision;
   stats.config_version = operators_.version();
@@ -187,8 +189,7 @@
   }
   if (reply.token == entries_token_) {
     entries_token_ = 0;
-    for (auto& address : entries_.On(reply, now)) out_->emplace_back(dial_peer{std::move(address)});
-    return;
+    return entries_.On(reply, now);
   }
   const auto found = calls_.find(reply.token);
   if (found == calls_.end()) return;
@@ -334,11 +335,11 @@
 }
 
 void gateway_core::On(peer_up& event, millis) {
-  if (event.peer.role == peer_role::kEntry) connected_.insert(event.peer.id);
+  if (event.peer.role == peer_role::kEntry) entries_.OnConnected(event.peer.id);
 }
 
 void gateway_core::On(peer_down& event, millis) {
-  connected_.erase(event.peer);
+  entries_.OnDisconnected(event.peer);
   if (event.peer == planner_.planner) planner_.planner.clear();
 }
 
@@ -451,11 +452,15 @@
 }
 
 void gateway_core::DiscoverEntries(millis now) {
-  if (auto request = entries_.Next(now)) {
+  const bool planning = planner_.planner == options_.node;
+  if (auto request = entries_.NextCall(planning, now)) {
     entries_token_ = ++last_token_;
     request->token = entries_token_;
     out_->emplace_back(std::move(*request));
   }
+  link_changes changes = entries_.NextLinks(now);
+  for (auto& address : changes.dial) out_->emplace_back(dial_peer{std::move(address)});
+  for (auto& address : changes.undial) out_->emplace_back(undial_peer{std::move(address)});
 }
 
 }  // namespace eelgrass
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -51,7 +51,7 @@
 };
 
 using gateway_action = std::variant<caller_reply, store_request, send_to_peer, own_planner_request,
-                                    operator_update, readiness_change, dial_peer>;
+                                    operator_update, readiness_change, dial_peer, undial_peer>;
 
 /** For metrics. */
 struct gateway_statistics {
@@ -59,6 +59,8 @@
   int64_t config_version = 0;         // by the operators' count
   millis config_age{-1};              // since the configuration was confirmed; -1: there is none
   int64_t failed_operator_calls = 0;  // calls for the operators' rows, since the start
+  int64_t listed_entries = 0;         // other entries in the store's table
+  int64_t connected_entries = 0;
 };
 
 struct gateway_options {
@@ -160,8 +162,7 @@
   int64_t sent_changes_ = 0;
   millis sent_confirmed_{0};
   planner_notice planner_;
-  int64_t newest_term_ = 0;          // known to this entry
-  std::set<std::string> connected_;  // ids of the connected entries
+  int64_t newest_term_ = 0;  // known to this entry
   bool ready_ = false;
   bool draining_ = false;
 };
--- a/tests/stories/replaced_entries_story.cc
+++ b/tests/stories/replaced_entries_story.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <string>
 #include <vector>
 
 #include "tests/world/batch_world.h"
@@ -133,5 +134,43 @@
   RequireKept(world);
 }
 
+/** Rows of entries that are gone; their ids come before those of the world's entries. */
+void RegisterGone(batch_world& world, int count) {
+  for (int i = 0; i < count; ++i) {
+    const std::string id = "edge-" + std::to_string(1000 + i);
+    row_transaction change;
+    change.writes.push_back({{std::string(kEntriesTable), "", id}, PeerAddress(id)});
+    world.rows().Apply(change);
+  }
+}
+
+// An entry read the first 500 rows, once: behind them it never found another one.
+TEST_CASE("entries find each other among many rows of entries that are gone") {
+  batch_world_options options;
+  options.discover = true;
+  batch_world world(options);
+  RegisterGone(world, 600);
+  world.RunFor(millis(30000));
+  CHECK(world.Linked(1, 2));
+
+  SUBCASE("also when the seed that all of them know is replaced") {
+    const int next = world.ReplaceEntry(0, millis(2000));
+    world.RunFor(millis(30000));
+    CHECK(world.Linked(1, 2));
+    CHECK(world.Linked(1, next));
+    CHECK(world.Linked(2, next));
+    CHECK(Begins(world, "d1", millis(4000)));
+  }
+  SUBCASE("also when two start at once") {
+    const int one = world.ReplaceEntry(1, millis(2000));
+    const int other = world.ReplaceEntry(2, millis(2000));
+    world.RunFor(millis(30000));
+    CHECK(world.Linked(one, other));
+    CHECK(Begins(world, "d1", millis(4000)));
+  }
+  world.RunFor(millis(30000));
+  RequireKept(world);
+}
+
 }  // namespace
 }  // namespace eelgrass
--- a/tests/world/batch_links.h
+++ b/tests/world/batch_links.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -56,6 +57,9 @@
   void Dial(world_process& from, std::string_view address);
   void Undial(world_process& from, std::string_view address);
   void Send(const std::string& from, const send_to_peer& message);
+  bool Linked(const std::string& a, const std::string& b) const {
+    return links_.contains({std::min(a, b), std::max(a, b)});
+  }
 
   /** The process has ended: its connections break. */
   void Close(const std::string& id);
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -310,6 +310,8 @@
       links_.Send(entry.id, *send);
     } else if (const auto* dial = std::get_if<dial_peer>(&action)) {
       links_.Dial(entry, dial->address);
+    } else if (const auto* undial = std::get_if<undial_peer>(&action)) {
+      links_.Undial(entry, undial->address);
     } else if (auto* tell = std::get_if<own_planner_request>(&action)) {
       events_.After(millis(0), [this, id = entry.id, life, message = tell->message] {
         entry_process* same = FindEntry(id);
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -74,6 +74,9 @@
   /** The settings name these entries as seeds from now on. */
   void SetSeeds(std::span<const int> entries);
 
+  /** Whether two entries are connected. */
+  bool Linked(int a, int b) const { return links_.Linked(EntryId(a), EntryId(b)); }
+
   /** The settings can be read, or not. They can from the start. */
   void SetSettingsReadable(bool readable) { settings_readable_ = readable; }
 
