An incarnation that began earlier is refused only beside a connected later one

Entries that started twice while their clocks were set back by two seconds accepted jobs and started none any more.

Cause: the hub kept the highest incarnation under each id for as long as its process lived, and closed all connections of lower ones. An incarnation is the time of day of a process's start, so that agents refused these entries for ever.

Change: incarnations are ordered only while the other one is connected; what is known of a process is dropped with its last connection. A refusal is logged.

Why it works: the order only has to keep a process that is gone from replacing the one that is there, and a process that is gone loses its connections.

--- a/src/plugins/peer/asio/asio_hub.cc
+++ b/src/plugins/peer/asio/asio_hub.cc
@@ -245,11 +245,21 @@
   Establish(lane);
 }
 
+/**
+ * Incarnations are ordered by the time of day of their start, which may be set back. So the order
+ * counts only while the other one is connected; a process that has ended is soon no more.
+ */
 void asio_hub::Establish(peer_lane& lane) {
   const auto known = peers_.find(lane.peer.id);
   if (known != peers_.end()) {
     const int64_t current = known->second.identity.incarnation;
-    if (lane.peer.incarnation < current) return lane.Close("an older incarnation");
+    if (lane.peer.incarnation < current) {
+      log_event("earlier-incarnation-refused", log_level::kWarning)
+          .With("peer", lane.peer.id)
+          .With("incarnation", lane.peer.incarnation)
+          .With("connected", current);
+      return lane.Close("a later incarnation is connected");
+    }
     if (lane.peer.incarnation > current) DropLanes(lane.peer.id, "replaced");
   }
   lane.established = true;
@@ -261,7 +271,9 @@
 }
 
 void asio_hub::DropLanes(const std::string& peer, std::string_view reason) {
-  const auto lanes = peers_[peer].lanes;
+  const auto known = peers_.find(peer);
+  if (known == peers_.end()) return;
+  const auto lanes = known->second.lanes;
   for (const auto& lane : lanes) lane->Close(reason);
 }
 
@@ -274,10 +286,12 @@
     ++stats_.lanes_lost;
   }
   log_event("lane-lost").With("peer", lane.peer.id).With("reason", reason);
-  peer_state& peer = peers_[lane.peer.id];
-  std::erase(peer.lanes, keep);
+  const auto known = peers_.find(lane.peer.id);
+  std::erase(known->second.lanes, keep);
+  const bool last = known->second.lanes.empty();
+  if (last) peers_.erase(known);
   listener_->OnLink(lane_lost{lane.peer.id});
-  if (peer.lanes.empty()) listener_->OnLink(peer_down{lane.peer.id, lane.peer.incarnation});
+  if (last) listener_->OnLink(peer_down{lane.peer.id, lane.peer.incarnation});
 }
 
 void asio_hub::DrainRing() {
--- a/tests/stories/hub_threads_story.cc
+++ b/tests/stories/hub_threads_story.cc
@@ -94,6 +94,27 @@
     CHECK(entry.seen.WaitFor<peer_up>(2));
     CHECK(entry.seen.WaitFor<peer_down>());
   }
+  // Refused for ever, an entry whose clock had been set back never got an agent again.
+  SUBCASE("an incarnation that began at an earlier time of day replaces one that has ended") {
+    agent.hub->Stop();
+    REQUIRE(entry.seen.WaitFor<peer_down>());
+    station again("u1", peer_role::kUpstreamAgent, "the-shared-key-of-all", 0);
+    again.hub->Dial(entry.address());
+    CHECK(entry.seen.WaitFor<peer_up>(2));
+    CHECK(again.seen.WaitFor<peer_up>());
+    SUBCASE("and is replaced by one that began later") {
+      station third("u1", peer_role::kUpstreamAgent, "the-shared-key-of-all", 1);
+      third.hub->Dial(entry.address());
+      CHECK(entry.seen.WaitFor<peer_up>(3));
+    }
+  }
+  SUBCASE("an incarnation that began earlier does not replace one that is connected") {
+    station earlier("u1", peer_role::kUpstreamAgent, "the-shared-key-of-all", 0);
+    earlier.hub->Dial(entry.address());
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));  // several tries
+    CHECK(entry.seen.CountNow<peer_up>() == 1);
+    CHECK(entry.seen.CountNow<peer_down>() == 0);
+  }
 }
 
 TEST_CASE("a process with another key is not let in") {
