--- a/tests/world/batch_links.cc
+++ b/tests/world/batch_links.cc
@@ -10,6 +10,10 @@
 constexpr millis kNetwork{1};
 constexpr millis kRedial{300};
 
+/** The transport replaces a connection that has been silent for this long. */
+constexpr millis kEntrySubstitute{650};
+constexpr millis kWorkerSubstitute{2000};
+
 /** How long the ends of a connection that is cut off take to learn of it. */
 millis NoticedAfter(cut_kind kind) {
   return kind == cut_kind::kRefused ? kNetwork : batch_links::kSilence;
@@ -90,6 +94,15 @@
        delay);
 }
 
+void batch_links::Sever(double share, draws& random) {
+  for (const auto& link : links_) {
+    if (!random.Chance(share)) continue;
+    const bool worker = Find(link.first)->role == peer_role::kWorkerAgent ||
+                        Find(link.second)->role == peer_role::kWorkerAgent;
+    silent_until_[link] = events_.now() + (worker ? kWorkerSubstitute : kEntrySubstitute);
+  }
+}
+
 /** Both sides of the connections that are gone learn of it. */
 void batch_links::Drop(const loss& lost, millis delay) {
   std::vector<std::pair<std::string, std::string>> gone;
@@ -166,6 +179,8 @@
   const std::pair<std::string, std::string> link{std::min(from, message.peer),
                                                  std::max(from, message.peer)};
   if (!links_.contains(link)) return;
+  const auto silent = silent_until_.find(link);
+  if (silent != silent_until_.end() && events_.now() < silent->second) return;
   if (!Connected(*Find(from), *Find(message.peer))) return;
   Deliver(message.peer, peer_said{from, message.message});
 }
--- a/tests/world/batch_links.h
+++ b/tests/world/batch_links.h
@@ -14,6 +14,7 @@
 
 #include "kernel/io/peer_hub.h"
 #include "kernel/model/link_events.h"
+#include "tests/world/draws.h"
 #include "tests/world/timeline.h"
 #include "tests/world/world_process.h"
 
@@ -64,6 +65,12 @@
   /** The process has ended: its connections break. */
   void Close(const std::string& id);
 
+  /**
+   * Each connection goes silent for good with this probability. What is sent is lost until a new
+   * connection takes its place, and neither side learns of it.
+   */
+  void Sever(double share, draws& random);
+
   /** The process says nothing for longer than connections last. */
   void FallSilent(const std::string& id) { Drop(id, kSilence); }
 
@@ -85,6 +92,7 @@
   const deliver hand_over_;
   std::vector<world_process*> processes_;
   std::set<std::pair<std::string, std::string>> links_;
+  std::map<std::pair<std::string, std::string>, millis> silent_until_;
   std::map<std::string, cut_kind> cut_;
   std::map<int, cut_kind> cut_domains_;
 };
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -97,6 +97,10 @@
   void CutDomain(int domain, bool cut, cut_kind kind = cut_kind::kSilent) {
     links_.CutDomain(domain, cut, kind);
   }
+  /** Each connection between processes goes silent for good with this probability; new ones work.
+   */
+  void SeverLinks(double share) { links_.Sever(share, random_); }
+
   /** What happens at single workers: see fake_worker. */
   void CrashWorker(int index, millis down) { WorkerAt(index).Crash(down); }
   void DrainWorker(int index) { WorkerAt(index).Drain(); }
