The planner keeps the row of an entry that has connected since the last reading

Cause: the planner judged by its last reading, up to 30 s old, which rows to remove, so that an entry that had connected meanwhile lost its row until its own next reading.

Change: rows are removed right after a reading, and never those of connected entries.

Evidence: 'not the row of one that has connected since' failed before.

--- a/src/kernel/batch/entry_discovery.cc
+++ b/src/kernel/batch/entry_discovery.cc
@@ -35,17 +35,18 @@
 }
 
 std::optional<store_request> entry_discovery::NextCall(bool planning, millis now) {
-  if (pending_ != call_kind::kNone || now < next_) return std::nullopt;
-  if (!registered_) {
-    pending_ = call_kind::kRegister;
-    return RegisterCall();
-  }
+  if (pending_ != call_kind::kNone) return std::nullopt;
   if (std::exchange(removal_due_, false) && planning) {
     if (auto removal = RemoveCall()) {
       pending_ = call_kind::kRemove;
       return removal;
     }
   }
+  if (now < next_) return std::nullopt;
+  if (!registered_) {
+    pending_ = call_kind::kRegister;
+    return RegisterCall();
+  }
   pending_ = call_kind::kRead;
   return table_.NextCall();
 }
@@ -63,7 +64,7 @@
 std::optional<store_request> entry_discovery::RemoveCall() const {
   row_transaction change;
   for (const auto& [id, other] : others_) {
-    if (other.readings_apart < kReadingsApart) continue;
+    if (other.readings_apart < kReadingsApart || connected_.contains(id)) continue;
     const row_key at{std::string(kEntriesTable), "", id};
     change.conditions.push_back({at, other.revision});
     change.removals.push_back(at);
--- a/tests/stories/entry_discovery_story.cc
+++ b/tests/stories/entry_discovery_story.cc
@@ -162,6 +162,16 @@
     }
     CHECK(Listed(entry.table, "e2"));
   }
+  SUBCASE("not the row of one that has connected since") {
+    entry.planning = false;
+    entry.Lose("e2");
+    entry.PassTime(kMinute * 12);
+    entry.reachable = {"e2"};
+    entry.PassTime(millis(500));
+    entry.planning = true;
+    entry.PassTime(kInterval);
+    CHECK(Listed(entry.table, "e2"));
+  }
   SUBCASE("not because it was suspended itself") {
     entry.Lose("e2");
     entry.now += kMinute * 60;
