--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -27,12 +27,22 @@
         self.processes = {}
         self.paused = set()
         self.proxies = {}
+        self.store_ports = {}
+        self.replacements = {name: 0 for name in self.entries}
         self.config_version = 0
         self.unclean_exits = []
 
     def ip(self, name):
         role, number = name.split("-")
-        return f"127.{self.loopback_net}.{1 if role == 'entry' else 2}.{number}"
+        if role != "entry":
+            return f"127.{self.loopback_net}.2.{number}"
+        replaced = self.replacements[name]
+        return f"127.{self.loopback_net}.{10 + replaced if replaced else 1}.{number}"
+
+    def node_id(self, name):
+        """The id under which a process runs; an entry at another address is another one."""
+        replaced = self.replacements.get(name, 0)
+        return f"{name}-{replaced}" if replaced else name
 
     def store_address(self):
         return f"127.{self.loopback_net}.0.9"
@@ -50,7 +60,8 @@
             port = STORE_PORT + 1 + number
             self._add_proxy(f"store of {name}", (self.store_address(), port),
                             (self.store_address(), STORE_PORT))
-            self._write_settings(name, port)
+            self.store_ports[name] = port
+            self.write_settings(name)
         self._wait_until(lambda: self.call_standin("/standin/broken") is not None)
         self.publish_config()
         for name in self.entries + self.agents:
@@ -60,20 +71,22 @@
     def _add_proxy(self, name, listen, target):
         self.proxies[name] = LoopbackProxy(listen, target)
 
-    def _write_settings(self, name, store_port):
+    def write_settings(self, name):
         ip = self.ip(name)
         settings = {
-            "Node": name, "Ip": ip, "Zone": f"z{int(name.split('-')[1]) % 3}",
+            "Node": self.node_id(name), "Ip": ip, "Zone": f"z{int(name.split('-')[1]) % 3}",
             "PortRange": PEER_PORTS,
             "Listen": {"Front": f"{ip}:27521", "Ready": f"{ip}:27523", "Control": f"{ip}:27526"},
             "Seeds": [f"{self.ip(entry)}:27526" for entry in self.entries[:2]],
-            "platform": {"Addr": f"{self.store_address()}:{store_port}"},
+            "platform": {"Addr": f"{self.store_address()}:{self.store_ports[name]}"},
             "Cloud": {"Addr": f"{self.store_address()}:{STORE_PORT}"},
             "app": f"{ip}:27530",
             "Bounds": {"HoldMaxMs": 6000, "GraceS": 6, "RevokeMs": 5000},
         }
-        with open(os.path.join(self.folder, name + ".json"), "w", encoding="utf-8") as file:
+        path = os.path.join(self.folder, name + ".json")
+        with open(path + ".new", "w", encoding="utf-8") as file:
             json.dump(settings, file)
+        os.replace(path + ".new", path)
 
     def _spawn(self, name, command, environment):
         log = open(os.path.join(self.folder, name + ".log"), "ab")
@@ -100,6 +113,12 @@
         self.processes[name].wait()
         self.paused.discard(name)
 
+    def remove_entry(self, name):
+        """Kills an entry for good. The next start under this name is another entry elsewhere."""
+        self.kill(name)
+        self.replacements[name] += 1
+        self.write_settings(name)
+
     def terminate(self, name):
         """Stops a process with SIGTERM; it must exit with 0 within its grace time."""
         if not self.is_running(name):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,9 +9,10 @@
 class Faults:
     """Runs each fault in a thread that starts it and ends it after a random duration."""
 
-    def __init__(self, deployment, rng):
+    def __init__(self, deployment, rng, replace_entries=False):
         self.deployment = deployment
         self.rng = rng
+        self.replace_entries = replace_entries
         self.log = []
         self.threads = []
         self._started = time.monotonic()
@@ -22,6 +23,8 @@
             self._kill, self._kill, self._kill_planner, self._terminate, self._pause,
             self._send_hangup, self._inject_store_fault, self._inject_path_fault,
             self._inject_path_fault, self._crash_runner, self._publish_config, self._kill_all])
+        if self.replace_entries and self.rng.random() < 0.25:
+            kind = self._replace_entries
         if kind is self._kill_all and self.rng.random() < 0.7:
             kind = self._kill
         duration = self.rng.uniform(0.2, 4.0)
@@ -78,6 +81,17 @@
                 self.deployment.kill(process)
             self._restart_after(reserved, duration / 2)
 
+    def _replace_entries(self, _, duration):
+        """Replaces all entries at other addresses; the settings of the agents may stay stale."""
+        with self._reserve(self.deployment.entries) as reserved:
+            self._record(f"replace {len(reserved)} entries after {duration / 2:.1f} s")
+            for process in reserved:
+                self.deployment.remove_entry(process)
+            if self.rng.random() < 0.5:
+                for agent in self.deployment.agents:
+                    self.deployment.write_settings(agent)
+            self._restart_after(reserved, duration / 2)
+
     def _terminate(self, name, duration):
         with self._reserve([name]) as reserved:
             for process in reserved:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,7 +28,7 @@
     deployment = Deployment(options.binaries, folder, 80 + seed % 40, options.entries,
                             options.agents)
     callers = Callers(deployment, random.Random(rng.random()))
-    faults = Faults(deployment, random.Random(rng.random()))
+    faults = Faults(deployment, random.Random(rng.random()), options.replace_entries)
     violations = []
     try:
         deployment.start()
@@ -83,6 +83,8 @@
     options.add_argument("--seconds", type=float, default=15,
                          help="duration of load and faults for each seed")
     options.add_argument("--gap", type=float, default=0.8, help="mean seconds between faults")
+    options.add_argument("--replace-entries", action="store_true",
+                         help="also replace all entries at other addresses")
     options.add_argument("--entries", type=int, default=3)
     options.add_argument("--agents", type=int, default=4)
     options = options.parse_args()
