An agent takes a process for the planner only once it has said that it plans

What callers would see: nothing starts any more on the worker of an agent that is connected to the next process under the planner's id, while that process hears of no planner.

Cause: that the planner is connected was judged by its id alone, which the next process under it has too.

Change: the planner has to have said so, by a notice of its own or an order, since it was connected. Planners name themselves to whoever connects.

Evidence: 'an agent misses the planner until it has said again that it plans' failed before.

--- a/src/kernel/batch/agent_core.cc
+++ b/src/kernel/batch/agent_core.cc
@@ -120,6 +120,7 @@
   }
   const auto* order = std::get_if<worker_order>(&event.message);
   if (order == nullptr || order->term < term_) return;
+  entries_.OnOrder(event.peer, order->term);
   SetTerm(order->term, event.peer, now);
   if (worker_controller* controller = incarnations_.Find(order->worker.id)) {
     controller->On(*order, now);
@@ -134,7 +135,7 @@
 void agent_core::On(const seeds_read& event, millis) { entries_.SetSeeds(event.seeds); }
 
 void agent_core::OnNotice(std::string_view peer, const planner_notice& notice, millis now) {
-  entries_.OnNotice(notice);
+  entries_.OnNotice(peer, notice);
   if (notice.term < term_ || notice.planner != peer) return;
   SetTerm(notice.term, notice.planner, now);
 }
--- a/src/kernel/batch/entry_selection.cc
+++ b/src/kernel/batch/entry_selection.cc
@@ -44,8 +44,10 @@
 entry_selection::entry_selection(std::string agent, std::vector<std::string> seeds)
     : agent_(std::move(agent)), seeds_(std::move(seeds)) {}
 
-void entry_selection::OnNotice(const planner_notice& notice) {
+void entry_selection::OnNotice(std::string_view sender, const planner_notice& notice) {
   if (notice.term < term_ || notice.entries.empty()) return;
+  const bool known = notice.term == term_ && notice.planner == planner_id_;
+  planner_confirmed_ = sender == notice.planner || (known && planner_confirmed_);
   term_ = notice.term;
   planner_id_ = notice.planner;
   planner_ = notice.planner.empty() ? std::string() : notice.entries.front();
@@ -65,11 +67,21 @@
   listed_turn_ = millis(0);
 }
 
+void entry_selection::OnOrder(std::string_view entry, int64_t term) {
+  const auto found = connected_.find(entry);
+  if (found == connected_.end() || term < term_) return;
+  term_ = term;
+  planner_id_ = entry;
+  planner_ = found->second;
+  planner_confirmed_ = true;
+}
+
 void entry_selection::OnConnected(std::string_view entry, std::string_view address) {
   connected_[std::string(entry)] = address;
 }
 
 void entry_selection::OnDisconnected(std::string_view entry) {
+  if (entry == planner_id_) planner_confirmed_ = false;
   if (const auto found = connected_.find(entry); found != connected_.end()) connected_.erase(found);
 }
 
--- a/src/kernel/batch/entry_selection.h
+++ b/src/kernel/batch/entry_selection.h
@@ -40,8 +40,11 @@
    */
   void SetListed(std::vector<std::string> listed);
 
-  /** Handles a planner's notice, which another entry may have forwarded. */
-  void OnNotice(const planner_notice& notice);
+  /** Handles a planner's notice; `sender`: the entry that sent or forwarded it. */
+  void OnNotice(std::string_view sender, const planner_notice& notice);
+
+  /** Handles an order, which proves that `entry` plans in that term. */
+  void OnOrder(std::string_view entry, int64_t term);
 
   void OnConnected(std::string_view entry, std::string_view address);
   void OnDisconnected(std::string_view entry);
@@ -61,8 +64,8 @@
 
  private:
   bool IsConnected(std::string_view address) const;
-  /** An entry at the planner's address may be another one by now. */
-  bool PlannerConnected() const { return connected_.contains(planner_id_); }
+  /** An entry at the planner's address, or under its id, may be another process by now. */
+  bool PlannerConnected() const { return planner_confirmed_ && connected_.contains(planner_id_); }
   size_t LiveStandbys(size_t reach) const;
   void CheckPlanner(millis now);
   bool NeedsOthers(millis now) const;
@@ -83,6 +86,7 @@
   std::map<std::string, millis> dialled_;                 // dialled at least until that time
   std::string planner_id_;                                // empty: none known
   std::string planner_;                                   // its address; empty: none known
+  bool planner_confirmed_ = false;  // it has said that it plans since it was connected
   bool planner_store_lost_ = false;
   std::optional<millis> disconnected_since_;  // from the planner
   std::optional<millis> store_lost_since_;    // by the planner
--- a/tests/stories/entry_selection_story.cc
+++ b/tests/stories/entry_selection_story.cc
@@ -31,10 +31,17 @@
         links.OnDisconnected(Id(address));
       }
       for (const auto& address : dialled) {
-        if (!failed.contains(address)) links.OnConnected(Id(address), address);
+        if (!failed.contains(address)) Connect(address);
       }
     }
   }
+  /** A planner names itself to whoever connects. */
+  void Connect(const std::string& address) {
+    const std::string id = Id(address);
+    if (links.connected().contains(id)) return;
+    links.OnConnected(id, address);
+    if (id == notice.planner) links.OnNotice(notice.planner, notice);
+  }
   void Fail(const std::string& address) {
     failed.insert(address);
     links.OnDisconnected(Id(address));
@@ -57,7 +64,7 @@
   linked_agent agent(35);
   agent.PassTime(millis(1000));
   CHECK(agent.dialled == std::set<std::string>{Address(0)});
-  agent.links.OnNotice(agent.notice);
+  agent.links.OnNotice(agent.notice.planner, agent.notice);
   agent.PassTime(millis(2000));
 
   SUBCASE("however many there are") {
@@ -67,7 +74,7 @@
   }
   SUBCASE("to all if there are no more") {
     linked_agent small(3);
-    small.links.OnNotice(small.notice);
+    small.links.OnNotice(small.notice.planner, small.notice);
     small.PassTime(millis(2000));
     CHECK(small.Connected(1));
     CHECK(small.Connected(2));
@@ -75,7 +82,7 @@
   }
   SUBCASE("to others than another agent") {
     linked_agent other(35, "agent-2");
-    other.links.OnNotice(other.notice);
+    other.links.OnNotice(other.notice.planner, other.notice);
     other.PassTime(millis(2000));
     CHECK(other.dialled != agent.dialled);
   }
@@ -126,11 +133,11 @@
     notice.term = 6;
     notice.planner = "e" + std::to_string(next);
     std::swap(notice.entries[0], notice.entries[static_cast<size_t>(next - 1)]);
-    agent.links.OnNotice(notice);
+    agent.links.OnNotice(notice.planner, notice);
     agent.PassTime(millis(50));
     CHECK(agent.Connected(next));
     SUBCASE("whatever a notice of an earlier term says that comes late") {
-      agent.links.OnNotice(agent.notice);
+      agent.links.OnNotice(agent.notice.planner, agent.notice);
       agent.PassTime(millis(2000));
       CHECK(agent.Connected(next));
     }
@@ -140,7 +147,7 @@
 // Without them an agent that was away while its entries were replaced never found another one.
 TEST_CASE("an agent that misses the planner dials entries that no notice names") {
   linked_agent agent(3);
-  agent.links.OnNotice(agent.notice);
+  agent.links.OnNotice(agent.notice.planner, agent.notice);
   agent.PassTime(millis(2000));
   REQUIRE_FALSE(agent.links.planner_missing_since().has_value());
   for (int entry = 0; entry <= 3; ++entry) agent.Fail(Address(entry));
@@ -155,7 +162,7 @@
       agent.notice.term = 6;
       agent.notice.planner = "e41";
       agent.notice.entries = {Address(41), Address(40)};
-      agent.links.OnNotice(agent.notice);
+      agent.links.OnNotice(agent.notice.planner, agent.notice);
       agent.PassTime(millis(500));
       CHECK(agent.Connected(41));
       CHECK_FALSE(agent.links.planner_missing_since().has_value());
@@ -202,7 +209,7 @@
     agent.failed.clear();
     agent.PassTime(millis(1000));
     agent.notice.store_lost = true;
-    agent.links.OnNotice(agent.notice);
+    agent.links.OnNotice(agent.notice.planner, agent.notice);
     agent.PassTime(millis(9000));
     CHECK_FALSE(agent.links.planner_missing_since().has_value());
     agent.PassTime(millis(2000));
@@ -212,7 +219,7 @@
     CHECK(agent.Connected(50));
     SUBCASE("until it is served again") {
       agent.notice.store_lost = false;
-      agent.links.OnNotice(agent.notice);
+      agent.links.OnNotice(agent.notice.planner, agent.notice);
       agent.PassTime(millis(100));
       CHECK_FALSE(agent.links.planner_missing_since().has_value());
     }
@@ -222,7 +229,7 @@
 // The agent took the other entry for the planner, and did not look for the planner any more.
 TEST_CASE("an agent still misses the planner when another entry has its address") {
   linked_agent agent(3);
-  agent.links.OnNotice(agent.notice);
+  agent.links.OnNotice(agent.notice.planner, agent.notice);
   agent.PassTime(millis(2000));
   for (int entry = 0; entry <= 3; ++entry) agent.Fail(Address(entry));
   agent.links.OnConnected("e9", Address(1));
@@ -237,7 +244,40 @@
   SUBCASE("until that entry plans") {
     agent.notice.term = 6;
     agent.notice.planner = "e9";
-    agent.links.OnNotice(agent.notice);
+    agent.links.OnNotice(agent.notice.planner, agent.notice);
+    agent.PassTime(millis(100));
+    CHECK_FALSE(agent.links.planner_missing_since().has_value());
+  }
+}
+
+// The agent took the next process for the planner, and did not look for the planner any more.
+TEST_CASE("an agent misses the planner until it has said again that it plans") {
+  linked_agent agent(3);
+  agent.links.OnNotice(agent.notice.planner, agent.notice);
+  agent.PassTime(millis(2000));
+  REQUIRE_FALSE(agent.links.planner_missing_since().has_value());
+  for (int entry = 0; entry <= 3; ++entry) agent.Fail(Address(entry));
+  agent.links.OnConnected("e1", Address(1));  // the next process under its id
+  agent.PassTime(millis(4000));
+  REQUIRE(agent.links.planner_missing_since().has_value());
+
+  SUBCASE("whatever another entry passes on that it has heard before") {
+    agent.links.OnConnected("e2", Address(2));
+    agent.links.OnNotice("e2", agent.notice);
+    agent.PassTime(millis(1000));
+    CHECK(agent.links.planner_missing_since().has_value());
+  }
+  SUBCASE("which it does if it plans") {
+    agent.notice.term = 6;
+    agent.links.OnNotice("e1", agent.notice);
+    agent.PassTime(millis(100));
+    CHECK_FALSE(agent.links.planner_missing_since().has_value());
+  }
+  SUBCASE("or until an order proves it, if its notice was lost") {
+    agent.links.OnOrder("e1", agent.notice.term - 1);
+    agent.PassTime(millis(100));
+    CHECK(agent.links.planner_missing_since().has_value());
+    agent.links.OnOrder("e1", agent.notice.term);
     agent.PassTime(millis(100));
     CHECK_FALSE(agent.links.planner_missing_since().has_value());
   }
