Decisions on placement, preemption and worker speeds get folders of their own

Change: git mv of worker_speeds to kernel/learning, of capacity_map, start_planner, start_plan, planning_view and urgent_headroom to kernel/placement, and of preemption_planner to kernel/preemption.

--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -488,6 +488,7 @@
   last_planned_change_ = changes;
   next_plan_ = now + kPlanInterval;
   if (recovered) speeds_.Retain(pool_);
+  speeds_.Update(now);
   const planning_view view{*jobs_,
                            pool_,
                            *operators_.config,
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -17,10 +17,10 @@
 #include "kernel/batch/planner_journal.h"
 #include "kernel/batch/run_tracker.h"
 #include "kernel/batch/start_notices.h"
-#include "kernel/batch/start_planner.h"
 #include "kernel/batch/term_election.h"
 #include "kernel/batch/ticket_cache.h"
 #include "kernel/model/link_events.h"
+#include "kernel/placement/start_planner.h"
 
 namespace eelgrass {
 
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -277,9 +277,22 @@
       record.saved = listed.saved;
       jobs_.OnSaved(record.unit, listed.saved);
     }
+    ObserveProgress(worker, record, listed.percent, now - millis(report.listed_ago_ms));
   }
 }
 
+/** Follows the progress of a run, which shows the speed of its worker. */
+void run_tracker::ObserveProgress(const pool_worker& worker, run_record& record, int64_t percent,
+                                  millis at) {
+  const batch_step* step = jobs_.StepOf(record.unit);
+  if (step == nullptr || step->long_running || record.phase != run_phase::kRunning) return;
+  record.progress.Observe(percent, at);
+  const auto rate = record.progress.rate();
+  const bool near = step->data_rack.empty() || step->data_rack == worker.profile.rack;
+  if (!rate || !near || step->fills || worker.profile.cold_ms > 0) return;
+  speeds_.ObserveRate(worker.profile, *step, record.unit, {record.task, record.run}, *rate, at);
+}
+
 /**
  * Adds a listed run that an earlier planner ordered. It continues if its unit has no other open
  * run or it belongs to the same gang run; otherwise it is stopped.
@@ -378,10 +391,12 @@
       record.saved = unit->saved;
       record.full_run = unit->saved.empty();
       if (i < start.tickets.size()) record.ticket = start.tickets[i];
+      const worker_speed speed = speeds_.SpeedOf(worker->profile);
       log_event("run-placed")
           .With("task", record.task)
           .With("run", record.run)
           .With("worker", start.workers[i])
+          .With("slowdown_percent", speed.known ? static_cast<int64_t>(speed.slowdown * 100) : -1)
           .With("saved", record.saved)
           .With("waited_ms", (now - unit->ready_since).count());
       ++unit->open_runs;
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -11,10 +11,10 @@
 #include "kernel/batch/incarnation_numbers.h"
 #include "kernel/batch/job_table.h"
 #include "kernel/batch/run_closer.h"
-#include "kernel/batch/start_plan.h"
 #include "kernel/batch/worker_pool.h"
-#include "kernel/batch/worker_speeds.h"
+#include "kernel/learning/worker_speeds.h"
 #include "kernel/model/batch_config.h"
+#include "kernel/placement/start_plan.h"
 
 namespace eelgrass {
 
@@ -94,6 +94,7 @@
                 millis now);
   bool MayRelease(const counted_end& end, bool runs_known, millis now) const;
   std::string OpenAt(const unit_ref& unit, millis now) const;
+  void ObserveProgress(const pool_worker& worker, run_record& record, int64_t percent, millis at);
   void LearnSpeed(const pool_worker& worker, const run_record& record, const batch_step& step,
                   millis now);
   void ReleaseHeld(millis now);
--- a/src/kernel/batch/ticket_cache.h
+++ b/src/kernel/batch/ticket_cache.h
@@ -10,8 +10,8 @@
 #include <utility>
 #include <vector>
 
-#include "kernel/batch/planning_view.h"
-#include "kernel/batch/start_plan.h"
+#include "kernel/placement/planning_view.h"
+#include "kernel/placement/start_plan.h"
 
 namespace eelgrass {
 
--- a/src/kernel/batch/unit_order.h
+++ b/src/kernel/batch/unit_order.h
@@ -29,6 +29,9 @@
 /** Estimated duration of the longest chain of dependent steps in one occurrence. */
 millis LongestChain(const batch_job& job);
 
+/** Estimated duration of the longest chain of steps that depend on a step, without that step. */
+millis ChainAfter(const batch_job& job, int step);
+
 /** Time from acceptance within which a job has to end to be in time. */
 millis Objective(const tracked_job& job, const batch_queue& queue);
 
--- a/src/kernel/batch/worker_controller.cc
+++ b/src/kernel/batch/worker_controller.cc
@@ -568,6 +568,7 @@
   report.life = confirmed_incarnation_;
   report.listed =
       confirmed_term_ != 0 && !refused_connection_ && now - last_answer_ < kAnswerTimeout;
+  if (report.listed) report.listed_ago_ms = (now - last_answer_).count();
   report.worker = profile_;
   if (profile_.remaining_ms >= 0) {
     report.worker.remaining_ms =
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -14,6 +14,7 @@
 
 #include "kernel/batch/job_table.h"
 #include "kernel/batch/open_starts.h"
+#include "kernel/learning/run_progress.h"
 #include "kernel/model/worker_messages.h"
 
 namespace eelgrass {
@@ -39,6 +40,7 @@
   bool full_run = false;            // placed by this planner, without a checkpoint
   std::string ticket;               // placement ticket, if the queue's policy requires one
   bool former_incarnation = false;  // ordered to an earlier incarnation of the worker
+  run_progress progress{};
 };
 
 /** An end that counts and that its worker has not been allowed to forget. */
--- a/src/kernel/model/worker_messages.h
+++ b/src/kernel/model/worker_messages.h
@@ -51,7 +51,7 @@
   std::string task;
   int64_t run = 0;
   std::string saved;     // checkpoint; empty: none
-  int64_t percent = -1;  // share at which it works; -1: not said
+  int64_t percent = -1;  // of its work that is done; long-running: share at work; -1: not said
   int64_t load = 0;      // tail latency in ms of a serving task, else cores in use x 1000
   int64_t ran_ms = 0;    // for how long its agent has seen it
 };
@@ -103,6 +103,7 @@
   bool present = false;  // there is a worker
   bool listed = false;   // the lists were read from this life of the worker under `term`
   worker_profile worker;
+  int64_t listed_ago_ms = 0;  // how long before the report the lists were read
   std::vector<listed_run> running;
   std::vector<listed_end> ended;
   bool more_ends = false;   // further runs may have ended: the worker lists so many ends at a time
--- a/src/kernel/batch/capacity_map.cc
+++ b/src/kernel/placement/capacity_map.cc
@@ -1,9 +1,10 @@
-#include "kernel/batch/capacity_map.h"
+#include "kernel/placement/capacity_map.h"
 
 #include <algorithm>
 
 #include "kernel/batch/ticket_cache.h"
 #include "kernel/batch/unit_order.h"
+#include "kernel/placement/speed_match.h"
 
 namespace eelgrass {
 namespace {
@@ -40,7 +41,8 @@
     if (!Usable(worker, view)) continue;
     candidate_worker candidate;
     candidate.worker = &worker;
-    candidate.pace = view.speeds.Pace(id);
+    candidate.pace = view.speeds.Pace(worker.profile);
+    candidate.speed = view.speeds.SpeedOf(worker.profile);
     candidate.future = worker.FutureCapacity();
     const amounts present = worker.PresentCapacity();
     candidate.free = {std::min(present.cpu_milli, candidate.future.cpu_milli),
@@ -151,19 +153,20 @@
   // Workers on which the unit has failed come last; otherwise the tightest fit comes first. Urgent
   // work prefers fast workers and leaves slow ones to work that is not urgent.
   const bool urgent = IsUrgent(*unit.queue) && !unit.step->long_running;
+  const speed_match speeds(unit, view);
   const auto pace_rank = [urgent](worker_pace pace) {
     if (pace == worker_pace::kVerySlow) return 2;
     return (pace == worker_pace::kSlow) == urgent ? 1 : 0;
   };
-  std::stable_sort(fitting.begin(), fitting.end(),
-                   [&](const candidate_worker* a, const candidate_worker* b) {
-                     const auto key = [&](const candidate_worker* r) {
-                       return std::tuple(unit.state->failed_on.contains(r->worker->profile.self.id),
-                                         r->worker->profile.cold_ms > 0, pace_rank(r->pace),
-                                         r->free.accelerators, r->free.cpu_milli);
-                     };
-                     return key(a) < key(b);
-                   });
+  std::stable_sort(
+      fitting.begin(), fitting.end(), [&](const candidate_worker* a, const candidate_worker* b) {
+        const auto key = [&](const candidate_worker* r) {
+          return std::tuple(unit.state->failed_on.contains(r->worker->profile.self.id),
+                            r->worker->profile.cold_ms > 0, speeds.Rank(*r), pace_rank(r->pace),
+                            r->free.accelerators, r->free.cpu_milli);
+        };
+        return key(a) < key(b);
+      });
   return fitting;
 }
 
--- a/src/kernel/batch/capacity_map.h
+++ b/src/kernel/placement/capacity_map.h
@@ -10,8 +10,8 @@
 #include <tuple>
 #include <vector>
 
-#include "kernel/batch/planning_view.h"
-#include "kernel/batch/urgent_headroom.h"
+#include "kernel/placement/planning_view.h"
+#include "kernel/placement/urgent_headroom.h"
 
 namespace eelgrass {
 
@@ -32,6 +32,7 @@
 struct candidate_worker {
   const pool_worker* worker = nullptr;
   worker_pace pace = worker_pace::kTypical;
+  worker_speed speed;
   amounts free;                                            // free now and not held for other runs
   amounts future;                                          // free once the stopping runs have ended
   std::map<std::tuple<std::string, int, int>, int> tasks;  // number by job, occurrence and step
--- a/src/kernel/batch/planning_view.h
+++ b/src/kernel/placement/planning_view.h
@@ -8,7 +8,7 @@
 
 #include "kernel/batch/job_table.h"
 #include "kernel/batch/worker_pool.h"
-#include "kernel/batch/worker_speeds.h"
+#include "kernel/learning/worker_speeds.h"
 #include "kernel/model/batch_config.h"
 
 namespace eelgrass {
--- a/src/kernel/batch/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -1,10 +1,11 @@
-#include "kernel/batch/start_planner.h"
+#include "kernel/placement/start_planner.h"
 
 #include <algorithm>
 #include <limits>
 
 #include "kernel/batch/ticket_cache.h"
 #include "kernel/batch/worker_calls.h"
+#include "kernel/placement/speed_match.h"
 
 namespace eelgrass {
 namespace {
@@ -188,7 +189,7 @@
     if (place || (patient && !near.empty())) return place;
   }
   if (unit.step->same_rack && unit.members > 1) {
-    auto place = PlaceInOneRack(unit, candidates);
+    auto place = PlaceInOneRack(unit, candidates, view);
     if (place || (patient && AnyRackCanHold(unit, candidates))) return place;
   }
   return PlaceIn(unit, candidates);
@@ -209,18 +210,23 @@
 }
 
 std::optional<std::vector<candidate_worker*>> start_planner::PlaceInOneRack(
-    const ready_unit& unit, std::span<candidate_worker* const> candidates) {
+    const ready_unit& unit, std::span<candidate_worker* const> candidates,
+    const planning_view& view) {
   std::map<std::string, std::vector<candidate_worker*>> racks;
   for (auto* candidate : candidates) racks[candidate->worker->profile.rack].push_back(candidate);
   std::optional<std::vector<candidate_worker*>> best;
-  std::pair<worker_pace, int64_t> least{worker_pace::kVerySlow,
-                                        std::numeric_limits<int64_t>::max()};
+  const speed_match speeds(unit, view);
+  using rack_score = std::tuple<int, worker_pace, int64_t>;
+  rack_score least{std::numeric_limits<int>::max(), worker_pace::kVerySlow, 0};
   for (const auto& [rack, members] : racks) {
     auto place = PlaceIn(unit, members);
     if (!place) continue;
-    std::pair<worker_pace, int64_t> score{worker_pace::kTypical, 0};
-    for (const auto* candidate : *place) score.first = std::max(score.first, candidate->pace);
-    for (const auto* candidate : members) score.second += candidate->free.accelerators;
+    rack_score score{0, worker_pace::kTypical, 0};
+    for (const auto* candidate : *place) {
+      std::get<0>(score) = std::max(std::get<0>(score), speeds.Rank(*candidate));
+      std::get<1>(score) = std::max(std::get<1>(score), candidate->pace);
+    }
+    for (const auto* candidate : members) std::get<2>(score) += candidate->free.accelerators;
     if (score >= least) continue;
     least = score;
     best = std::move(place);
--- a/src/kernel/batch/start_planner.h
+++ b/src/kernel/placement/start_planner.h
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
-#include "kernel/batch/capacity_map.h"
-#include "kernel/batch/preemption_planner.h"
-#include "kernel/batch/start_plan.h"
 #include "kernel/batch/unit_order.h"
+#include "kernel/placement/capacity_map.h"
+#include "kernel/placement/start_plan.h"
+#include "kernel/preemption/preemption_planner.h"
 
 namespace eelgrass {
 
@@ -41,7 +41,8 @@
   static int64_t MostMembersOn(const ready_unit& unit, const candidate_worker& candidate,
                                int64_t most);
   std::optional<std::vector<candidate_worker*>> PlaceInOneRack(
-      const ready_unit& unit, std::span<candidate_worker* const> candidates);
+      const ready_unit& unit, std::span<candidate_worker* const> candidates,
+      const planning_view& view);
   std::optional<std::vector<candidate_worker*>> PlacePreempting(
       const ready_unit& unit, std::span<candidate_worker* const> candidates,
       const planning_view& view, start_plan& plan);
--- a/src/kernel/batch/urgent_headroom.cc
+++ b/src/kernel/placement/urgent_headroom.cc
@@ -1,4 +1,4 @@
-#include "kernel/batch/urgent_headroom.h"
+#include "kernel/placement/urgent_headroom.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/kernel/batch/preemption_planner.cc
+++ b/src/kernel/preemption/preemption_planner.cc
@@ -1,4 +1,4 @@
-#include "kernel/batch/preemption_planner.h"
+#include "kernel/preemption/preemption_planner.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/kernel/batch/preemption_planner.h
+++ b/src/kernel/preemption/preemption_planner.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "kernel/batch/capacity_map.h"
+#include "kernel/placement/capacity_map.h"
 
 namespace eelgrass {
 
--- a/src/plugins/peer/cbor/cbor_codec.cc
+++ b/src/plugins/peer/cbor/cbor_codec.cc
@@ -71,8 +71,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(refused_start, task, run, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(unanswered_start, task, run, left_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_report, term, life, sequence, sent_ms,
-                                                present, listed, worker, running, ended, more_ends,
-                                                lapsed_upto, refused, unanswered)
+                                                present, listed, listed_ago_ms, worker, running,
+                                                ended, more_ends, lapsed_upto, refused, unanswered)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(wanted_run, task, run, spec, saved, ticket,
                                                 target_ms, fills, confirmed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(run_ref, task, run)
--- a/tests/stories/open_starts_story.cc
+++ b/tests/stories/open_starts_story.cc
@@ -4,7 +4,7 @@
 
 #include "kernel/batch/planner_core.h"
 #include "kernel/batch/run_tracker.h"
-#include "kernel/batch/start_planner.h"
+#include "kernel/placement/start_planner.h"
 #include "tests/world/batch_world.h"
 
 namespace eelgrass {
--- a/tests/stories/worker_speeds_story.cc
+++ b/tests/stories/worker_speeds_story.cc
@@ -1,8 +1,8 @@
 #include <doctest/doctest.h>
 
-#include "kernel/batch/urgent_headroom.h"
 #include "kernel/batch/worker_controller.h"
-#include "kernel/batch/worker_speeds.h"
+#include "kernel/learning/worker_speeds.h"
+#include "kernel/placement/urgent_headroom.h"
 
 namespace eelgrass {
 namespace {
