Room is held for wide gangs, preemption waits for runs that end in time, estimates are corrected

Cause: gangs of later priorities waited up to 29 s while single tasks passed them, urgent units preempted work that was about to end, and units were preempted any number of times. Estimates are off by much more than the speeds of workers, so that patience, objectives and reserves went by wrong times. Change: availability predicts when room becomes free, from the progress of the running units. start_planner holds room for up to two wide units of a service; others use it if they are predicted to be gone before. A unit that is predicted to be in time when it waits does not preempt, a guaranteed one within 0.7 s of its acceptance. A unit is preempted at most twice but for guaranteed work. work_estimates learns the work of a queue's jobs and the error of its estimates, measured_work what the runs of one job show; both correct the estimates that decisions use.

--- a/src/kernel/batch/job_table.cc
+++ b/src/kernel/batch/job_table.cc
@@ -231,6 +231,23 @@
   Finish(*job, batch_state::kFailed);
 }
 
+void job_table::OnWorkMeasured(const unit_ref& unit, double work_ms) {
+  tracked_job* job = Find(unit.job);
+  const batch_step* step = StepOf(unit);
+  if (job == nullptr || step == nullptr) return;
+  if (!job->work.known()) estimates_.Record(job->job.queue, step->estimate, work_ms);
+  job->work.Record(step->estimate, work_ms);
+}
+
+void job_table::PredictWork() {
+  for (const auto& id : open_) {
+    tracked_job& job = *Find(id);
+    if (job.work.known() || job.job.steps.empty()) continue;
+    // The estimates of one job are off by the same factor.
+    job.work.Expect(estimates_.Ratio(job.job.queue, job.job.steps.front().estimate));
+  }
+}
+
 void job_table::OnSaved(const unit_ref& ref, std::string_view saved) {
   unit_state* unit = Find(ref);
   if (unit != nullptr && !saved.empty() && !unit->done) unit->saved = saved;
--- a/src/kernel/batch/job_table.h
+++ b/src/kernel/batch/job_table.h
@@ -14,6 +14,8 @@
 #include <vector>
 
 #include "kernel/batch/batch_records.h"
+#include "kernel/learning/measured_work.h"
+#include "kernel/learning/work_estimates.h"
 #include "kernel/model/worker_messages.h"
 
 namespace eelgrass {
@@ -44,6 +46,7 @@
   millis not_before{0};             // no start before this, after a refused start
   std::set<std::string> failed_on;  // workers on which a run failed
   bool ran_again = false;           // another run was seen after the unit was done
+  int preemptions = 0;              // by this planner
 
   int failures() const { return static_cast<int>(failed_runs.size()); }
 };
@@ -86,6 +89,7 @@
   std::vector<occurrence_state> occurrences;
   int done = 0;            // number of done occurrences
   bool begun = false;      // a task has started
+  measured_work work{};    // of its runs, against their estimates
   bool stored = true;      // whether the final state is in the store
   bool unsettled = false;  // another run of a done unit may have been ordered in an earlier term
   std::set<int> parts;     // rows of its progress in the store besides the first
@@ -146,6 +150,12 @@
   /** Records a failed run; the job fails once a unit has used up its attempts. */
   void OnFailed(const unit_ref& unit, int64_t run, int attempts, std::string_view worker);
 
+  /** Records how long a task of the unit takes on a typical worker, as one of its runs shows. */
+  void OnWorkMeasured(const unit_ref& unit, double work_ms);
+
+  /** Corrects the estimates of the open jobs by what is known of their queues. */
+  void PredictWork();
+
   /** Records a checkpoint from which later runs can start. */
   void OnSaved(const unit_ref& unit, std::string_view saved);
 
@@ -175,6 +185,7 @@
   std::set<std::string> open_;
   std::map<std::string, bool, std::less<>> done_;
   std::set<progress_row> dirty_;
+  work_estimates estimates_;
   bool finished_ = false;
 };
 
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -489,6 +489,7 @@
   next_plan_ = now + kPlanInterval;
   if (recovered) speeds_.Retain(pool_);
   speeds_.Update(now);
+  jobs_->PredictWork();
   const planning_view view{*jobs_,
                            pool_,
                            *operators_.config,
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -22,6 +22,9 @@
 constexpr int kFailuresToAvoid = 3;
 constexpr millis kAvoidTime{6000};
 
+/** Greatest error of a rate from which the work of a run is concluded. */
+constexpr double kMaxWorkError = 0.05;
+
 /** Delay before a unit is tried again after a worker refused to start it. */
 constexpr millis kRefusalPause{200};
 
@@ -291,6 +294,10 @@
   const bool near = step->data_rack.empty() || step->data_rack == worker.profile.rack;
   if (!rate || !near || step->fills || worker.profile.cold_ms > 0) return;
   speeds_.ObserveRate(worker.profile, *step, record.unit, {record.task, record.run}, *rate, at);
+  if (record.remote || record.work_known || rate->error > kMaxWorkError) return;
+  record.work_known = true;
+  const worker_speed speed = speeds_.SpeedOf(worker.profile);
+  jobs_.OnWorkMeasured(record.unit, rate->whole_ms() / speed.slowdown);
 }
 
 /**
@@ -309,6 +316,7 @@
   if (step != nullptr) {
     record.unit = UnitOf(task, *step);
     record.each = ResourcesPerTask(*step);
+    record.remote = step->same_rack;  // the other members may be in another rack
     unit_state* unit = jobs_.Find(record.unit);
     const tracked_job* job = jobs_.Find(task.job);
     if (unit == nullptr || job == nullptr) return false;
@@ -371,14 +379,27 @@
   }
 }
 
+/** Whether all these workers are in the same rack. */
+bool run_tracker::InOneRack(std::span<const std::string> workers) const {
+  const pool_worker* first = workers.empty() ? nullptr : pool_.Find(workers.front());
+  return first != nullptr && std::all_of(workers.begin(), workers.end(), [&](const auto& id) {
+           const pool_worker* worker = pool_.Find(id);
+           return worker != nullptr && worker->profile.rack == first->profile.rack;
+         });
+}
+
 void run_tracker::Apply(const start_plan& plan, millis now) {
-  for (const auto& unit : plan.preempted) Stop(unit, "preempted", now);
+  for (const auto& unit : plan.preempted) {
+    if (unit_state* state = jobs_.Find(unit)) ++state->preemptions;
+    Stop(unit, "preempted", now);
+  }
   for (const auto& unit : plan.moved) Stop(unit, "its worker leaves before the run can end", now);
   for (const auto& start : plan.starts) {
     const batch_step* step = jobs_.StepOf(start.unit);
     unit_state* unit = jobs_.Find(start.unit);
     if (step == nullptr || unit == nullptr) continue;
     unit->run = NextRun();
+    const bool over_racks = step->same_rack && !InOneRack(start.workers);
     for (size_t i = 0; i < start.workers.size(); ++i) {
       pool_worker* worker = pool_.Find(start.workers[i]);
       if (worker == nullptr) continue;
@@ -390,6 +411,7 @@
       record.since = now;
       record.saved = unit->saved;
       record.full_run = unit->saved.empty();
+      record.remote = over_racks;
       if (i < start.tickets.size()) record.ticket = start.tickets[i];
       const worker_speed speed = speeds_.SpeedOf(worker->profile);
       log_event("run-placed")
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -97,6 +97,7 @@
   void ObserveProgress(const pool_worker& worker, run_record& record, int64_t percent, millis at);
   void LearnSpeed(const pool_worker& worker, const run_record& record, const batch_step& step,
                   millis now);
+  bool InOneRack(std::span<const std::string> workers) const;
   void ReleaseHeld(millis now);
   bool HasOtherRuns(std::string_view job) const;
   void StopOverdue(millis now);
--- a/src/kernel/batch/unit_order.h
+++ b/src/kernel/batch/unit_order.h
@@ -26,11 +26,11 @@
 using unit_order_registration =
     plugin_registration<unit_order_registry, unit_order, Implementation>;
 
-/** Estimated duration of the longest chain of dependent steps in one occurrence. */
-millis LongestChain(const batch_job& job);
+/** Expected duration of the longest chain of dependent steps in one occurrence. */
+millis LongestChain(const tracked_job& job);
 
-/** Estimated duration of the longest chain of steps that depend on a step, without that step. */
-millis ChainAfter(const batch_job& job, int step);
+/** Expected duration of the longest chain of steps that depend on a step, without that step. */
+millis ChainAfter(const tracked_job& job, int step);
 
 /** Time from acceptance within which a job has to end to be in time. */
 millis Objective(const tracked_job& job, const batch_queue& queue);
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -41,6 +41,8 @@
   std::string ticket;               // placement ticket, if the queue's policy requires one
   bool former_incarnation = false;  // ordered to an earlier incarnation of the worker
   run_progress progress{};
+  bool remote = false;      // slowed down, or maybe so: off its data, or over several racks
+  bool work_known = false;  // its work was recorded for its job
 };
 
 /** An end that counts and that its worker has not been allowed to forget. */
--- a/src/kernel/learning/run_progress.h
+++ b/src/kernel/learning/run_progress.h
@@ -15,6 +15,9 @@
 struct work_rate {
   double percent_per_second = 0;
   double error = 0;  // standard deviation, as a share of the rate
+
+  /** Time that the whole work takes at this rate. */
+  double whole_ms() const { return 100 * 1000 / percent_per_second; }
 };
 
 /**
--- /dev/null
+++ b/src/kernel/placement/availability.h
@@ -0,0 +1,65 @@
+/** \file
+ * Predicts when room becomes free.
+ */
+#pragma once
+
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "kernel/placement/capacity_map.h"
+
+namespace eelgrass {
+
+/** Where and when a unit is predicted to fit. */
+struct future_place {
+  millis at{0};
+  std::vector<candidate_worker*> workers;  // one for each member
+};
+
+/**
+ * Answers the load of gangs that wait while single tasks pass them: predicts when a unit fits
+ * without preemption, from the remaining time of the running units. A gang's room becomes free when
+ * its slowest member is done.
+ */
+class availability {
+ public:
+  explicit availability(capacity_map& capacity) : capacity_(capacity) {}
+
+  /** Forgets the previous plan's predictions. */
+  void Begin() { ends_.clear(); }
+
+  /**
+   * The earliest time, at most `horizon`, at which all members fit on these workers together, in
+   * one rack if the unit wants that. `measured_only`: units whose end is only estimated count as
+   * never ending.
+   */
+  std::optional<future_place> Earliest(const ready_unit& unit,
+                                       std::span<candidate_worker* const> candidates,
+                                       const planning_view& view, millis horizon,
+                                       bool measured_only);
+
+  /** A worker's room at a time, once the runs that are predicted to end until then have ended. */
+  amounts RoomAt(const candidate_worker& worker, const planning_view& view, millis at);
+
+ private:
+  /** Room for one more member on a worker from a time on. */
+  struct opening {
+    millis at{0};
+    candidate_worker* worker = nullptr;
+  };
+  struct unit_end {
+    millis at{0};
+    bool measured = false;
+  };
+
+  const unit_end& EndOf(const unit_ref& unit, const planning_view& view);
+  void AddOpenings(const ready_unit& unit, candidate_worker& worker, const planning_view& view,
+                   millis horizon, bool measured_only, std::vector<opening>& openings);
+
+  capacity_map& capacity_;
+  std::map<unit_ref, unit_end> ends_;
+};
+
+}  // namespace eelgrass
--- a/src/kernel/placement/capacity_map.cc
+++ b/src/kernel/placement/capacity_map.cc
@@ -120,7 +120,7 @@
 /** Whether a unit may use reserved workers: it is urgent, was stopped before or is running late. */
 bool capacity_map::MayUseReserved(const ready_unit& unit, const planning_view& view) {
   if (IsUrgent(*unit.queue) || unit.step->long_running || !unit.state->saved.empty()) return true;
-  const millis slack = Objective(*unit.job, *unit.queue) - LongestChain(unit.job->job);
+  const millis slack = Objective(*unit.job, *unit.queue) - LongestChain(*unit.job);
   return unit.job->job.occurrences > 0 || view.now - unit.job->accepted > slack / 2;
 }
 
--- a/src/kernel/placement/capacity_map.h
+++ b/src/kernel/placement/capacity_map.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,9 +26,16 @@
   amounts each;  // resources of one member
   int members = 1;
   double rank = 0;
+  millis work{0};                    // of one member on a typical worker
   std::map<int, std::string> bound;  // members that a worker may still start, with its id
 };
 
+/** Room on a worker that is held for a unit until enough of it is free. */
+struct place_hold {
+  millis starts_in{0};  // predicted
+  amounts spare;        // room at that time beyond what is held
+};
+
 /** A worker on which runs can be placed, with its remaining resources. */
 struct candidate_worker {
   const pool_worker* worker = nullptr;
@@ -37,6 +45,7 @@
   amounts future;                                          // free once the stopping runs have ended
   std::map<std::tuple<std::string, int, int>, int> tasks;  // number by job, occurrence and step
   bool reserved = false;                                   // reserved for urgent work
+  std::optional<place_hold> hold;
 };
 
 /** Which tickets the workers for a unit need, if its queue's policy requires any. */
--- a/src/kernel/placement/speed_match.cc
+++ b/src/kernel/placement/speed_match.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "kernel/batch/unit_order.h"
+#include "kernel/learning/run_forecast.h"
 
 namespace eelgrass {
 namespace {
@@ -16,11 +17,11 @@
 
 speed_match::speed_match(const ready_unit& unit, const planning_view& view) {
   const bool scheduled = unit.job->job.occurrences > 0;
-  if (scheduled || unit.step->long_running || unit.step->estimate <= millis(0)) return;
+  const millis work = ExpectedWork(*unit.job, *unit.step);
+  if (scheduled || unit.step->long_running || work <= millis(0)) return;
   const millis until = unit.job->accepted + Objective(*unit.job, *unit.queue);
-  const millis left = until - view.now - kOverhead - ChainAfter(unit.job->job, unit.unit.step);
-  greatest_in_time_ =
-      static_cast<double>(left.count()) / static_cast<double>(unit.step->estimate.count());
+  const millis left = until - view.now - kOverhead - ChainAfter(*unit.job, unit.unit.step);
+  greatest_in_time_ = static_cast<double>(left.count()) / static_cast<double>(work.count());
   sensitive_ = greatest_in_time_ >= 1 && view.speeds.greatest_slowdown() > greatest_in_time_;
 }
 
--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
+#include "kernel/base/log_event.h"
 #include "kernel/batch/ticket_cache.h"
 #include "kernel/batch/worker_calls.h"
+#include "kernel/learning/run_forecast.h"
 #include "kernel/placement/speed_match.h"
 
 namespace eelgrass {
@@ -25,9 +28,28 @@
  */
 constexpr millis kLongestBinding = kLatestExecution;
 
+/** Units of one service for which room is held at a time: more would leave too much of it idle. */
+constexpr int kMaxHolds = 2;
+
+/** No room is held for a unit that is predicted to start later than this. */
+constexpr millis kHoldHorizon{15000};
+
+/** A unit that uses held room has to be gone this long before, as predictions err. */
+constexpr millis kHoldMargin{300};
+
+/** Time from placing a unit until it works, and from its end until its caller can see it. */
+constexpr millis kStartOverhead{150};
+
+/**
+ * Guaranteed units preempt at the latest this long after their acceptance. Stopping the victims and
+ * starting the unit take about 2 s, and the platform's bound for reclaiming is 2.7 s or more.
+ */
+constexpr millis kLongestReclaimWait{700};
+
 }  // namespace
 
-start_planner::start_planner(const unit_order& order) : order_(order), preemption_(capacity_) {}
+start_planner::start_planner(const unit_order& order)
+    : order_(order), availability_(capacity_), preemption_(capacity_) {}
 
 start_plan start_planner::Plan(const planning_view& view) {
   start_plan plan;
@@ -36,6 +58,9 @@
   capacity_.Read(view);
   capacity_.ReserveHeadroom(ready, view);
   preemption_.Begin(view);
+  availability_.Begin();
+  holds_.clear();
+  held_before_ = std::exchange(held_, {});
   std::set<std::pair<std::string, int>> exhausted;  // steps of which no further unit fits
   for (const auto& unit : ready) {
     const std::pair<std::string, int> shape{unit.unit.job, unit.unit.step};
@@ -44,10 +69,12 @@
     auto place = Place(unit, candidates, view);
     if (unit.members == 1) KeepBoundWorker(unit, candidates);
     const bool may_preempt = unit.bound.empty() || unit.members == 1;
-    if (!place && may_preempt && preemption_.MayPreemptFor(unit, view)) {
+    if (!place && may_preempt && preemption_.MayPreemptFor(unit, view) &&
+        !EndsInTimeIfItWaits(unit, candidates, view)) {
       place = PlacePreempting(unit, candidates, view, plan);
     }
     if (!place) {
+      Hold(unit, candidates, view);
       AddAdviceWish(unit, view, plan);
       if (unit.bound.empty()) exhausted.insert(shape);
       continue;
@@ -127,7 +154,9 @@
     for (const auto& [ref, record] : worker.runs) {
       const batch_step* step = view.jobs.StepOf(record.unit);
       if (step == nullptr || step->long_running || record.phase != run_phase::kRunning) continue;
-      const millis left = record.began.value_or(view.now) + step->estimate - view.now;
+      const tracked_job& job = *view.jobs.Find(record.unit.job);
+      const worker_speed speed = view.speeds.SpeedOf(worker.profile);
+      const millis left = PredictRest(record, job, *step, speed, view.now).time;
       const millis stay = worker.leaves_at - view.now;
       const bool cannot_end = left > stay + stay / kNoticeToleranceDivisor;
       if (record.full_run && cannot_end) moved.insert(record.unit);
@@ -163,6 +192,7 @@
           unit.each = ResourcesPerTask(*unit.step);
           unit.members = UnitSize(*unit.step);
           unit.rank = rank;
+          unit.work = ExpectedWork(job, *unit.step);
           auto bound = BoundMembers(unit, view);
           if (!bound) continue;
           unit.bound = std::move(*bound);
@@ -179,7 +209,7 @@
 std::optional<std::vector<candidate_worker*>> start_planner::Place(
     const ready_unit& unit, std::span<candidate_worker* const> candidates,
     const planning_view& view) {
-  const bool patient = view.now - unit.state->ready_since < unit.step->estimate * kRackWaitFactor;
+  const bool patient = view.now - unit.state->ready_since < unit.work * kRackWaitFactor;
   if (!unit.step->data_rack.empty() && unit.bound.empty()) {
     std::vector<candidate_worker*> near;
     for (auto* candidate : candidates) {
@@ -274,7 +304,64 @@
     const int there = found == candidate.tasks.end() ? 0 : found->second;
     most = std::min<int64_t>(most, std::max(0, unit.step->max_per_worker - there));
   }
-  return CountFitting(unit.each, candidate.free, most);
+  most = CountFitting(unit.each, candidate.free, most);
+  if (!candidate.hold || most == 0) return most;
+  // A unit that is gone before the held room is needed may use it meanwhile.
+  const millis rest(
+      static_cast<int64_t>(static_cast<double>(unit.work.count()) * candidate.speed.slowdown));
+  const bool gone = !unit.step->long_running && rest + kHoldMargin <= candidate.hold->starts_in;
+  return gone ? most : CountFitting(unit.each, candidate.hold->spare, most);
+}
+
+/** Whether a unit that waits for runs to end by themselves is predicted to be in time. */
+bool start_planner::EndsInTimeIfItWaits(const ready_unit& unit,
+                                        std::span<candidate_worker* const> candidates,
+                                        const planning_view& view) {
+  if (unit.job->job.occurrences > 0 || !unit.bound.empty()) return false;
+  const millis until = unit.job->accepted + Objective(*unit.job, *unit.queue);
+  millis latest = until - unit.work - kStartOverhead - ChainAfter(*unit.job, unit.unit.step);
+  if (preemption_.Guaranteed(unit.unit.job)) {
+    latest = std::min(latest, unit.job->accepted + kLongestReclaimWait);
+  }
+  if (latest <= view.now) return false;
+  const auto place = availability_.Earliest(unit, candidates, view, latest, true);
+  if (!place || place->at <= view.now) return false;
+  double slowdown = 1;
+  for (const auto* worker : place->workers) slowdown = std::max(slowdown, worker->speed.slowdown);
+  const millis work(static_cast<int64_t>(static_cast<double>(unit.work.count()) * slowdown));
+  return place->at + work - unit.work <= latest;
+}
+
+/**
+ * Holds room for a unit that does not fit, where it is predicted to fit first. Without this, wide
+ * gangs wait as long as there are narrow units that fit into each gap.
+ */
+void start_planner::Hold(const ready_unit& unit, std::span<candidate_worker* const> candidates,
+                         const planning_view& view) {
+  const bool wide = unit.members > 1;
+  if (!wide || unit.step->long_running || !unit.bound.empty()) return;
+  int& holds = holds_[unit.queue->service];
+  if (holds >= kMaxHolds) return;
+  const auto place = availability_.Earliest(unit, candidates, view, view.now + kHoldHorizon, false);
+  if (!place) return;
+  ++holds;
+  held_.insert(unit.unit);
+  if (!held_before_.contains(unit.unit)) {
+    log_event("room-held")
+        .With("job", unit.unit.job)
+        .With("step", unit.unit.step)
+        .With("members", unit.members)
+        .With("starts_in_ms", (place->at - view.now).count())
+        .With("waited_ms", (view.now - unit.state->ready_since).count());
+  }
+  for (auto* worker : place->workers) {
+    if (!worker->hold) {
+      worker->hold =
+          place_hold{place->at - view.now, availability_.RoomAt(*worker, view, place->at)};
+    }
+    worker->hold->starts_in = std::min(worker->hold->starts_in, place->at - view.now);
+    worker->hold->spare -= unit.each;
+  }
 }
 
 void start_planner::Assign(const ready_unit& unit, std::span<candidate_worker* const> candidates,
@@ -283,6 +370,7 @@
   for (auto* candidate : candidates) {
     candidate->free -= unit.each;
     candidate->future -= unit.each;
+    if (candidate->hold) candidate->hold->spare -= unit.each;
     ++candidate->tasks[{unit.unit.job, unit.unit.occurrence, unit.unit.step}];
     start.workers.push_back(candidate->worker->profile.self.id);
     const std::string* ticket =
--- a/src/kernel/placement/start_planner.h
+++ b/src/kernel/placement/start_planner.h
@@ -5,11 +5,13 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
 
 #include "kernel/batch/unit_order.h"
+#include "kernel/placement/availability.h"
 #include "kernel/placement/capacity_map.h"
 #include "kernel/placement/start_plan.h"
 #include "kernel/preemption/preemption_planner.h"
@@ -51,8 +53,17 @@
   void Assign(const ready_unit& unit, std::span<candidate_worker* const> candidates,
               const planning_view& view, start_plan& plan);
 
+  bool EndsInTimeIfItWaits(const ready_unit& unit, std::span<candidate_worker* const> candidates,
+                           const planning_view& view);
+  void Hold(const ready_unit& unit, std::span<candidate_worker* const> candidates,
+            const planning_view& view);
+
   const unit_order& order_;
   capacity_map capacity_;
+  availability availability_;
+  std::map<std::string, int> holds_;  // number by service, in this plan
+  std::set<unit_ref> held_;           // units for which room is held, in this plan
+  std::set<unit_ref> held_before_;    // in the previous plan
   preemption_planner preemption_;
 };
 
--- a/src/kernel/preemption/preemption_planner.cc
+++ b/src/kernel/preemption/preemption_planner.cc
@@ -17,6 +17,9 @@
  */
 constexpr double kUrgentLoss = 8;
 
+/** A unit that was preempted this often may be preempted again for guaranteed work only. */
+constexpr int kMaxPreemptions = 2;
+
 }  // namespace
 
 preemption_planner::preemption_planner(capacity_map& capacity) : capacity_(capacity) {}
@@ -65,7 +68,7 @@
   if (guaranteed_.contains(unit.unit.job)) return true;
   if (!IsUrgent(*unit.queue) || unit.step->long_running) return false;
   const millis objective = Objective(*unit.job, *unit.queue);
-  return view.now + unit.step->estimate < unit.job->accepted + objective * kLateFactor;
+  return view.now + unit.work < unit.job->accepted + objective * kLateFactor;
 }
 
 bool preemption_planner::IsLessUrgent(const unit_ref& victim, const ready_unit& by,
@@ -79,6 +82,9 @@
   if (victim.job == by.unit.job || guaranteed_.contains(victim.job)) return false;
   if (!guaranteed_.contains(by.unit.job) && !IsLessUrgent(victim, by, view)) return false;
   const batch_step* step = view.jobs.StepOf(victim);
+  const unit_state* state = view.jobs.Find(victim);
+  const bool spent = state != nullptr && state->preemptions >= kMaxPreemptions;
+  if (spent && !guaranteed_.contains(by.unit.job)) return false;
   if (step == nullptr || !step->long_running) return step != nullptr;
   // A long-running step limits how many of its units may be stopped at once.
   int away = 0;
--- a/src/kernel/preemption/preemption_planner.h
+++ b/src/kernel/preemption/preemption_planner.h
@@ -39,6 +39,9 @@
    */
   bool MayPreemptFor(const ready_unit& unit, const planning_view& view) const;
 
+  /** Whether a job is within its organisation's guarantee. */
+  bool Guaranteed(const std::string& job) const { return guaranteed_.contains(job); }
+
   /**
    * Returns the cheapest preemption that lets the unit run on some of these workers, if there is
    * one. From then on the victims' resources count as free in the capacity map.
