The settings give the times of a restore and of a stop

Cause: deciding whether a run is worth moving needs to know what moving it costs. Result: the story of the settings file checks the values and both ends of the range.

--- a/src/kernel/io/deployment.h
+++ b/src/kernel/io/deployment.h
@@ -21,6 +21,8 @@
   millis config{2000};        // a new configuration is in force after this at the latest
   millis grace{6000};         // between the request to stop and the end of a process
   millis early{250};          // an occurrence may start this much before its time
+  millis restore{250};        // a start from a checkpoint takes this much longer
+  millis stop_timeout{400};   // a stop is carried out after this at the latest
 };
 
 /** The place of one process. */
--- a/tests/stories/platform_story.cc
+++ b/tests/stories/platform_story.cc
@@ -289,7 +289,7 @@
   };
   const auto place = load(R"({"Node":"n1","Ip":"10.1.0.1","Zone":"z","PortRange":[7000,7015],
     "Listen":{"Front":"10.1.0.1:80"},"Seeds":["10.1.0.2:81"],"platform":{"Addr":"10.9.0.1:1","RowBytes":65536},
-    "Bounds":{"HoldMaxMs":10000,"GraceS":6,"RevokeMs":4000,"ConfigApplyMs":3000},"New":{},
+    "Bounds":{"HoldMaxMs":10000,"GraceS":6,"RevokeMs":4000,"ConfigApplyMs":3000,"RestoreMs":100,"StopTimeoutMs":900},"New":{},
     "Limits":{"CpuShare":0.25,"Cores":2}})");
   REQUIRE(place);
   CHECK(place.value().processor == 0.5);
@@ -303,6 +303,18 @@
   CHECK(place.value().bounds.grace == millis(6000));
   CHECK(place.value().bounds.revocation == millis(4000));
   CHECK(place.value().bounds.config == millis(3000));
+  CHECK(place.value().bounds.restore == millis(100));
+  CHECK(place.value().bounds.stop_timeout == millis(900));
+  // Guards against decisions on a mistyped setting: the start stops and names it.
+  for (const std::string wrong : {"-1", "60001"}) {
+    for (const std::string name : {"RestoreMs", "StopTimeoutMs"}) {
+      const auto refused = load(R"({"Node":"n1","Ip":"10.1.0.1","Zone":"z","PortRange":[7000,7015],
+        "Bounds":{")" + name +
+                                "\":" + wrong + "}}");
+      REQUIRE_FALSE(refused);
+      CHECK(ToString(refused.error()).find("'" + name + "'") != std::string::npos);
+    }
+  }
   CHECK(place.value().seeds == std::vector<std::string>{"10.1.0.2:81"});
   CHECK_FALSE(load("{}"));
   CHECK_FALSE(load(R"({"Node":"n1","Ip":"10.1.0.1","Zone":"z"})"));
