Stalled runs are moved, and workers at fault are quarantined

Cause: on some workers tasks stand still for seconds while the worker responds, and some workers end many gangs, each of which fails there only once. Only the lease, or three failures in a row, detected either. Change: kernel/stragglers. listing_watch follows how long a run is listed without progress, stalled_run_finder names the units that stand still and the gain of starting elsewhere, worker_quarantine keeps work away from the workers at fault, with back-off and a probe, at most a quarter of a service. planner_core::Plan stops the units before it plans; capacity_map admits one unit to a worker on probation.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -113,7 +113,7 @@
   handed_over_ = core_.handed_over();
   if (now < next_gauges_) return;
   next_gauges_ = now + kGaugeInterval;
-  const planner_statistics stats = core_.stats();
+  const planner_statistics stats = core_.stats(now);
   counters_.Set("planning", stats.planning ? 1 : 0);
   counters_.Set("open_jobs", stats.open_jobs);
   counters_.Set("waiting_jobs", stats.waiting_jobs);
@@ -121,6 +121,9 @@
   counters_.Set("runs", stats.runs);
   counters_.Set("runs_given_up_total", stats.runs_given_up);
   counters_.Set("open_starts", stats.open_starts);
+  counters_.Set("stalled_units_moved_total", stats.stalled_units_moved);
+  counters_.Set("worker_quarantines_total", stats.worker_quarantines);
+  counters_.Set("quarantined_workers", stats.quarantined_workers);
   counters_.Set("term", stats.term);
 }
 
@@ -191,6 +194,7 @@
   planning.peer_address = hub.self.address;
   planning.processor = place_.processor;
   planning.early = place_.bounds.early;
+  planning.stragglers = {place_.bounds.restore, place_.bounds.stop_timeout};
   planning.tracking.grant = std::min(kGrant, place_.bounds.longest_hold * kGrantPercent / kPercent);
   planner_ = std::make_unique<planner_core>(planning, *records_, *order_);
   gateway_handler_ = std::make_unique<gateway_duty>(*gateway_, *hub_, *front_, *status_, counters_);
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -37,6 +37,7 @@
       journal_(codec, term_, options_.row_bytes),
       lost_(pool_, journal_),
       starts_(order),
+      stragglers_(options_.stragglers),
       start_notices_(options_.domain) {
   ResetTermState();
 }
@@ -372,12 +373,15 @@
   return waiting;
 }
 
-planner_statistics planner_core::stats() const {
+planner_statistics planner_core::stats(millis now) const {
   planner_statistics stats;
   stats.planning = planning_;
   stats.runs_given_up = given_up_in_earlier_terms_ + tracker_->given_up();
   stats.open_starts = static_cast<int64_t>(pool_.starts().count());
+  stats.stalled_units_moved = stragglers_.units_moved();
+  stats.worker_quarantines = stragglers_.quarantines();
   if (!term_.holding()) return stats;
+  stats.quarantined_workers = CountQuarantined(pool_, now);
   stats.term = term_.fence();
   stats.open_jobs = static_cast<int64_t>(jobs_->open().size());
   for (const auto& id : jobs_->open()) stats.waiting_jobs += jobs_->Find(id)->begun ? 0 : 1;
@@ -498,6 +502,9 @@
                            now,
                            recovered ? 0 : term_.fence(),
                            term_.confirmed()};
+  for (const auto& unit : stragglers_.Decide(tracker_->TakeOutcomes(), view, pool_)) {
+    tracker_->Stop(unit, "it stands still", now);
+  }
   const start_plan plan = starts_.Plan(view);
   tracker_->Apply(plan, now);
   if (auto request = tickets_.Next(plan.advice, view)) out_->emplace_back(std::move(*request));
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -21,6 +21,7 @@
 #include "kernel/batch/ticket_cache.h"
 #include "kernel/model/link_events.h"
 #include "kernel/placement/start_planner.h"
+#include "kernel/stragglers/straggler_control.h"
 
 namespace eelgrass {
 
@@ -57,6 +58,7 @@
   std::string peer_address;  // address at which agents reach this entry
   double processor = 0;      // of this entry, see term_candidate
   tracker_options tracking;
+  straggler_bounds stragglers;
   millis early{250};  // how long before its due time an occurrence may start
   size_t row_bytes = kDefaultRowBytes;
 };
@@ -68,9 +70,12 @@
   int64_t open_jobs = 0;
   int64_t waiting_jobs = 0;  // open jobs of which no task has begun
   int64_t workers = 0;
-  int64_t runs = 0;           // held, ordered, running or stopping
-  int64_t runs_given_up = 0;  // by this process: considered ended without a reported end
-  int64_t open_starts = 0;    // that workers may still carry out, as far as this entry knows
+  int64_t runs = 0;                 // held, ordered, running or stopping
+  int64_t runs_given_up = 0;        // by this process: considered ended without a reported end
+  int64_t stalled_units_moved = 0;  // by this process
+  int64_t worker_quarantines = 0;   // by this process
+  int64_t quarantined_workers = 0;
+  int64_t open_starts = 0;  // that workers may still carry out, as far as this entry knows
 };
 
 /**
@@ -90,7 +95,7 @@
   bool handed_over() const { return !term_.holding() || journal_.handed_over(); }
 
   bool planning() const { return planning_; }
-  planner_statistics stats() const;
+  planner_statistics stats(millis now) const;
   const job_table& jobs() const { return *jobs_; }
   const worker_pool& pool() const { return pool_; }
 
@@ -147,6 +152,7 @@
   std::unique_ptr<run_tracker> tracker_;
   std::unique_ptr<order_writer> orders_;
   start_planner starts_;
+  straggler_control stragglers_;
   start_notices start_notices_;
   operator_state operators_;
   millis operators_confirmed_{INT64_MIN / 4};
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -22,6 +22,9 @@
 constexpr int kFailuresToAvoid = 3;
 constexpr millis kAvoidTime{6000};
 
+/** Outcomes kept until the planner takes them, which it does with each plan. */
+constexpr size_t kMaxOutcomes = 10000;
+
 /** Delay before a unit is tried again after a worker refused to start it. */
 constexpr millis kRefusalPause{200};
 
@@ -211,7 +214,7 @@
   const bool replaceable = lapsed && !known;
   // A successful end counts whichever run reports it, so that the work is not repeated.
   if (!step.long_running && end.how == run_end::kDone) {
-    RecordOutcome(worker, true, now);
+    RecordOutcome(worker, task.job, true, now);
     if (known) LearnSpeed(worker, record->second, step, now);
     jobs_.OnDone(unit, end.run, now);
     if (replaceable) jobs_.Find(task.job)->unsettled = true;
@@ -219,7 +222,7 @@
   }
   if (counts && end.how == run_end::kFailed) {
     const batch_queue* queue = config.FindQueueByName(job->job.queue);
-    RecordOutcome(worker, false, now);
+    RecordOutcome(worker, task.job, false, now);
     jobs_.OnFailed(unit, end.run, queue == nullptr ? INT32_MAX : queue->attempts,
                    worker.profile.self.id);
     if (job->state == batch_state::kFailed) {
@@ -246,7 +249,11 @@
 }
 
 /** Counts consecutive failures, which distinguish a faulty worker from a job that cannot run. */
-void run_tracker::RecordOutcome(pool_worker& worker, bool success, millis now) {
+void run_tracker::RecordOutcome(pool_worker& worker, std::string_view job, bool success,
+                                millis now) {
+  if (outcomes_.size() < kMaxOutcomes) {
+    outcomes_.push_back({worker.profile.self.id, std::string(job), !success});
+  }
   worker.failures_in_row = success ? 0 : worker.failures_in_row + 1;
   if (worker.failures_in_row < kFailuresToAvoid) return;
   worker.avoid_until = now + kAvoidTime;
@@ -277,17 +284,19 @@
       record.saved = listed.saved;
       jobs_.OnSaved(record.unit, listed.saved);
     }
-    ObserveProgress(worker, record, listed.percent, now - millis(report.listed_ago_ms));
+    ObserveProgress(worker, record, listed.percent, now - millis(report.listed_ago_ms), now);
   }
 }
 
 /** Follows the progress of a run, which shows the speed of its worker. */
 void run_tracker::ObserveProgress(const pool_worker& worker, run_record& record, int64_t percent,
-                                  millis at) {
+                                  millis at, millis now) {
   const batch_step* step = jobs_.StepOf(record.unit);
   if (step == nullptr || step->long_running || record.phase != run_phase::kRunning) return;
   record.progress.Observe(percent, at);
   const auto rate = record.progress.rate();
+  const auto per_second = rate ? std::optional(rate->percent_per_second) : std::nullopt;
+  record.listing.Observe(percent, at, per_second, now);
   const bool near = step->data_rack.empty() || step->data_rack == worker.profile.rack;
   if (!rate || !near || step->fills || worker.profile.cold_ms > 0) return;
   speeds_.ObserveRate(worker.profile, *step, record.unit, {record.task, record.run}, *rate, at);
@@ -347,7 +356,7 @@
     closer_.Close(worker, ref);
     if (unit_state* state = jobs_.Find(unit)) {
       state->not_before = now + kRefusalPause;
-      if (refused.reason == start_refusal::kUnhealthy) RecordOutcome(worker, false, now);
+      if (refused.reason == start_refusal::kUnhealthy) RecordOutcome(worker, unit.job, false, now);
       if (state->open_runs > 0) Stop(unit, "a member of the gang could not start", now);
     }
     ++changes_;
@@ -387,7 +396,7 @@
       record.task = ToText(MemberOf(start.unit, *step, static_cast<int>(i)));
       record.run = unit->run;
       record.each = ResourcesPerTask(*step);
-      record.since = now;
+      record.since = record.placed = now;
       record.saved = unit->saved;
       record.full_run = unit->saved.empty();
       if (i < start.tickets.size()) record.ticket = start.tickets[i];
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "kernel/batch/incarnation_numbers.h"
@@ -71,6 +72,9 @@
   /** Records that the effects of ends have been stored. */
   void OnEndsStored(std::span<const stored_ends> ends);
 
+  /** The counted ends of runs since the last call, in their order. */
+  std::vector<run_outcome> TakeOutcomes() { return std::exchange(outcomes_, {}); }
+
   /** Lets workers forget the stored ends of units of which no other run can start any more. */
   void ReleaseEnds(bool runs_known, millis now);
 
@@ -94,14 +98,15 @@
                 millis now);
   bool MayRelease(const counted_end& end, bool runs_known, millis now) const;
   std::string OpenAt(const unit_ref& unit, millis now) const;
-  void ObserveProgress(const pool_worker& worker, run_record& record, int64_t percent, millis at);
+  void ObserveProgress(const pool_worker& worker, run_record& record, int64_t percent, millis at,
+                       millis now);
   void LearnSpeed(const pool_worker& worker, const run_record& record, const batch_step& step,
                   millis now);
   void ReleaseHeld(millis now);
   bool HasOtherRuns(std::string_view job) const;
   void StopOverdue(millis now);
   int64_t NextRun();
-  void RecordOutcome(pool_worker& worker, bool success, millis now);
+  void RecordOutcome(pool_worker& worker, std::string_view job, bool success, millis now);
 
   const tracker_options options_;
   job_table& jobs_;
@@ -112,6 +117,7 @@
   int64_t runs_begun_ = 0;
   incarnation_numbers incarnations_;
   int64_t changes_ = 0;
+  std::vector<run_outcome> outcomes_;
 };
 
 }  // namespace eelgrass
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -16,6 +16,8 @@
 #include "kernel/batch/open_starts.h"
 #include "kernel/learning/run_progress.h"
 #include "kernel/model/worker_messages.h"
+#include "kernel/stragglers/listing_watch.h"
+#include "kernel/stragglers/quarantine_state.h"
 
 namespace eelgrass {
 
@@ -41,6 +43,8 @@
   std::string ticket;               // placement ticket, if the queue's policy requires one
   bool former_incarnation = false;  // ordered to an earlier incarnation of the worker
   run_progress progress{};
+  listing_watch listing{};
+  millis placed{INT64_MIN / 4};  // by this planner
 };
 
 /** An end that counts and that its worker has not been allowed to forget. */
@@ -80,6 +84,7 @@
   bool order_due = false;
   int failures_in_row = 0;  // consecutive failures of different units
   millis avoid_until{0};
+  quarantine_state quarantine;
 
   /** Free resources once all stopping runs have ended and all held runs have started. */
   amounts FutureCapacity() const;
--- a/src/kernel/placement/capacity_map.cc
+++ b/src/kernel/placement/capacity_map.cc
@@ -49,6 +49,7 @@
                       std::min(present.memory_mb, candidate.future.memory_mb),
                       std::min(present.accelerators, candidate.future.accelerators)};
     for (const auto& [ref, record] : worker.runs) {
+      candidate.probed = candidate.probed || record.placed >= worker.quarantine.until;
       ++candidate.tasks[{record.unit.job, record.unit.occurrence, record.unit.step}];
     }
     workers_.push_back(std::move(candidate));
@@ -98,7 +99,8 @@
   std::vector<candidate_worker*> emptiest;
   for (auto& candidate : workers_) {
     if (candidate.worker->profile.service != service) continue;
-    if (candidate.pace != worker_pace::kTypical) continue;
+    if (candidate.pace != worker_pace::kTypical || candidate.worker->quarantine.strikes > 0)
+      continue;
     racks[candidate.worker->profile.rack] += Weight(candidate.free);
     emptiest.push_back(&candidate);
   }
@@ -124,6 +126,13 @@
   return unit.job->job.occurrences > 0 || view.now - unit.job->accepted > slack / 2;
 }
 
+/** A worker in quarantine is probed with one unit, and as long as possible not an urgent one. */
+bool capacity_map::MayProbe(const candidate_worker& candidate, const ready_unit& unit, millis now) {
+  const quarantine_state& quarantine = candidate.worker->quarantine;
+  if (!quarantine.Probing(now)) return true;
+  return !candidate.probed && (!IsUrgent(*unit.queue) || quarantine.MayProbeUrgent(now));
+}
+
 bool capacity_map::Advised(const ready_unit& unit, const worker_identity& worker,
                            const planning_view& view, ticket_rule tickets) {
   if (!unit.queue->advice.wanted) return true;
@@ -145,6 +154,7 @@
       return member.second == profile.self.id;
     });
     if (candidate.reserved && !may_use_reserved && !bound) continue;
+    if (!MayProbe(candidate, unit, view.now) && !bound) continue;
     if (!label.empty() && !candidate.worker->HasLabel(label)) continue;
     if (!unit.each.Fits(profile.capacity)) continue;
     if (!Advised(unit, profile.self, view, tickets)) continue;
--- a/src/kernel/placement/capacity_map.h
+++ b/src/kernel/placement/capacity_map.h
@@ -37,6 +37,7 @@
   amounts future;                                          // free once the stopping runs have ended
   std::map<std::tuple<std::string, int, int>, int> tasks;  // number by job, occurrence and step
   bool reserved = false;                                   // reserved for urgent work
+  bool probed = false;                                     // in quarantine, with its one probe
 };
 
 /** Which tickets the workers for a unit need, if its queue's policy requires any. */
@@ -82,6 +83,7 @@
   void ReserveWorkers(std::string_view service, double workers);
   static bool Advised(const ready_unit& unit, const worker_identity& worker,
                       const planning_view& view, ticket_rule tickets);
+  static bool MayProbe(const candidate_worker& candidate, const ready_unit& unit, millis now);
   static bool MayUseReserved(const ready_unit& unit, const planning_view& view);
 
   std::vector<candidate_worker> workers_;
--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -283,6 +283,7 @@
   for (auto* candidate : candidates) {
     candidate->free -= unit.each;
     candidate->future -= unit.each;
+    candidate->probed = true;
     ++candidate->tasks[{unit.unit.job, unit.unit.occurrence, unit.unit.step}];
     start.workers.push_back(candidate->worker->profile.self.id);
     const std::string* ticket =
