--- a/src/kernel/placement/capacity_map.cc
+++ b/src/kernel/placement/capacity_map.cc
@@ -99,8 +99,8 @@
   std::vector<candidate_worker*> emptiest;
   for (auto& candidate : workers_) {
     if (candidate.worker->profile.service != service) continue;
-    if (candidate.pace != worker_pace::kTypical || candidate.worker->quarantine.strikes > 0)
-      continue;
+    const bool held = candidate.worker->quarantine.strikes > 0;  // urgent work may not use it
+    if (candidate.pace != worker_pace::kTypical || held) continue;
     racks[candidate.worker->profile.rack] += Weight(candidate.free);
     emptiest.push_back(&candidate);
   }
--- a/src/kernel/stragglers/quarantine_state.h
+++ b/src/kernel/stragglers/quarantine_state.h
@@ -37,6 +37,7 @@
   std::string worker;
   std::string job;
   bool failed = false;
+  bool operator==(const run_outcome&) const = default;
 };
 
 }  // namespace eelgrass
--- a/src/kernel/stragglers/worker_quarantine.cc
+++ b/src/kernel/stragglers/worker_quarantine.cc
@@ -51,6 +51,7 @@
 
 void worker_quarantine::Observe(std::span<const run_outcome> outcomes, worker_pool& pool,
                                 millis now) {
+  full_.clear();
   const auto old = [now](millis at) { return now - at > kFailurePeriod; };
   std::erase_if(failures_, [&](const failure& known) { return old(known.at); });
   while (!ends_.empty() && old(ends_.front().begin)) ends_.pop_front();
@@ -93,6 +94,9 @@
 
 bool worker_quarantine::Impose(pool_worker& worker, std::string_view reason, int64_t failures,
                                const worker_pool& pool, millis now) {
+  // A worker on probation counts already; every other one is one too many.
+  const bool counted = worker.quarantine.Active(now);
+  if (!counted && full_.contains(worker.profile.service)) return false;
   int64_t in_service = 0;
   int64_t active = 0;
   for (const auto& [id, other] : pool.all()) {
@@ -100,7 +104,10 @@
     ++in_service;
     if (&other != &worker && other.quarantine.Active(now)) ++active;
   }
-  if ((active + 1) * kServicePartDivisor > in_service) return false;
+  if ((active + 1) * kServicePartDivisor > in_service) {
+    if (!counted) full_.insert(worker.profile.service);
+    return false;
+  }
   quarantine_state& state = worker.quarantine;
   ++state.strikes;
   const millis time = BackOff(state.strikes);
--- a/src/kernel/stragglers/worker_quarantine.h
+++ b/src/kernel/stragglers/worker_quarantine.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -53,6 +54,7 @@
 
   std::deque<failure> failures_;
   std::deque<interval> ends_;
+  std::set<std::string> full_;  // services whose limit was reached in this decision
   int64_t total_ = 0;
 };
 
