--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -16,6 +16,8 @@
 #include "kernel/batch/open_starts.h"
 #include "kernel/learning/run_progress.h"
 #include "kernel/model/worker_messages.h"
+#include "kernel/stragglers/listing_watch.h"
+#include "kernel/stragglers/quarantine_state.h"
 
 namespace eelgrass {
 
@@ -43,6 +45,8 @@
   run_progress progress{};
   bool remote = false;      // slowed down, or maybe so: off its data, or over several racks
   bool work_known = false;  // its work was recorded for its job
+  listing_watch listing{};
+  millis placed{INT64_MIN / 4};  // by this planner
 };
 
 /** An end that counts and that its worker has not been allowed to forget. */
@@ -82,6 +86,7 @@
   bool order_due = false;
   int failures_in_row = 0;  // consecutive failures of different units
   millis avoid_until{0};
+  quarantine_state quarantine;
 
   /** Free resources once all stopping runs have ended and all held runs have started. */
   amounts FutureCapacity() const;
--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -371,6 +371,7 @@
     candidate->free -= unit.each;
     candidate->future -= unit.each;
     if (candidate->hold) candidate->hold->spare -= unit.each;
+    candidate->probed = true;
     ++candidate->tasks[{unit.unit.job, unit.unit.occurrence, unit.unit.step}];
     start.workers.push_back(candidate->worker->profile.self.id);
     const std::string* ticket =
