Known speeds of VMs are kept in the store for the next planner

A new planner measured all speeds anew, as they were kept in the memory of the entry that planned. Until then it could not avoid slow workers.

speed_archive reads the rows of the table `speeds` once in each term and gives them as priors to rate_comparison; it writes rows with new or changed speeds, at most every 10 s, on condition of their revisions. Priors end ten minutes after their measurement, and earlier if the VM's own runs differ by more than a factor of 1.4. An estimate that rests on a prior alone is not written back. A stored measurement counts as missing after 5 minutes; otherwise VMs of constant speed would be written once and be of no use to a planner ten minutes later.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -121,6 +121,9 @@
   counters_.Set("runs", stats.runs);
   counters_.Set("runs_given_up_total", stats.runs_given_up);
   counters_.Set("open_starts", stats.open_starts);
+  counters_.Set("known_speeds", stats.known_speeds);
+  counters_.Set("greatest_slowdown_percent", stats.greatest_slowdown_percent);
+  counters_.Set("speed_rows_ignored_total", stats.ignored_speed_rows);
   counters_.Set("term", stats.term);
 }
 
--- a/src/kernel/batch/batch_records.h
+++ b/src/kernel/batch/batch_records.h
@@ -62,6 +62,19 @@
   std::vector<open_start_record> starts{};
 };
 
+/** The speed of a VM, as measured by a planner. */
+struct vm_speed_record {
+  std::string vm;
+  double slowness = 0;      // logarithm, relative to the typical VM
+  double deviation = 0;     // standard deviation of that
+  int64_t measured_ms = 0;  // by the store's clock
+};
+
+/** One row of the known speeds. */
+struct speeds_record {
+  std::vector<vm_speed_record> vms;
+};
+
 /** Encodes and decodes the records. Stateless. */
 class batch_record_codec {
  public:
@@ -70,10 +83,12 @@
   virtual std::string Encode(const job_progress& progress) const = 0;
   virtual std::string Encode(const term_record& term) const = 0;
   virtual std::string Encode(const worker_record& worker) const = 0;
+  virtual std::string Encode(const speeds_record& speeds) const = 0;
   virtual result<batch_job> DecodeJob(std::string_view text) const = 0;
   virtual result<job_progress> DecodeProgress(std::string_view text) const = 0;
   virtual result<term_record> DecodeTerm(std::string_view text) const = 0;
   virtual result<worker_record> DecodeWorker(std::string_view text) const = 0;
+  virtual result<speeds_record> DecodeSpeeds(std::string_view text) const = 0;
 };
 
 using record_codec_registry = plugin_registry<batch_record_codec>;
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -1,6 +1,7 @@
 #include "kernel/batch/planner_core.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "kernel/base/log_event.h"
 
@@ -28,12 +29,15 @@
 /** A cancellation is forgotten after this time; its entry repeats it while the caller waits. */
 constexpr millis kLongestCancelWait{5000};
 
+constexpr double kPercent = 100;
+
 }  // namespace
 
 planner_core::planner_core(planner_options options, const batch_record_codec& codec,
                            const unit_order& order)
     : options_(std::move(options)),
       term_({options_.node, options_.nonce, options_.processor}, codec),
+      speed_archive_(codec, options_.row_bytes),
       journal_(codec, term_, options_.row_bytes),
       lost_(pool_, journal_),
       starts_(order),
@@ -66,6 +70,9 @@
     std::vector<store_request> calls;
     journal_.Next(*jobs_, pool_, now, calls);
     for (auto& call : calls) out_->emplace_back(std::move(call));
+    const bool may_write = term_.TermValid(now) && !journal_.handed_over();
+    auto call = may_write ? speed_archive_.Next(speeds_, term_.clock(), now) : std::nullopt;
+    if (call) out_->emplace_back(std::move(*call));
   }
   if (!term_.holding()) pool_.starts().Expire(now);
   Notify(now);
@@ -73,7 +80,9 @@
 }
 
 void planner_core::On(store_reply& event, millis now) {
-  if (event.token < 0) {
+  if (event.token <= kFirstArchiveToken) {
+    if (term_.holding()) speed_archive_.On(event, speeds_, term_.clock(), now);
+  } else if (event.token < 0) {
     term_.On(event, now);
   } else {
     journal_.On(event, *jobs_, pool_, now);
@@ -229,6 +238,7 @@
   pending_reports_.clear();
   reported_.clear();
   tickets_.Reset();
+  speed_archive_.BeginTerm(term_.fence(), now);
   lost_.BeginTerm(now);
   start_notices_.BeginTerm();
 }
@@ -377,7 +387,10 @@
   stats.planning = planning_;
   stats.runs_given_up = given_up_in_earlier_terms_ + tracker_->given_up();
   stats.open_starts = static_cast<int64_t>(pool_.starts().count());
+  stats.ignored_speed_rows = speed_archive_.ignored_rows();
   if (!term_.holding()) return stats;
+  stats.known_speeds = speeds_.known();
+  stats.greatest_slowdown_percent = std::lround(kPercent * speeds_.greatest_slowdown());
   stats.term = term_.fence();
   stats.open_jobs = static_cast<int64_t>(jobs_->open().size());
   for (const auto& id : jobs_->open()) stats.waiting_jobs += jobs_->Find(id)->begun ? 0 : 1;
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -19,6 +19,7 @@
 #include "kernel/batch/start_notices.h"
 #include "kernel/batch/term_election.h"
 #include "kernel/batch/ticket_cache.h"
+#include "kernel/learning/speed_archive.h"
 #include "kernel/model/link_events.h"
 #include "kernel/placement/start_planner.h"
 
@@ -71,6 +72,9 @@
   int64_t runs = 0;           // held, ordered, running or stopping
   int64_t runs_given_up = 0;  // by this process: considered ended without a reported end
   int64_t open_starts = 0;    // that workers may still carry out, as far as this entry knows
+  int64_t known_speeds = 0;   // VMs
+  int64_t greatest_slowdown_percent = 0;
+  int64_t ignored_speed_rows = 0;  // by this process
 };
 
 /**
@@ -142,6 +146,7 @@
   std::unique_ptr<job_table> jobs_;
   worker_pool pool_;
   worker_speeds speeds_;  // kept across terms: speeds do not depend on the planner
+  speed_archive speed_archive_;
   planner_journal journal_;
   lost_worker_detector lost_;
   std::unique_ptr<run_tracker> tracker_;
--- a/src/kernel/batch/store_exchange.h
+++ b/src/kernel/batch/store_exchange.h
@@ -45,5 +45,6 @@
 inline constexpr std::string_view kEpochKey = "epoch";     // rewritten by takeovers only
 inline constexpr std::string_view kWorkersTable = "workers";
 inline constexpr std::string_view kEntriesTable = "entries";
+inline constexpr std::string_view kSpeedsTable = "speeds";
 
 }  // namespace eelgrass
--- a/src/kernel/learning/rate_comparison.cc
+++ b/src/kernel/learning/rate_comparison.cc
@@ -76,11 +76,51 @@
   machine.groups.erase(oldest);
 }
 
-void rate_comparison::SetPrior(std::string_view machine, const machine_slowness& prior) {
-  machines_[std::string(machine)].prior = prior;
+void rate_comparison::SetPrior(std::string_view machine, const machine_prior& prior) {
+  machine_record& record = machines_[std::string(machine)];
+  std::erase_if(record.groups,
+                [&](const auto& entry) { return entry.second.latest <= prior.measured; });
+  record.prior = prior;
+  next_expiry_ = std::min(next_expiry_, prior.until);
   changed_ = true;
 }
 
+void rate_comparison::DropExpiredPriors(millis now) {
+  if (now < next_expiry_) return;
+  next_expiry_ = millis(INT64_MAX);
+  for (auto& [id, machine] : machines_) {
+    if (!machine.prior) continue;
+    if (machine.prior->until <= now) {
+      machine.prior.reset();
+      changed_ = true;
+    } else {
+      next_expiry_ = std::min(next_expiry_, machine.prior->until);
+    }
+  }
+}
+
+/** Whether the machine's own runs show that its prior no longer holds. */
+bool rate_comparison::Contradicts(const machine_record& machine) {
+  if (!machine.prior) return false;
+  const machine_slowness& prior = machine.prior->slowness;
+  const double prior_precision = 1 / (prior.deviation * prior.deviation);
+  const double own_precision = machine.precision - prior_precision;
+  // A comparison that errs by more than the change itself shows none.
+  if (own_precision * kChange * kChange < 1) return false;
+  const double own = (machine.weighted_sum - prior.mean * prior_precision) / own_precision;
+  return std::abs(own - prior.mean) > kChange;
+}
+
+/** Removes the priors of machines that have come back at another speed. */
+void rate_comparison::DropContradictedPriors() {
+  for (auto& [id, machine] : machines_) {
+    if (!Contradicts(machine)) continue;
+    machine.prior.reset();
+    AddUp(machine);
+    changed_ = true;  // what the machine told others rested on the prior
+  }
+}
+
 /** Combines the runs of each group on the machine. */
 void rate_comparison::Summarize(machine_record& machine) {
   for (auto& [group, part] : machine.groups) {
@@ -95,7 +135,8 @@
 
 /** Adds the messages of all groups to what is known of the machine otherwise. */
 void rate_comparison::AddUp(machine_record& machine) {
-  const machine_slowness prior = machine.prior.value_or(machine_slowness{0, kPriorDeviation});
+  const machine_slowness prior =
+      machine.prior ? machine.prior->slowness : machine_slowness{0, kPriorDeviation};
   machine.precision = 1 / (prior.deviation * prior.deviation);
   machine.weighted_sum = prior.mean * machine.precision;
   for (const auto& [group, part] : machine.groups) {
@@ -131,6 +172,7 @@
 }
 
 void rate_comparison::Estimate(millis now) {
+  DropExpiredPriors(now);
   if (!changed_ || now < next_estimate_) return;
   changed_ = false;
   next_estimate_ = now + kEstimateInterval;
@@ -155,14 +197,19 @@
     for (auto& [group, members] : groups) Compare(members);
     for (auto& [id, machine] : machines_) AddUp(machine);
   }
+  DropContradictedPriors();
   Publish();
 }
 
 void rate_comparison::Publish() {
   estimates_.clear();
   for (const auto& [id, machine] : machines_) {
-    const machine_slowness estimate{machine.weighted_sum / machine.precision,
-                                    1 / std::sqrt(machine.precision)};
+    machine_slowness estimate{machine.weighted_sum / machine.precision,
+                              1 / std::sqrt(machine.precision)};
+    for (const auto& [group, part] : machine.groups) {
+      if (part.weight <= 0) continue;
+      estimate.measured = std::max(estimate.measured.value_or(part.latest), part.latest);
+    }
     if (machine.prior || estimate.deviation < kPriorDeviation) estimates_.emplace(id, estimate);
   }
 }
--- a/src/kernel/learning/rate_comparison.h
+++ b/src/kernel/learning/rate_comparison.h
@@ -26,7 +26,15 @@
 /** How much longer than others a machine takes for the same work, as a logarithm. */
 struct machine_slowness {
   double mean = 0;
-  double deviation = 0;  // standard deviation of the mean
+  double deviation = 0;              // standard deviation of the mean
+  std::optional<millis> measured{};  // latest comparison by own runs; none: a prior alone
+};
+
+/** What is known of a machine from elsewhere. */
+struct machine_prior {
+  machine_slowness slowness;
+  millis measured{0};                // measurements up to then are replaced
+  millis until = millis(INT64_MAX);  // not used from then on
 };
 
 /**
@@ -41,8 +49,11 @@
   /** Records the latest rate of a run. */
   void Observe(const rate_sample& sample, millis now);
 
-  /** Takes a machine to have this slowness, unless its own runs show another one. */
-  void SetPrior(std::string_view machine, const machine_slowness& prior);
+  /**
+   * Takes a machine to have this slowness until its own runs show one that differs by more than a
+   * factor of 1.4.
+   */
+  void SetPrior(std::string_view machine, const machine_prior& prior);
 
   /** Recomputes the estimates if there are new samples. */
   void Estimate(millis now);
@@ -73,7 +84,7 @@
   };
   struct machine_record {
     std::map<std::string, comparison, std::less<>> groups;
-    std::optional<machine_slowness> prior;
+    std::optional<machine_prior> prior;
     double precision = 0;
     double weighted_sum = 0;
     millis latest{0};
@@ -87,12 +98,16 @@
   static void AddUp(machine_record& machine);
   static void Compare(const std::vector<group_member>& members);
   static void DropOldest(machine_record& machine);
+  static bool Contradicts(const machine_record& machine);
+  void DropExpiredPriors(millis now);
+  void DropContradictedPriors();
   void Publish();
 
   std::map<std::string, machine_record, std::less<>> machines_;
   std::map<std::string, machine_slowness, std::less<>> estimates_;
   bool changed_ = false;
   millis next_estimate_{0};
+  millis next_expiry_ = millis(INT64_MAX);  // of a prior
 };
 
 }  // namespace eelgrass
--- a/src/kernel/learning/worker_speeds.cc
+++ b/src/kernel/learning/worker_speeds.cc
@@ -107,6 +107,7 @@
   for (const auto& [vm, estimate] : rates_.estimates()) {
     if (estimate.deviation <= kKnownDeviation) known.push_back(estimate.mean);
   }
+  known_ = static_cast<int64_t>(known.size());
   typical_ = 0;
   if (known.size() >= kLeastForMedian) {
     const auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
@@ -128,6 +129,15 @@
   }
 }
 
+std::vector<measured_speed> worker_speeds::Measured() const {
+  std::vector<measured_speed> measured;
+  for (const auto& [vm, estimate] : rates_.estimates()) {
+    if (estimate.deviation > kKnownDeviation || !estimate.measured) continue;
+    measured.push_back({vm, estimate.mean - typical_, estimate.deviation, *estimate.measured});
+  }
+  return measured;
+}
+
 worker_speed worker_speeds::SpeedOf(const worker_profile& worker) const {
   const auto estimate = rates_.Of(MachineOf(worker));
   if (!estimate || estimate->deviation > kKnownDeviation) return {};
--- a/src/kernel/learning/worker_speeds.h
+++ b/src/kernel/learning/worker_speeds.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "kernel/base/millis.h"
 #include "kernel/batch/job_table.h"
@@ -24,6 +25,14 @@
   bool known = false;   // to within a quarter or so
 };
 
+/** A known speed that rests on measurements of this process. */
+struct measured_speed {
+  std::string_view vm;
+  double slowness = 0;   // logarithm, relative to the typical VM
+  double deviation = 0;  // standard deviation of that
+  millis measured{0};    // latest measurement
+};
+
 /**
  * Learns from the rates of running tasks how fast each VM is, and from ended runs which workers
  * take longer than others for the same work. Tasks of one step are compared with each other, since
@@ -52,6 +61,12 @@
   /** The greatest slowdown among the workers whose speed is known; 1 if there are none. */
   double greatest_slowdown() const { return greatest_slowdown_; }
 
+  /** The number of VMs whose speed is known. */
+  int64_t known() const { return known_; }
+
+  /** The known speeds that do not rest on priors alone; valid until the next change. */
+  std::vector<measured_speed> Measured() const;
+
   /** The pace by observed rates, or else by ended runs. */
   worker_pace Pace(const worker_profile& worker) const;
 
@@ -79,6 +94,7 @@
   rate_comparison rates_;
   double typical_ = 0;  // slowness of the typical VM
   double greatest_slowdown_ = 1;
+  int64_t known_ = 0;
   std::map<std::string, double, std::less<>> logged_;  // known slowness when last logged, by VM
 };
 
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -165,6 +165,10 @@
   /** The entry that plans; -1: nobody does. */
   int Planner() const;
 
+  planner_statistics PlannerStats(int entry) const {
+    return entries_.at(static_cast<size_t>(entry))->planner->stats();
+  }
+
   /** Whether an entry plans, or believes so. */
   bool Plans(int entry) const;
 
--- a/tests/world/fake_row_store.cc
+++ b/tests/world/fake_row_store.cc
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr millis kStoreTime{8};
-constexpr millis kStoreClockAhead{3600000};  // of the clocks of the VMs
 constexpr millis kFeedLook{10};
 constexpr millis kShortestDelay{1000};
 constexpr millis kLongestDelay{6000};
--- a/tests/world/fake_row_store.h
+++ b/tests/world/fake_row_store.h
@@ -15,6 +15,9 @@
 
 namespace eelgrass {
 
+/** The store's clock is this much ahead of the clocks of the VMs. */
+inline constexpr millis kStoreClockAhead{3600000};
+
 /** What the store does to calls. */
 enum class store_fault { kNone, kRefuses, kSilent, kLosesAnswers, kLateWrites };
 
