--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -124,6 +124,9 @@
   counters_.Set("stalled_units_moved_total", stats.stalled_units_moved);
   counters_.Set("worker_quarantines_total", stats.worker_quarantines);
   counters_.Set("quarantined_workers", stats.quarantined_workers);
+  counters_.Set("known_speeds", stats.known_speeds);
+  counters_.Set("greatest_slowdown_percent", stats.greatest_slowdown_percent);
+  counters_.Set("speed_rows_ignored_total", stats.ignored_speed_rows);
   counters_.Set("term", stats.term);
 }
 
