The typical VM is one of those that are in the pool

Cause: with listed progress, the story "most workers are slow, and most of the slow ones leave for good" fails: all three urgent gangs get a slow worker and are late. Retain removed workers that had left from the speeds by ended runs, but not from those by rates, so that the median was that of VMs that were gone. Change: the median and the greatest slowdown are taken over the VMs in the pool. The speed of a VM that has left is kept for its return. A subcase in run_speed_story.cc.

--- a/src/kernel/learning/worker_speeds.cc
+++ b/src/kernel/learning/worker_speeds.cc
@@ -101,11 +101,16 @@
   rates_.Observe(sample, now);
 }
 
+/** Whether a VM is in the pool and its speed is known. */
+bool worker_speeds::Counts(std::string_view vm, const machine_slowness& estimate) const {
+  return estimate.deviation <= kKnownDeviation && (!present_ || present_->contains(vm));
+}
+
 void worker_speeds::Update(millis now) {
   rates_.Estimate(now);
   std::vector<double> known;
   for (const auto& [vm, estimate] : rates_.estimates()) {
-    if (estimate.deviation <= kKnownDeviation) known.push_back(estimate.mean);
+    if (Counts(vm, estimate)) known.push_back(estimate.mean);
   }
   typical_ = 0;
   if (known.size() >= kLeastForMedian) {
@@ -115,7 +120,7 @@
   }
   greatest_slowdown_ = 1;
   for (const auto& [vm, estimate] : rates_.estimates()) {
-    if (estimate.deviation > kKnownDeviation) continue;
+    if (!Counts(vm, estimate)) continue;
     const double slowness = estimate.mean - typical_;
     greatest_slowdown_ = std::max(greatest_slowdown_, std::exp(slowness));
     const auto before = logged_.find(vm);
@@ -150,6 +155,8 @@
 void worker_speeds::Retain(const worker_pool& pool) {
   const auto removed = [&](const auto& known) { return !pool.all().contains(known.first); };
   if (std::erase_if(workers_, removed) != 0) ClassifyAll();
+  present_.emplace();
+  for (const auto& [id, worker] : pool.all()) present_->insert(MachineOf(worker.profile));
 }
 
 worker_pace worker_speeds::Classify(const record& known) const {
--- a/src/kernel/learning/worker_speeds.h
+++ b/src/kernel/learning/worker_speeds.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -61,7 +63,10 @@
   const rate_comparison& rates() const { return rates_; }
   rate_comparison& rates() { return rates_; }
 
-  /** Removes workers that are not in the pool, so that others are not compared with them. */
+  /**
+   * Removes workers that are not in the pool, so that others are not compared with them. The speed
+   * of a VM is kept, in case it returns, but the typical VM is one of those in the pool.
+   */
   void Retain(const worker_pool& pool);
 
  private:
@@ -71,6 +76,7 @@
     worker_pace pace = worker_pace::kTypical;
   };
 
+  bool Counts(std::string_view vm, const machine_slowness& estimate) const;
   void ClassifyAll();
   worker_pace Classify(const record& known) const;
 
@@ -79,6 +85,7 @@
   rate_comparison rates_;
   double typical_ = 0;  // slowness of the typical VM
   double greatest_slowdown_ = 1;
+  std::optional<std::set<std::string, std::less<>>> present_;  // VMs in the pool; none: all
   std::map<std::string, double, std::less<>> logged_;  // known slowness when last logged, by VM
 };
 
--- a/tests/stories/run_speed_story.cc
+++ b/tests/stories/run_speed_story.cc
@@ -323,6 +323,20 @@
     CHECK(speeds.Pace(WorkerOn("vm-2", "another")) == worker_pace::kSlow);
     CHECK_FALSE(speeds.SpeedOf(WorkerOn("vm-new", "w2")).known);
   }
+  SUBCASE("VMs that have left do not count for the typical one, and keep their speed") {
+    worker_pool pool;
+    // Six stay, of which most are slow: without the others a slow one is typical.
+    for (const int vm : {2, 5, 8, 1, 4, 0}) {
+      pool.Get("w" + std::to_string(vm)).profile = learned_speeds::Worker(vm);
+    }
+    learned.speeds.Retain(pool);
+    learned.speeds.Update(learned.now + millis(1000));
+    CHECK(speeds.greatest_slowdown() == doctest::Approx(1).epsilon(0.1));
+    CHECK(speeds.SpeedOf(learned_speeds::Worker(2)).slowdown == doctest::Approx(1).epsilon(0.1));
+    CHECK(speeds.SpeedOf(learned_speeds::Worker(7)).known);
+    CHECK(speeds.SpeedOf(learned_speeds::Worker(7)).slowdown ==
+          doctest::Approx(1 / 1.6).epsilon(0.15));
+  }
   SUBCASE("nothing is known of a VM that has not worked") {
     const worker_speed speed = speeds.SpeedOf(WorkerOn("vm-new", "new"));
     CHECK_FALSE(speed.known);
