The stand-in's workers list how much of its work a run has done

Cause: they listed 100 percent from the start on, so that no story or process test ever measured a speed, and all members of a gang worked at the slowest one's speed. Change: the share of the work is listed, rounded down. Each member of a gang works at the speed of its own worker, waits at 99, and the gang ends when its slowest member is done. A worker can become slower or faster in the middle of its runs (SetTimePercent), and runner_options::lists_progress restores the former lists.

--- a/standins/standin_runner.cc
+++ b/standins/standin_runner.cc
@@ -1,6 +1,7 @@
 #include "standins/standin_runner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "kernel/model/batch_job.h"
@@ -16,6 +17,12 @@
 
 constexpr int64_t kPercent = 100;
 
+/** A run that is done but for the other members of its gang lists this. */
+constexpr int64_t kWaitingPercent = 99;
+
+/** Work is reckoned in fractions of a millisecond; this is far below one. */
+constexpr double kRounding = 1e-6;
+
 /** Ends in one answer, by the platform's interface. */
 constexpr size_t kMostListedEnds = 500;
 
@@ -36,6 +43,33 @@
   return nlohmann::json(steps).dump();
 }
 
+void work_clock::SetTimePercent(int time_percent, millis now) {
+  before_ = At(now);
+  since_ = now;
+  time_percent_ = time_percent;
+}
+
+double work_clock::At(millis now) const {
+  return before_ + static_cast<double>((now - since_).count() * kPercent) / time_percent_;
+}
+
+int64_t work_span::DoneAt(millis now) const {
+  return done_ms + static_cast<int64_t>(std::floor(clock->At(now) - began + kRounding));
+}
+
+void standin_gangs::gang::Begin(millis now) {
+  complete = true;
+  for (auto& [task, work] : members) work.began = work.clock->At(now);
+}
+
+int64_t standin_gangs::gang::DoneAt(millis now) const {
+  int64_t least = INT64_MAX;
+  for (const auto& [task, work] : members) {
+    least = std::min(least, complete ? work.DoneAt(now) : work.done_ms);
+  }
+  return least;
+}
+
 standin_gangs::gang& standin_gangs::Get(std::string_view task, int64_t run) {
   return gangs_[{std::string(task.substr(0, task.rfind('.'))), run}];
 }
@@ -44,6 +78,7 @@
                                runner_observer observe, millis now)
     : self_(std::move(self)),
       options_(options),
+      work_(std::make_shared<work_clock>(options.time_percent, now)),
       gangs_(gangs),
       observe_(std::move(observe)),
       started_(now) {}
@@ -86,17 +121,13 @@
   run.run = ref.run;
   run.spec = call.run.spec;
   run.behavior = BehaviorOf(ref.task, call.run.spec);
-  run.done_ms = WorkIn(call.run.saved);
+  run.work = {work_, work_->At(now), WorkIn(call.run.saved)};
   run.bad = sick_ || gangs_.CountRun(ref.task) <= run.behavior.fails;
   if (run.behavior.gang > 0) {
     auto& gang = gangs_.Get(ref.task, ref.run);
     if (gang.first_at == millis(0)) gang.first_at = now;
-    gang.present.insert(ref.task);
-    gang.time_percent = std::max(gang.time_percent, options_.time_percent);
-    if (static_cast<int>(gang.present.size()) == run.behavior.gang) gang.complete_since = now;
-  } else {
-    run.working = true;
-    run.began = now;
+    gang.members[ref.task] = run.work;
+    if (static_cast<int>(gang.members.size()) == run.behavior.gang) gang.Begin(now);
   }
   runner_event started = MakeEvent(runner_event::kind::kStarted, run, now, 0, run_end::kDone);
   started.late = late;
@@ -143,7 +174,8 @@
   for (const auto& [ref, run] : runs_) {
     const int64_t kept =
         WorkDone(run, now) / options_.checkpoint.count() * options_.checkpoint.count();
-    answer.running.push_back({ref.task, ref.run, kept > 0 ? std::to_string(kept) : "", 100, 0});
+    answer.running.push_back(
+        {ref.task, ref.run, kept > 0 ? std::to_string(kept) : "", Percent(run, now), 0});
   }
   const size_t listed = std::min(ended_.size(), kMostListedEnds);
   answer.ended.assign(ended_.begin(), ended_.begin() + static_cast<ptrdiff_t>(listed));
@@ -155,12 +187,21 @@
                      [&](const listed_end& end) { return end.number > seen_upto; });
 }
 
+/** The work that the run has done; that of a gang is what all its members have done. */
 int64_t standin_runner::WorkDone(const run_state& run, millis now) const {
-  const bool member = run.behavior.gang > 0;
-  if (!member) return run.done_ms + (now - run.began).count() * kPercent / options_.time_percent;
-  const auto& gang = gangs_.Get(run.task, run.run);
-  if (gang.complete_since == millis(0)) return run.done_ms;
-  return run.done_ms + (now - gang.complete_since).count() * kPercent / gang.time_percent;
+  return run.behavior.gang > 0 ? gangs_.Get(run.task, run.run).DoneAt(now) : run.work.DoneAt(now);
+}
+
+/** What is listed: a member of a gang works at its own speed, and waits when it is done. */
+int64_t standin_runner::Percent(const run_state& run, millis now) const {
+  if (!options_.lists_progress || run.behavior.work_ms <= 0) return kPercent;
+  int64_t done = run.work.DoneAt(now);
+  if (run.behavior.gang > 0) {
+    const auto& gang = gangs_.Get(run.task, run.run);
+    const work_span& work = gang.members.at(run.task);
+    done = gang.complete ? work.DoneAt(now) : work.done_ms;
+  }
+  return std::min(kWaitingPercent, done * kPercent / run.behavior.work_ms);
 }
 
 void standin_runner::AdvanceRun(const run_ref& ref, run_state& run, millis now,
@@ -176,7 +217,7 @@
       ends.emplace_back(ref, gang.done ? run_end::kDone : run_end::kBroken);
       return;
     }
-    if (gang.complete_since == millis(0)) {
+    if (!gang.complete) {
       const bool alone = now - gang.first_at > options_.gang_timeout;
       if (alone) ends.emplace_back(ref, run_end::kAlone);
       return;
--- a/standins/standin_runner.h
+++ b/standins/standin_runner.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -43,16 +43,47 @@
 
 using runner_observer = std::function<void(const runner_event&)>;
 
+/** How much work a worker would have done so far, at the speeds that it has had. */
+class work_clock {
+ public:
+  work_clock(int time_percent, millis now) : time_percent_(time_percent), since_(now) {}
+
+  /** From now on, work takes this share of the time that it takes at a usual worker. */
+  void SetTimePercent(int time_percent, millis now);
+
+  /** Milliseconds of work of a usual worker. */
+  double At(millis now) const;
+
+ private:
+  int time_percent_;
+  millis since_;
+  double before_ = 0;
+};
+
+/** Work that began at some time on a worker. */
+struct work_span {
+  std::shared_ptr<const work_clock> clock;
+  double began = 0;     // by the clock
+  int64_t done_ms = 0;  // work done before
+
+  /** All work done so far. */
+  int64_t DoneAt(millis now) const;
+};
+
 /** What workers share: gangs, with who is there and since when all are, and how often tasks ran. */
 class standin_gangs {
  public:
   struct gang {
-    std::set<std::string> present;
-    millis complete_since{0};  // 0: not yet
+    std::map<std::string, work_span> members;  // by task; each at the speed of its worker
+    bool complete = false;                     // all are there and work
     millis first_at{0};
-    int time_percent = 0;  // of the slowest member's worker
     bool broken = false;
     bool done = false;
+
+    void Begin(millis now);
+
+    /** What the slowest member has done. */
+    int64_t DoneAt(millis now) const;
   };
   gang& Get(std::string_view task, int64_t run);
 
@@ -70,7 +101,8 @@
   millis stop_time{300};
   millis gang_timeout{3000};
   millis checkpoint{500};
-  int time_percent = 100;  // what work takes here of the time that it takes at a usual worker
+  int time_percent = 100;      // what work takes here of the time that it takes at a usual worker
+  bool lists_progress = true;  // otherwise 100 percent is listed from the start on
 };
 
 /** One life of a worker. */
@@ -96,6 +128,9 @@
   /** The VM loses power or the process is killed. */
   void Die(millis now);
 
+  /** The worker becomes slower or faster, also in the middle of its runs. */
+  void SetTimePercent(int time_percent, millis now) { work_->SetTimePercent(time_percent, now); }
+
   /** Every run from now on fails at once. */
   void SetSick(bool sick) { sick_ = sick; }
 
@@ -114,9 +149,7 @@
     int64_t run = 0;
     std::string spec;
     task_behavior behavior;
-    millis began{0};      // work; gangs: when complete
-    int64_t done_ms = 0;  // work done before this run
-    bool working = false;
+    work_span work;     // of a single task; members of a gang: see there
     millis stop_at{0};  // 0: not being stopped
     bool bad = false;   // ends as failed
   };
@@ -127,11 +160,13 @@
   void AdvanceRun(const run_ref& ref, run_state& run, millis now,
                   std::vector<std::pair<run_ref, run_end>>& ends);
   int64_t WorkDone(const run_state& run, millis now) const;
+  int64_t Percent(const run_state& run, millis now) const;
   runner_event MakeEvent(runner_event::kind what, const run_state& run, millis now, int64_t number,
                          run_end how) const;
 
   const worker_identity self_;
   const runner_options options_;
+  const std::shared_ptr<work_clock> work_;
   standin_gangs& gangs_;
   const runner_observer observe_;
   const millis started_;
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -128,6 +128,7 @@
   void SetMute(int index, bool mute) { WorkerAt(index).SetMute(mute); }
   void SetRefusing(int index, bool refusing) { WorkerAt(index).SetRefusing(refusing); }
   void SetSick(int index, bool sick) { WorkerAt(index).runner()->SetSick(sick); }
+  void SetTimePercent(int index, int percent) { WorkerAt(index).SetTimePercent(percent); }
   void PowerOffAll(millis down);
 
   void SetStore(store_fault fault) { store_.SetFault(fault); }
--- a/tests/world/fake_worker.cc
+++ b/tests/world/fake_worker.cc
@@ -230,6 +230,11 @@
   events_.After(linger, [this, away] { Crash(away); });
 }
 
+void fake_worker::SetTimePercent(int time_percent) {
+  site_.options.time_percent = time_percent;
+  if (runner_ != nullptr) runner_->SetTimePercent(time_percent, now());
+}
+
 void fake_worker::Drain() {
   draining_ = true;
   Beat();
--- a/tests/world/fake_worker.h
+++ b/tests/world/fake_worker.h
@@ -74,6 +74,9 @@
   void LateBeat();
   void LateLeave(bool dated);
 
+  /** The VM becomes slower or faster, also for lives that begin later. */
+  void SetTimePercent(int time_percent);
+
   /** Says that it leaves, and its process ends. */
   void Leave(millis away);
 
@@ -105,7 +108,7 @@
   template <typename Answer>
   void Reply(Answer answer, millis delay);
 
-  const worker_site site_;
+  worker_site site_;
   timeline& events_;
   draws& random_;
   draws announcements_;
