A change of a machine's speed is noticed although its rate changes step by step

Cause: rates are measured over a window of 2.5 s and compared with the latest sample, so that a machine that takes 2.5 times as long shows it in several steps below the factor of 1.4, and its older comparisons outweigh them. Change: the rate of a run is compared with that at its first sample or at the latest change.

--- a/src/kernel/learning/rate_comparison.cc
+++ b/src/kernel/learning/rate_comparison.cc
@@ -50,14 +50,17 @@
   machine_record& machine = machines_[sample.machine];
   comparison& part = machine.groups[sample.group];
   const auto known = part.runs.find(sample.run);
-  if (known != part.runs.end() && std::abs(known->second.log_rate - log_rate) > kChange) {
+  double settled = known == part.runs.end() ? log_rate : known->second.settled;
+  // Rates are measured over a window, so that a change shows in several steps.
+  if (std::abs(settled - log_rate) > kChange) {
+    settled = log_rate;
     const millis oldest = now - kChangeSlack;
     std::erase_if(machine.groups, [&](const auto& entry) {
       return entry.first != sample.group && entry.second.latest < oldest;
     });
     machine.prior.reset();
   }
-  part.runs[sample.run] = {log_rate, now};
+  part.runs[sample.run] = {log_rate, now, settled};
   if (part.runs.size() > kMaxRuns) {
     part.runs.erase(
         std::min_element(part.runs.begin(), part.runs.end(),
--- a/src/kernel/learning/rate_comparison.h
+++ b/src/kernel/learning/rate_comparison.h
@@ -61,6 +61,7 @@
     struct run_rate {
       double log_rate = 0;
       millis at{0};
+      double settled = 0;  // log_rate at first, or at the latest change of the machine
     };
     std::map<std::string, run_rate, std::less<>> runs;
     double spread = 0;
--- a/tests/stories/run_speed_story.cc
+++ b/tests/stories/run_speed_story.cc
@@ -273,6 +273,36 @@
   for (int i = 0; i < 3; ++i) CHECK(all.Deviation(i) > kLevelDeviation);
 }
 
+// Measured over a window, a change shows in steps that are each smaller than it. Older comparisons
+// must not outweigh it for that.
+TEST_CASE("a machine that turns slow is known as slow though its rate falls step by step") {
+  compared_machines all;
+  all.factors.assign(8, 1.0);
+  for (int i = 0; i < 8; ++i) {
+    all.Gang("g" + std::to_string(i), {i, (i + 1) % 8, (i + 3) % 8}, 10);
+  }
+  all.Gang("last", {1, 2, 3}, 20);
+  run_progress run;
+  millis listed(0);
+  double done = 0;
+  const auto work = [&](double rate, int listings) {
+    for (int i = 0; i < listings; ++i) {
+      listed += kListing;
+      done += rate / 2;
+      run.Observe(static_cast<int64_t>(done), listed);
+      const auto measured = run.rate();
+      if (!measured) continue;
+      all.rates.Observe({"vm-0", "last", "last.vm-0", measured->percent_per_second, kEqualWork},
+                        listed);
+    }
+  };
+  work(20, 4);
+  work(8, 8);
+  all.now = listed;
+  all.Estimate();
+  CHECK(all.Ratio(0, 4) == doctest::Approx(2.5).epsilon(0.15));
+}
+
 worker_profile WorkerOn(const std::string& vm, const std::string& id) {
   worker_profile profile;
   profile.self = {id, 1};
