--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -106,7 +106,11 @@
     vm->door = std::make_unique<agent_door>(*this, *vm);
     vm->worker = std::make_unique<fake_worker>(
         SiteOf(i), events_, random_, worker_faults_, gangs_,
-        [this](const runner_event& event) { check_.OnRunner(event); }, *vm->door);
+        [this](const runner_event& event) {
+          check_.OnRunner(event);
+          if (options_.watcher) options_.watcher(event);
+        },
+        *vm->door);
     links_.Add(*vm);
     machines_.emplace(i, std::move(vm));
   }
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -39,6 +39,7 @@
   /** Entries know only the seeds and the store at their start; otherwise they know all others. */
   bool discover = false;
   uint64_t seed = 1;
+  runner_observer watcher;  // is told what the workers do, as the check is; may be empty
 };
 
 /**
