The soak's workers have different speeds

Cause: the real programs were never played with workers of different speeds. Change: eelgrass_fleet takes the time that work takes at a runner (*PERCENT, 10 to 1000, other values are refused); the soak draws 60, 100 or 160 for each worker from the seed, apart from the draws of the faults, and names them in its summary.

--- a/standins/eelgrass_fleet.cc
+++ b/standins/eelgrass_fleet.cc
@@ -1,6 +1,7 @@
 /** \file
  * The users' platform for tests of the real programs: row store and runners over HTTP.
  */
+#include <charconv>
 #include <iostream>
 #include <span>
 #include <string>
@@ -16,11 +17,24 @@
 constexpr int kBadUse = 2;
 
 constexpr std::string_view kUse =
-    "eelgrass_fleet STORE SERVICE [RUNNER=AGENT@ZONE[/NAMED]...]\n"
-    "  STORE, RUNNER, AGENT and NAMED, the address that the runner names, are IP:PORT; runs until "
-    "SIGTERM, then prints what was broken\n";
+    "eelgrass_fleet STORE SERVICE [RUNNER=AGENT@ZONE[/NAMED][*PERCENT]...]\n"
+    "  STORE, RUNNER, AGENT and NAMED, the address that the runner names, are IP:PORT; PERCENT (10 "
+    "to 1000) is the time that work takes there; runs until SIGTERM, then prints what was broken\n";
+
+constexpr int kLeastPercent = 10;
+constexpr int kMostPercent = 1000;
 
 bool ReadPlace(std::string_view word, eelgrass::fleet_runner_place& place) {
+  if (const size_t star = word.find('*'); star != std::string_view::npos) {
+    const std::string_view percent = word.substr(star + 1);
+    const auto read =
+        std::from_chars(percent.data(), percent.data() + percent.size(), place.time_percent);
+    const bool whole = read.ec == std::errc() && read.ptr == percent.data() + percent.size();
+    if (!whole || place.time_percent < kLeastPercent || place.time_percent > kMostPercent) {
+      return false;
+    }
+    word = word.substr(0, star);
+  }
   const size_t equals = word.find('=');
   const size_t at = word.find('@');
   if (equals == std::string_view::npos || at == std::string_view::npos || at < equals) return false;
--- a/standins/runner_site.cc
+++ b/standins/runner_site.cc
@@ -53,9 +53,11 @@
 
 void runner_site::Revive() {
   if (up_) return;
+  runner_options options;
+  options.time_percent = place_.time_percent;
   runner_ = std::make_unique<standin_runner>(
-      worker_identity{"i-" + RandomHex(kIdBytes), clock_.WallNow().count()}, runner_options{},
-      gangs_, observe_, clock_.Now());
+      worker_identity{"i-" + RandomHex(kIdBytes), clock_.WallNow().count()}, options, gangs_,
+      observe_, clock_.Now());
   sequence_ = 0;
   up_ = true;
 }
--- a/standins/runner_site.h
+++ b/standins/runner_site.h
@@ -20,6 +20,7 @@
   std::string agent;   // IP:PORT
   std::string zone;
   std::string advertised;  // IP:PORT that the runner names; empty: where it listens
+  int time_percent = 100;  // what work takes there of the time that it takes at a usual runner
 };
 
 /** Answers with JSON text. */
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -18,12 +18,13 @@
 class Deployment:
     """Entries, agents and the platform stand-in. Stops only the processes that it started."""
 
-    def __init__(self, binaries, folder, loopback_net, entries, agents):
+    def __init__(self, binaries, folder, loopback_net, entries, agents, time_percents):
         self.binaries = binaries
         self.folder = folder
         self.loopback_net = loopback_net
         self.entries = [f"entry-{n}" for n in range(1, entries + 1)]
         self.agents = [f"agent-{n}" for n in range(1, agents + 1)]
+        self.time_percents = time_percents
         self.processes = {}
         self.paused = set()
         self.proxies = {}
@@ -49,11 +50,11 @@
 
     def start(self):
         runners = []
-        for name in self.agents:
+        for name, time_percent in zip(self.agents, self.time_percents):
             ip = self.ip(name)
             self._add_proxy(f"runner of {name}", (ip, 27530), (ip, 27529))
             self._add_proxy(f"heartbeats of {name}", (ip, 27527), (ip, 27526))
-            runners.append(f"{ip}:27529={ip}:27527@z{int(name[6:]) % 3}/{ip}:27530")
+            runners.append(f"{ip}:27529={ip}:27527@z{int(name[6:]) % 3}/{ip}:27530*{time_percent}")
         self._spawn("fleet", [os.path.join(self.binaries, "eelgrass_fleet"),
                               f"{self.store_address()}:{STORE_PORT}", "drying", *runners], {})
         for number, name in enumerate(self.entries + self.agents):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,9 @@
 from deployment import Deployment
 from faults import Faults
 
+# The time that work takes at a worker, in percent: a third is faster and a third slower.
+TIME_PERCENTS = (60, 100, 160)
+
 SCRIPT_FOLDER = os.path.dirname(os.path.abspath(__file__))
 
 
@@ -25,8 +28,10 @@
     """Runs one seed. Returns the violations, one line each, and a summary."""
     rng = random.Random(seed)
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+    # Drawn apart from the faults, so that the seeds in seeds.txt play the faults that they did.
+    speeds = random.Random(f"speeds {seed}")
     deployment = Deployment(options.binaries, folder, 80 + seed % 40, options.entries,
-                            options.agents)
+                            options.agents, speeds.choices(TIME_PERCENTS, k=options.agents))
     callers = Callers(deployment, random.Random(rng.random()))
     faults = Faults(deployment, random.Random(rng.random()), options.replace_entries)
     violations = []
@@ -53,7 +58,8 @@
         violations += [line for line in deployment.unclean_exits if line not in violations]
     finally:
         deployment.stop()
-    summary = f"{len(callers.threads)} jobs, {len(faults.log)} faults, answers {callers.answers}"
+    summary = f"{len(callers.threads)} jobs, {len(faults.log)} faults, "
+    summary += f"time percents {deployment.time_percents}, answers {callers.answers}"
     with open(os.path.join(folder, "faults.log"), "w", encoding="utf-8") as file:
         file.write("\n".join(faults.log + [summary] + violations) + "\n")
     if violations:
