--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -76,11 +76,8 @@
   int64_t stalled_units_moved = 0;  // by this process
   int64_t worker_quarantines = 0;   // by this process
   int64_t quarantined_workers = 0;
-  int64_t open_starts = 0;  // that workers may still carry out, as far as this entry knows
-  int64_t runs = 0;           // held, ordered, running or stopping
-  int64_t runs_given_up = 0;  // by this process: considered ended without a reported end
-  int64_t open_starts = 0;    // that workers may still carry out, as far as this entry knows
-  int64_t known_speeds = 0;   // VMs
+  int64_t open_starts = 0;   // that workers may still carry out, as far as this entry knows
+  int64_t known_speeds = 0;  // VMs
   int64_t greatest_slowdown_percent = 0;
   int64_t ignored_speed_rows = 0;  // by this process
 };
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -39,6 +39,7 @@
   /** Entries know only the seeds and the store at their start; otherwise they know all others. */
   bool discover = false;
   uint64_t seed = 1;
+  runner_observer watcher;  // is told what the workers do, as the check is; may be empty
 };
 
 /**
@@ -128,6 +129,7 @@
   void SetMute(int index, bool mute) { WorkerAt(index).SetMute(mute); }
   void SetRefusing(int index, bool refusing) { WorkerAt(index).SetRefusing(refusing); }
   void SetSick(int index, bool sick) { WorkerAt(index).runner()->SetSick(sick); }
+  void SetTimePercent(int index, int percent) { WorkerAt(index).SetTimePercent(percent); }
   void PowerOffAll(millis down);
 
   void SetStore(store_fault fault) { store_.SetFault(fault); }
