Comparisons bound their certainty by the common level, and passing speeds are forgotten

Twelve gangs on the same three machines made their speeds known to 1%, although all three may be slow. A machine that turned slow kept its speed for ever if it got no run afterwards. Change: machines that are compared with one another, directly or not, are never known better than the level that they have in common. A speed that changed while it was measured is forgotten 10 s after the last sample. Estimates that are right within 15% are not corrected.

--- a/src/kernel/learning/measured_work.cc
+++ b/src/kernel/learning/measured_work.cc
@@ -9,6 +9,9 @@
 /** Bound of one ratio's logarithm: a factor of ten either way. */
 constexpr double kMaxLogRatio = 2.3;
 
+/** A ratio this close to 1 is within the error of the measurement: the estimate is right. */
+const double kNegligible = std::log(1.15);
+
 /** Runs that are averaged; more would hardly change the mean. */
 constexpr int kMaxRuns = 1000;
 
@@ -21,6 +24,9 @@
   ++runs_;
 }
 
-double measured_work::ratio() const { return runs_ == 0 ? expected_ : std::exp(log_sum_ / runs_); }
+double measured_work::ratio() const {
+  const double ratio = runs_ == 0 ? expected_ : std::exp(log_sum_ / runs_);
+  return std::abs(std::log(ratio)) < kNegligible ? 1 : ratio;
+}
 
 }  // namespace eelgrass
--- a/src/kernel/learning/rate_comparison.cc
+++ b/src/kernel/learning/rate_comparison.cc
@@ -7,7 +7,7 @@
 namespace {
 
 /** Standard deviation of the slowness of machines of which nothing is known: a factor of 1.6. */
-constexpr double kPriorDeviation = 0.5;
+constexpr double kPriorDeviation = 0.45;
 
 /** Passes of messages: information crosses that many groups in one estimate. */
 constexpr int kPasses = 4;
@@ -27,6 +27,9 @@
 /** A run that becomes faster or slower by more than this factor shows a change of its machine. */
 const double kChange = std::log(1.4);
 
+/** A speed that has changed while it was measured is forgotten this long after the last sample. */
+constexpr millis kPassing{10000};
+
 /** Comparisons this much older than a change still count: they may show it already. */
 constexpr millis kChangeSlack{1200};
 
@@ -59,6 +62,7 @@
       return entry.first != sample.group && entry.second.latest < oldest;
     });
     machine.prior.reset();
+    machine.speed_changed = true;
   }
   part.runs[sample.run] = {log_rate, now, settled};
   if (part.runs.size() > kMaxRuns) {
@@ -174,8 +178,52 @@
   }
 }
 
+rate_comparison::machine_record& rate_comparison::LeaderOf(machine_record& machine) {
+  machine_record* leader = &machine;
+  while (leader->leader != leader) leader = leader->leader;
+  machine.leader = leader;
+  return *leader;
+}
+
+/** Precision of what is known of a machine without any comparison. */
+double rate_comparison::OwnPrecision(const machine_record& machine) {
+  const double deviation = machine.prior ? machine.prior->slowness.deviation : kPriorDeviation;
+  return 1 / (deviation * deviation);
+}
+
+/**
+ * Finds the machines that are compared with one another, directly or not. However often that is, it
+ * tells nothing of the level that they have in common: all of them may be slow.
+ */
+void rate_comparison::Join(const std::map<std::string_view, std::vector<group_member>>& groups) {
+  for (auto& [id, machine] : machines_) {
+    machine.leader = &machine;
+    machine.level_precision = OwnPrecision(machine);
+  }
+  for (const auto& [group, members] : groups) {
+    machine_record& leader = LeaderOf(*members.front().machine);
+    for (const auto& member : members) {
+      machine_record& other = LeaderOf(*member.machine);
+      if (&other == &leader) continue;
+      other.leader = &leader;
+      leader.level_precision += other.level_precision;
+    }
+  }
+}
+
+/** A machine that turned slow or fast may have changed again since its last run. */
+void rate_comparison::ForgetPassingSpeeds(millis now) {
+  for (auto& [id, machine] : machines_) {
+    if (!machine.speed_changed || now - machine.latest <= kPassing) continue;
+    machine.speed_changed = false;
+    machine.groups.clear();
+    changed_ = true;
+  }
+}
+
 void rate_comparison::Estimate(millis now) {
   DropExpiredPriors(now);
+  ForgetPassingSpeeds(now);
   if (!changed_ || now < next_estimate_) return;
   changed_ = false;
   next_estimate_ = now + kEstimateInterval;
@@ -196,6 +244,7 @@
     }
     AddUp(machine);
   }
+  Join(groups);
   for (int pass = 0; pass < kPasses; ++pass) {
     for (auto& [group, members] : groups) Compare(members);
     for (auto& [id, machine] : machines_) AddUp(machine);
@@ -206,9 +255,9 @@
 
 void rate_comparison::Publish() {
   estimates_.clear();
-  for (const auto& [id, machine] : machines_) {
-    machine_slowness estimate{machine.weighted_sum / machine.precision,
-                              1 / std::sqrt(machine.precision)};
+  for (auto& [id, machine] : machines_) {
+    const double precision = std::min(machine.precision, LeaderOf(machine).level_precision);
+    machine_slowness estimate{machine.weighted_sum / machine.precision, 1 / std::sqrt(precision)};
     for (const auto& [group, part] : machine.groups) {
       if (part.weight <= 0) continue;
       estimate.measured = std::max(estimate.measured.value_or(part.latest), part.latest);
--- a/src/kernel/learning/rate_comparison.h
+++ b/src/kernel/learning/rate_comparison.h
@@ -89,6 +89,9 @@
     double precision = 0;
     double weighted_sum = 0;
     millis latest{0};
+    bool speed_changed = false;        // while it was measured
+    machine_record* leader = nullptr;  // of the machines that it is compared with, also indirectly
+    double level_precision = 0;        // leader: of the level that these machines have in common
   };
   struct group_member {
     machine_record* machine = nullptr;
@@ -99,6 +102,10 @@
   static void AddUp(machine_record& machine);
   static void Compare(const std::vector<group_member>& members);
   static void DropOldest(machine_record& machine);
+  static machine_record& LeaderOf(machine_record& machine);
+  static double OwnPrecision(const machine_record& machine);
+  void Join(const std::map<std::string_view, std::vector<group_member>>& groups);
+  void ForgetPassingSpeeds(millis now);
   static bool Contradicts(const machine_record& machine);
   void DropExpiredPriors(millis now);
   void DropContradictedPriors();
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -168,7 +168,7 @@
   int Planner() const;
 
   planner_statistics PlannerStats(int entry) const {
-    return entries_.at(static_cast<size_t>(entry))->planner->stats();
+    return entries_.at(static_cast<size_t>(entry))->planner->stats(now());
   }
 
   /** Whether an entry plans, or believes so. */
