Units of organisations above their fair share go behind those of others

Cause: by deadline alone, one organisation's burst makes all others wait until it has been served, as its units have the earlier deadlines.

Change: usage_ledger averages the dominant share of each organisation at each service over time and compares it with the fair share. The unit order fair_deadline puts units of an organisation above 1.25 times its fair share behind the others of the same priority while others wait. guaranteed_jobs takes the decision on guarantees out of preemption_planner unchanged, since the order needs it too. Orders receive an order_input instead of the time. Entries use fair_deadline, and so do the stories that play a deployment.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -121,6 +121,7 @@
   counters_.Set("runs", stats.runs);
   counters_.Set("runs_given_up_total", stats.runs_given_up);
   counters_.Set("open_starts", stats.open_starts);
+  counters_.Set("organisations_above_share", stats.crowding);
   counters_.Set("term", stats.term);
 }
 
@@ -172,7 +173,7 @@
   front_ = BOOST_OUTCOME_TRYX(job_front_registry::Instance().Create("platform", *front_server_));
   source_ = BOOST_OUTCOME_TRYX(operator_source_registry::Instance().Create("platform"));
   records_ = BOOST_OUTCOME_TRYX(record_codec_registry::Instance().Create("json"));
-  order_ = BOOST_OUTCOME_TRYX(unit_order_registry::Instance().Create("deadline"));
+  order_ = BOOST_OUTCOME_TRYX(unit_order_registry::Instance().Create("fair_deadline"));
   status_ = std::make_unique<status_page>(*ready_server_, counters_);
   const size_t row_bytes =
       place_.store_row_bytes > 0 ? static_cast<size_t>(place_.store_row_bytes) : kDefaultRowBytes;
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -210,6 +210,7 @@
 void planner_core::ResetTermState() {
   if (tracker_ != nullptr) given_up_in_earlier_terms_ += tracker_->given_up();
   planning_ = runs_known_ = false;
+  usage_ = {};
   journal_.Reset();
   pool_ = worker_pool{std::move(pool_.starts())};
   jobs_ = std::make_unique<job_table>(options_.early);
@@ -379,6 +380,7 @@
   stats.open_starts = static_cast<int64_t>(pool_.starts().count());
   if (!term_.holding()) return stats;
   stats.term = term_.fence();
+  stats.crowding = usage_.crowding();
   stats.open_jobs = static_cast<int64_t>(jobs_->open().size());
   for (const auto& id : jobs_->open()) stats.waiting_jobs += jobs_->Find(id)->begun ? 0 : 1;
   stats.workers = static_cast<int64_t>(pool_.all().size());
@@ -497,7 +499,9 @@
                            &tickets_,
                            now,
                            recovered ? 0 : term_.fence(),
-                           term_.confirmed()};
+                           term_.confirmed(),
+                           &usage_};
+  usage_.Update(view);
   const start_plan plan = starts_.Plan(view);
   tracker_->Apply(plan, now);
   if (auto request = tickets_.Next(plan.advice, view)) out_->emplace_back(std::move(*request));
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -21,6 +21,7 @@
 #include "kernel/batch/ticket_cache.h"
 #include "kernel/model/link_events.h"
 #include "kernel/placement/start_planner.h"
+#include "kernel/sharing/usage_ledger.h"
 
 namespace eelgrass {
 
@@ -70,6 +71,7 @@
   int64_t workers = 0;
   int64_t runs = 0;           // held, ordered, running or stopping
   int64_t runs_given_up = 0;  // by this process: considered ended without a reported end
+  int64_t crowding = 0;       // organisations that exceed their fair share while others wait
   int64_t open_starts = 0;    // that workers may still carry out, as far as this entry knows
 };
 
@@ -142,6 +144,7 @@
   std::unique_ptr<job_table> jobs_;
   worker_pool pool_;
   worker_speeds speeds_;  // kept across terms: speeds do not depend on the planner
+  usage_ledger usage_;    // of the services by organisation, in this term
   planner_journal journal_;
   lost_worker_detector lost_;
   std::unique_ptr<run_tracker> tracker_;
--- a/src/kernel/batch/unit_order.h
+++ b/src/kernel/batch/unit_order.h
@@ -8,6 +8,7 @@
 #include "kernel/base/plugin_registry.h"
 #include "kernel/batch/job_table.h"
 #include "kernel/model/batch_config.h"
+#include "kernel/sharing/order_input.h"
 
 namespace eelgrass {
 
@@ -17,7 +18,8 @@
   virtual ~unit_order() = default;
 
   /** The job's rank; units with a smaller rank are placed first. */
-  virtual double Rank(const tracked_job& job, const batch_queue& queue, millis now) const = 0;
+  virtual double Rank(const tracked_job& job, const batch_queue& queue,
+                      const order_input& input) const = 0;
 };
 
 using unit_order_registry = plugin_registry<unit_order>;
--- a/src/kernel/placement/planning_view.h
+++ b/src/kernel/placement/planning_view.h
@@ -14,6 +14,7 @@
 namespace eelgrass {
 
 class ticket_cache;
+class usage_ledger;
 
 /** The state from which a plan is made. */
 struct planning_view {
@@ -24,8 +25,9 @@
   const worker_speeds& speeds;
   const ticket_cache* advice = nullptr;  // placement tickets, for queues whose policy requires them
   millis now{0};
-  int64_t least_term = 0;  // only jobs accepted in this term or a later one may start
-  millis confirmed{0};     // time up to which the term is known to have been held
+  int64_t least_term = 0;               // only jobs accepted in this term or a later one may start
+  millis confirmed{0};                  // time up to which the term is known to have been held
+  const usage_ledger* usage = nullptr;  // use of the services by organisation
 
   /** The queue of a job; nullptr if the job or the queue is unknown. */
   const batch_queue* QueueOf(const tracked_job* job) const {
--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -27,15 +27,17 @@
 
 }  // namespace
 
-start_planner::start_planner(const unit_order& order) : order_(order), preemption_(capacity_) {}
+start_planner::start_planner(const unit_order& order)
+    : order_(order), preemption_(capacity_, guaranteed_) {}
 
 start_plan start_planner::Plan(const planning_view& view) {
   start_plan plan;
   MoveFromLeavingWorkers(view, plan);
+  guaranteed_.Read(view.jobs, view.config);
   const std::vector<ready_unit> ready = Ready(view);
   capacity_.Read(view);
   capacity_.ReserveHeadroom(ready, view);
-  preemption_.Begin(view);
+  preemption_.Begin();
   std::set<std::pair<std::string, int>> exhausted;  // steps of which no further unit fits
   for (const auto& unit : ready) {
     const std::pair<std::string, int> shape{unit.unit.job, unit.unit.step};
@@ -138,11 +140,12 @@
 
 std::vector<ready_unit> start_planner::Ready(const planning_view& view) const {
   std::vector<ready_unit> ready;
+  const order_input input{view.now, guaranteed_, view.usage};
   for (const auto& id : view.jobs.open()) {
     const tracked_job& job = *view.jobs.Find(id);
     const batch_queue* queue = view.config.FindQueueByName(job.job.queue);
     if (queue == nullptr || job.job.accepted_term < view.least_term) continue;
-    const double rank = order_.Rank(job, *queue, view.now);
+    const double rank = order_.Rank(job, *queue, input);
     for (size_t k = 0; k < job.occurrences.size(); ++k) {
       for (size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
         const step_state& step = job.occurrences[k].steps[s];
--- a/src/kernel/placement/start_planner.h
+++ b/src/kernel/placement/start_planner.h
@@ -13,6 +13,7 @@
 #include "kernel/placement/capacity_map.h"
 #include "kernel/placement/start_plan.h"
 #include "kernel/preemption/preemption_planner.h"
+#include "kernel/sharing/guaranteed_jobs.h"
 
 namespace eelgrass {
 
@@ -52,6 +53,7 @@
               const planning_view& view, start_plan& plan);
 
   const unit_order& order_;
+  guaranteed_jobs guaranteed_;
   capacity_map capacity_;
   preemption_planner preemption_;
 };
--- a/src/kernel/preemption/preemption_planner.cc
+++ b/src/kernel/preemption/preemption_planner.cc
@@ -19,42 +19,12 @@
 
 }  // namespace
 
-preemption_planner::preemption_planner(capacity_map& capacity) : capacity_(capacity) {}
+preemption_planner::preemption_planner(capacity_map& capacity, const guaranteed_jobs& guaranteed)
+    : capacity_(capacity), guaranteed_(guaranteed) {}
 
-void preemption_planner::Begin(const planning_view& view) {
+void preemption_planner::Begin() {
   preempted_.clear();
   costs_.clear();
-  ReadGuarantees(view);
-}
-
-/**
- * An organisation's open jobs of the first priority are guaranteed in order of acceptance, as long
- * as together they need no more than the organisation's guarantee.
- */
-void preemption_planner::ReadGuarantees(const planning_view& view) {
-  guaranteed_.clear();
-  std::map<std::string, std::vector<const tracked_job*>> by_owner;
-  for (const auto& id : view.jobs.open()) {
-    const tracked_job* job = view.jobs.Find(id);
-    const batch_queue* queue = view.config.FindQueueByName(job->job.queue);
-    if (queue != nullptr && IsUrgent(*queue)) by_owner[job->job.organisation].push_back(job);
-  }
-  for (auto& [name, jobs] : by_owner) {
-    const batch_organisation* owner = view.config.FindOrganisation(name);
-    if (owner == nullptr) continue;
-    std::stable_sort(jobs.begin(), jobs.end(),
-                     [](const auto* a, const auto* b) { return a->accepted < b->accepted; });
-    int64_t left = owner->guaranteed_accelerators;
-    for (const auto* job : jobs) {
-      int64_t need = 0;
-      for (const auto& step : job->job.steps) {
-        need = std::max(need, step.each.accelerators * step.count);
-      }
-      left -= need;
-      if (left < 0) break;
-      guaranteed_.insert(job->job.id);
-    }
-  }
 }
 
 bool preemption_planner::Stopping(const run_record& record) const {
@@ -62,7 +32,7 @@
 }
 
 bool preemption_planner::MayPreemptFor(const ready_unit& unit, const planning_view& view) const {
-  if (guaranteed_.contains(unit.unit.job)) return true;
+  if (guaranteed_.Contains(unit.unit.job)) return true;
   if (!IsUrgent(*unit.queue) || unit.step->long_running) return false;
   const millis objective = Objective(*unit.job, *unit.queue);
   return view.now + unit.step->estimate < unit.job->accepted + objective * kLateFactor;
@@ -76,8 +46,8 @@
 
 bool preemption_planner::MayPreempt(const unit_ref& victim, const ready_unit& by,
                                     const planning_view& view) const {
-  if (victim.job == by.unit.job || guaranteed_.contains(victim.job)) return false;
-  if (!guaranteed_.contains(by.unit.job) && !IsLessUrgent(victim, by, view)) return false;
+  if (victim.job == by.unit.job || guaranteed_.Contains(victim.job)) return false;
+  if (!guaranteed_.Contains(by.unit.job) && !IsLessUrgent(victim, by, view)) return false;
   const batch_step* step = view.jobs.StepOf(victim);
   if (step == nullptr || !step->long_running) return step != nullptr;
   // A long-running step limits how many of its units may be stopped at once.
@@ -210,7 +180,7 @@
     const ready_unit& unit, std::span<candidate_worker* const> candidates,
     const planning_view& view) {
   // Urgent work beyond the guarantee may cost others at most its own amount of work.
-  const double most = guaranteed_.contains(unit.unit.job) ? std::numeric_limits<double>::infinity()
+  const double most = guaranteed_.Contains(unit.unit.job) ? std::numeric_limits<double>::infinity()
                                                           : WorkOf(*unit.step);
   std::vector<amounts> before;
   for (const auto* candidate : candidates) before.push_back(candidate->future);
--- a/src/kernel/preemption/preemption_planner.h
+++ b/src/kernel/preemption/preemption_planner.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "kernel/placement/capacity_map.h"
+#include "kernel/sharing/guaranteed_jobs.h"
 
 namespace eelgrass {
 
@@ -28,10 +29,10 @@
  */
 class preemption_planner {
  public:
-  explicit preemption_planner(capacity_map& capacity);
+  preemption_planner(capacity_map& capacity, const guaranteed_jobs& guaranteed);
 
   /** Resets the state of the previous plan. */
-  void Begin(const planning_view& view);
+  void Begin();
 
   /**
    * Whether a unit may preempt others: its job is guaranteed, or is urgent and can still end
@@ -55,7 +56,6 @@
     double slow_cost = 0;  // delay of the unit itself on slow workers
   };
 
-  void ReadGuarantees(const planning_view& view);
   std::optional<option> PlanWithin(const ready_unit& unit,
                                    std::span<candidate_worker* const> candidates,
                                    const planning_view& view);
@@ -76,9 +76,9 @@
   bool IsUnitRunning(const unit_ref& unit) const;
 
   capacity_map& capacity_;
+  const guaranteed_jobs& guaranteed_;
   std::map<unit_ref, double> costs_;  // cost of stopping each unit, in this plan
   std::set<unit_ref> preempted_;      // victims in this plan
-  std::set<std::string> guaranteed_;  // jobs within their organisation's guarantee
 };
 
 }  // namespace eelgrass
--- a/src/plugins/unit_order/arrival/arrival_order.cc
+++ b/src/plugins/unit_order/arrival/arrival_order.cc
@@ -8,7 +8,7 @@
 
 class arrival_order : public unit_order {
  public:
-  double Rank(const tracked_job& job, const batch_queue&, millis) const override {
+  double Rank(const tracked_job& job, const batch_queue&, const order_input&) const override {
     return static_cast<double>(job.accepted.count());
   }
 };
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -34,7 +34,7 @@
   std::map<int, double> processor;  // of single entries; 0 at the others
   runner_options worker;
   std::map<int, int> time_percent;  // of work at single workers; 100 at the others
-  std::string order = "deadline";
+  std::string order = "fair_deadline";
   int first_entries = 1;  // named as seeds in the settings from the start
   /** Entries know only the seeds and the store at their start; otherwise they know all others. */
   bool discover = false;
