A story of fair shares across entries and a planner change

Cause: no story failed when planner_core did not update the usage ledger.

Change: a story plays a deployment with a burst of one organisation, with the first planner and after its entry was killed. The task of the other organisation has to begin within two runs.

--- a/tests/stories/fair_shares_story.cc
+++ b/tests/stories/fair_shares_story.cc
@@ -5,7 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "tests/world/batch_world.h"
 #include "tests/world/plan_rig.h"
+#include "tests/world/require_kept.h"
 
 namespace eelgrass {
 namespace {
@@ -84,7 +86,7 @@
   busy_rig rig("fair_deadline");
   rig.Settle();
   const auto wait = [&](int organisation, std::string_view queue = "1") {
-    const std::string id = rig.Add(organisation, queue, kWork);
+    std::string id = rig.Add(organisation, queue, kWork);
     rig.now += millis(10);  // whoever comes first has the earlier deadline
     return id;
   };
@@ -242,5 +244,36 @@
   CHECK(started > compared);
 }
 
+// Guards against a planner that does not measure, in its first or in a later term.
+TEST_CASE("entries with planners of their own serve an organisation beside another one's burst") {
+  batch_world world;
+  world.Configure([](batch_config& config) {
+    for (auto& organisation : config.organisations) organisation.guaranteed_accelerators = 0;
+    for (auto& queue : config.queues) queue.stretch = 20;
+  });
+  world.RunFor(millis(5000));
+  batch_job burst = MakeBatchJob("b1", "usual", 120, kWork, 8);
+  burst.organisation = "brokers";
+  world.Submit(burst);
+  world.Watch(burst.id);
+  world.RunFor(millis(35000));
+  SUBCASE("the planner stays") {}
+  SUBCASE("the planner is replaced") { world.KillEntry(world.Planner(), millis(60000)); }
+  world.RunFor(millis(15000));
+  REQUIRE_FALSE(world.check().completed(burst.id).has_value());
+  const batch_job other = MakeBatchJob("a1", "usual", 1, kWork, 8);
+  const millis submitted = world.now();
+  world.Submit(other);
+  world.Watch(other.id);
+  world.RunFor(millis(60000));
+  const auto began = world.check().began(other.id + ".0.0.0");
+  REQUIRE(began.has_value());
+  INFO("waited ", (*began - submitted).count(), " ms");
+  // One run, and the time until the caller reaches an entry that is up.
+  CHECK(*began - submitted < kWork * 2);
+  CHECK(world.check().completed(burst.id).has_value());
+  RequireKept(world);
+}
+
 }  // namespace
 }  // namespace eelgrass
