--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -220,6 +220,7 @@
 void planner_core::ResetTermState() {
   if (tracker_ != nullptr) given_up_in_earlier_terms_ += tracker_->given_up();
   planning_ = runs_known_ = false;
+  usage_ = {};
   journal_.Reset();
   pool_ = worker_pool{std::move(pool_.starts())};
   jobs_ = std::make_unique<job_table>(options_.early);
@@ -396,6 +397,7 @@
   stats.known_speeds = speeds_.known();
   stats.greatest_slowdown_percent = std::lround(kPercent * speeds_.greatest_slowdown());
   stats.term = term_.fence();
+  stats.crowding = usage_.crowding();
   stats.open_jobs = static_cast<int64_t>(jobs_->open().size());
   for (const auto& id : jobs_->open()) stats.waiting_jobs += jobs_->Find(id)->begun ? 0 : 1;
   stats.workers = static_cast<int64_t>(pool_.all().size());
@@ -515,10 +517,12 @@
                            &tickets_,
                            now,
                            recovered ? 0 : term_.fence(),
-                           term_.confirmed()};
+                           term_.confirmed(),
+                           &usage_};
   for (const auto& unit : stragglers_.Decide(tracker_->TakeOutcomes(), view, pool_)) {
     tracker_->Stop(unit, "it stands still", now);
   }
+  usage_.Update(view);
   const start_plan plan = starts_.Plan(view);
   tracker_->Apply(plan, now);
   if (auto request = tickets_.Next(plan.advice, view)) out_->emplace_back(std::move(*request));
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -23,6 +23,7 @@
 #include "kernel/model/link_events.h"
 #include "kernel/placement/start_planner.h"
 #include "kernel/stragglers/straggler_control.h"
+#include "kernel/sharing/usage_ledger.h"
 
 namespace eelgrass {
 
@@ -80,6 +81,7 @@
   int64_t known_speeds = 0;  // VMs
   int64_t greatest_slowdown_percent = 0;
   int64_t ignored_speed_rows = 0;  // by this process
+  int64_t crowding = 0;            // organisations that exceed their fair share while others wait
 };
 
 /**
@@ -152,6 +154,7 @@
   worker_pool pool_;
   worker_speeds speeds_;  // kept across terms: speeds do not depend on the planner
   speed_archive speed_archive_;
+  usage_ledger usage_;    // of the services by organisation, in this term
   planner_journal journal_;
   lost_worker_detector lost_;
   std::unique_ptr<run_tracker> tracker_;
--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -49,15 +49,16 @@
 }  // namespace
 
 start_planner::start_planner(const unit_order& order)
-    : order_(order), availability_(capacity_), preemption_(capacity_) {}
+    : order_(order), availability_(capacity_), preemption_(capacity_, guaranteed_) {}
 
 start_plan start_planner::Plan(const planning_view& view) {
   start_plan plan;
   MoveFromLeavingWorkers(view, plan);
+  guaranteed_.Read(view.jobs, view.config);
   const std::vector<ready_unit> ready = Ready(view);
   capacity_.Read(view);
   capacity_.ReserveHeadroom(ready, view);
-  preemption_.Begin(view);
+  preemption_.Begin();
   availability_.Begin();
   holds_.clear();
   held_before_ = std::exchange(held_, {});
@@ -167,11 +168,12 @@
 
 std::vector<ready_unit> start_planner::Ready(const planning_view& view) const {
   std::vector<ready_unit> ready;
+  const order_input input{view.now, guaranteed_, view.usage};
   for (const auto& id : view.jobs.open()) {
     const tracked_job& job = *view.jobs.Find(id);
     const batch_queue* queue = view.config.FindQueueByName(job.job.queue);
     if (queue == nullptr || job.job.accepted_term < view.least_term) continue;
-    const double rank = order_.Rank(job, *queue, view.now);
+    const double rank = order_.Rank(job, *queue, input);
     for (size_t k = 0; k < job.occurrences.size(); ++k) {
       for (size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
         const step_state& step = job.occurrences[k].steps[s];
@@ -320,7 +322,7 @@
   if (unit.job->job.occurrences > 0 || !unit.bound.empty()) return false;
   const millis until = unit.job->accepted + Objective(*unit.job, *unit.queue);
   millis latest = until - unit.work - kStartOverhead - ChainAfter(*unit.job, unit.unit.step);
-  if (preemption_.Guaranteed(unit.unit.job)) {
+  if (guaranteed_.Contains(unit.unit.job)) {
     latest = std::min(latest, unit.job->accepted + kLongestReclaimWait);
   }
   if (latest <= view.now) return false;
--- a/src/kernel/placement/start_planner.h
+++ b/src/kernel/placement/start_planner.h
@@ -15,6 +15,7 @@
 #include "kernel/placement/capacity_map.h"
 #include "kernel/placement/start_plan.h"
 #include "kernel/preemption/preemption_planner.h"
+#include "kernel/sharing/guaranteed_jobs.h"
 
 namespace eelgrass {
 
@@ -59,6 +60,7 @@
             const planning_view& view);
 
   const unit_order& order_;
+  guaranteed_jobs guaranteed_;
   capacity_map capacity_;
   availability availability_;
   std::map<std::string, int> holds_;  // number by service, in this plan
