Load forecast, and early rejection of jobs that could not end in time

Cause: an entry accepts every job, also while the backlog is so long that the job could end only after three times its objective and would earn nothing.

The planner computes for each queue how long jobs wait (load_forecaster) and sends it to the entries while anything waits (peer message load_forecast, at the end of peer_message). An entry rejects a hopeless job before its insertion (job_admission): 429 with Retry-After. Before that it reads the job's row by a transaction that can never write, so that a job which an earlier call has stored is accepted again. A forecast that is missing, old, of a former term or unsound rejects nobody, nor does an entry whose store left a call unanswered in the last 15 s. On an unloaded deployment nothing is sent.

The soak and the tests with processes were not run.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -65,6 +65,19 @@
   counters_.Set("operator_calls_failed_total", stats.failed_operator_calls);
   counters_.Set("entries_listed", stats.listed_entries);
   counters_.Set("entries_connected", stats.connected_entries);
+  const job_admission& admission = core_.admission();
+  counters_.Set("jobs_rejected_total", admission.rejected());
+  counters_.Set("load_forecasts_refused_total", admission.refused_forecasts());
+  counters_.Set("load_forecast_age_ms", admission.Age(now).value_or(millis(-1)).count());
+  for (auto& [name, waits] : forecast_waits_) waits = {0, 0};  // if no forecast applies any more
+  for (const auto& queue : admission.queues(now)) {
+    forecast_waits_[queue.queue] = {queue.wait_ms, queue.wide_wait_ms};
+  }
+  for (const auto& [name, waits] : forecast_waits_) {
+    const std::string label = "{queue=\"" + name + "\",width=\"";
+    counters_.Set("load_forecast_wait_ms" + label + "typical\"}", waits.first);
+    counters_.Set("load_forecast_wait_ms" + label + "large\"}", waits.second);
+  }
 }
 
 void gateway_duty::Execute(gateway_action& action) {
@@ -237,7 +250,8 @@
     planner_duty_->Deliver(*refused);
   } else if (auto* received = std::get_if<peer_said>(&event)) {
     const bool both = std::holds_alternative<planner_notice>(received->message);
-    const bool callers = std::holds_alternative<job_reply>(received->message);
+    const bool callers = std::holds_alternative<job_reply>(received->message) ||
+                         std::holds_alternative<load_forecast>(received->message);
     if (both || callers) gateway_duty_->Deliver(peer_said(*received));
     if (!callers) planner_duty_->Deliver(std::move(*received));
   }
--- a/src/daemons/node/batch_entry.h
+++ b/src/daemons/node/batch_entry.h
@@ -4,7 +4,10 @@
 #pragma once
 
 #include <atomic>
+#include <map>
 #include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "daemons/node/process_signals.h"
@@ -44,6 +47,7 @@
   event_sink<planner_event>* planner_ = nullptr;
   std::vector<gateway_action> actions_;
   millis next_gauges_{0};
+  std::map<std::string, std::pair<int64_t, int64_t>> forecast_waits_;  // shown, by queue
   std::atomic<size_t> open_calls_{0};
 };
 
--- a/src/kernel/batch/gateway_core.cc
+++ b/src/kernel/batch/gateway_core.cc
@@ -29,6 +29,9 @@
 /** Least remaining time for starting an insertion; an idle store takes half of that. */
 constexpr millis kMinInsertTime{30};
 
+/** Limit of the check of a job's row before a rejection; a slow store answers within 0.4 s. */
+constexpr millis kRowCheckTimeout{450};
+
 /** A call is refused after the store has not served it, or this entry, for this long. */
 constexpr millis kUnservedLimit{1500};
 
@@ -112,12 +115,57 @@
   if (verdict.refusal) return Refuse(call, *verdict.refusal, verdict.detail, now);
   call.admitted = true;
   if (submitted) {
-    Insert(token, call, now);
+    if (!RejectEarly(token, call, now)) Insert(token, call, now);
   } else {
     SendInquiry(token, call, now);
   }
 }
 
+/**
+ * Rejects a job that could not end while it is of any value. The caller may have handed it in
+ * before, here or at another entry, so that the store is asked for its row first. The condition on
+ * the epoch never holds: the transaction only returns the rows and confirms the newest term.
+ */
+bool gateway_core::RejectEarly(int64_t token, open_call& call, millis now) {
+  if (call.tries > 0 || call.outcome_unknown || call.check == row_check::kFailed) return false;
+  const batch_config& config = *operators_.state().config;
+  const auto rejection =
+      admission_.Judge({call.job, *call.call.job}, *config.FindQueueByName(call.queue),
+                       config.FindOrganisation(call.organisation), now);
+  if (!rejection || MayBeInserted(call)) return false;
+  if (call.check == row_check::kAbsent) {
+    caller_reply reply{call.call.id, call_answer::kBusy};
+    reply.retry_after = admission_.Reject(*rejection, now);
+    reply.detail = "the queue's load would not let the job end while it is of value";
+    Answer(call, std::move(reply), now);
+    return true;
+  }
+  call.check = row_check::kPending;
+  call.next_try = call.deadline;
+  row_transaction check;
+  check.conditions.push_back({{std::string(kJobsTable), "", call.job}, 0});
+  check.conditions.push_back({EpochRow(), 0});
+  const millis timeout = std::min(kRowCheckTimeout, (call.deadline - now) / 2);
+  out_->emplace_back(store_request{token, std::move(check), timeout});
+  return true;
+}
+
+/** Whether another call of this entry may have inserted the job. */
+bool gateway_core::MayBeInserted(const open_call& call) const {
+  return std::any_of(calls_.begin(), calls_.end(), [&](const auto& entry) {
+    return entry.second.job == call.job && entry.second.tries > 0 &&
+           entry.second.call.kind == call_kind::kSubmit;
+  });
+}
+
+/** Without an answer the job is not rejected, but inserted. */
+void gateway_core::OnRowChecked(open_call& call, const transaction_result& result, millis now) {
+  call.check = row_check::kFailed;
+  call.next_try = now;
+  if (result.outcome != row_outcome::kConflict || HandleConflict(call, result, now)) return;
+  call.check = row_check::kAbsent;
+}
+
 void gateway_core::Refuse(open_call& call, call_answer answer, std::string_view detail,
                           millis now) {
   caller_reply reply{call.call.id, answer};
@@ -174,8 +222,9 @@
 }
 
 void gateway_core::On(store_reply& reply, millis now) {
-  store_.RecordOutcome(std::visit([](const auto& answer) { return answer.outcome; }, reply.answer),
-                       now);
+  const auto outcome = std::visit([](const auto& answer) { return answer.outcome; }, reply.answer);
+  store_.RecordOutcome(outcome, now);
+  if (outcome == row_outcome::kUnknown) admission_.OnStoreUnanswered(now);
   clock_.Update(std::visit([](const auto& answer) { return answer.store_now; }, reply.answer), now);
   if (reply.token == follower_token_) {
     follower_token_ = 0;
@@ -193,7 +242,12 @@
   }
   const auto found = calls_.find(reply.token);
   if (found == calls_.end()) return;
-  OnInserted(found->second, std::get<transaction_result>(reply.answer), now);
+  const auto& result = std::get<transaction_result>(reply.answer);
+  if (found->second.check == row_check::kPending) {
+    OnRowChecked(found->second, result, now);
+  } else {
+    OnInserted(found->second, result, now);
+  }
   if (found->second.call.id == 0) calls_.erase(found);
 }
 
@@ -279,6 +333,7 @@
     }
     if (found.at == EpochRow()) {
       newest_term_ = std::max(newest_term_, found.revision);
+      admission_.OnTerm(newest_term_);
     } else {
       operators_.Adopt(found, call.sent, now);
     }
@@ -346,16 +401,19 @@
 void gateway_core::On(peer_said& event, millis now) {
   if (const auto* notice = std::get_if<planner_notice>(&event.message)) OnNotice(*notice, now);
   if (const auto* reply = std::get_if<job_reply>(&event.message)) OnReply(*reply, now);
+  if (const auto* load = std::get_if<load_forecast>(&event.message)) admission_.On(*load, now);
 }
 
 void gateway_core::On(own_planner_reply& event, millis now) {
   if (const auto* notice = std::get_if<planner_notice>(&event.message)) OnNotice(*notice, now);
   if (const auto* reply = std::get_if<job_reply>(&event.message)) OnReply(*reply, now);
+  if (const auto* load = std::get_if<load_forecast>(&event.message)) admission_.On(*load, now);
 }
 
 void gateway_core::OnNotice(const planner_notice& notice, millis now) {
   if (notice.term < planner_.term) return;
   newest_term_ = std::max(newest_term_, notice.term);
+  admission_.OnTerm(newest_term_);
   const bool changed = notice.planner != planner_.planner || notice.term != planner_.term;
   planner_ = notice;
   if (!changed) return;
@@ -389,6 +447,7 @@
   const bool cancelled = call.call.kind == call_kind::kCancel;
   const bool unknown =
       submitted ? call.outcome_unknown || call.insert_pending : cancelled && call.inquiry_sent;
+  if (unknown && submitted) admission_.RememberUnknown(call.job, now);
   caller_reply reply{call.call.id};
   reply.answer = unknown ? call_answer::kOutcomeUnknown : call_answer::kUnavailable;
   reply.retry_after = unknown ? millis(0) : kRetryAfter;
--- a/src/kernel/batch/gateway_core.h
+++ b/src/kernel/batch/gateway_core.h
@@ -20,12 +20,13 @@
 #include "kernel/batch/store_exchange.h"
 #include "kernel/batch/store_health.h"
 #include "kernel/model/link_events.h"
+#include "kernel/sharing/job_admission.h"
 
 namespace eelgrass {
 
-/** An answer to an inquiry, or a notice of the current planner, from this process's planner. */
+/** An answer to an inquiry, a notice or a forecast from this process's planner. */
 struct own_planner_reply {
-  std::variant<job_reply, planner_notice> message;
+  std::variant<job_reply, planner_notice, load_forecast> message;
 };
 
 /** The process shuts down and must accept no new work. */
@@ -90,10 +91,14 @@
 
   gateway_statistics stats(millis now) const;
 
+  const job_admission& admission() const { return admission_; }
   bool ready() const { return ready_; }
   size_t open_calls() const { return calls_.size(); }
 
  private:
+  /** Whether the store has the row of a job that the forecast rejects. */
+  enum class row_check { kNone, kPending, kAbsent, kFailed };
+
   /** A call that has not been answered yet. */
   struct open_call {
     caller_call call;
@@ -108,8 +113,9 @@
     int64_t config_revision = 0;   // in the insertion's condition
     bool insert_pending = false;   // the store has not answered the insertion yet
     bool outcome_unknown = false;  // an earlier try may have taken effect or still may
-    bool inquiry_sent = false;     // the planner may have received the inquiry
-    millis sent{0};                // send time of the last try
+    row_check check = row_check::kNone;
+    bool inquiry_sent = false;  // the planner may have received the inquiry
+    millis sent{0};             // send time of the last try
     millis next_try{0};
     int tries = 0;
   };
@@ -126,6 +132,9 @@
   void Refuse(open_call& call, call_answer answer, std::string_view detail, millis now);
   bool AwaitConfig(const open_call& call, millis now);
   bool ConfigCurrent(const open_call& call) const;
+  bool RejectEarly(int64_t token, open_call& call, millis now);
+  bool MayBeInserted(const open_call& call) const;
+  void OnRowChecked(open_call& call, const transaction_result& result, millis now);
   void Insert(int64_t token, open_call& call, millis now);
   void NotifyAccepted(const open_call& call, int64_t revision);
   template <typename Message>
@@ -153,6 +162,7 @@
   entry_discovery entries_;
   store_clock clock_;
   store_health store_;
+  job_admission admission_;
   std::vector<gateway_action>* out_ = nullptr;
   std::map<int64_t, open_call> calls_;  // by token
   int64_t last_token_ = 0;
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -210,6 +210,7 @@
 void planner_core::ResetTermState() {
   if (tracker_ != nullptr) given_up_in_earlier_terms_ += tracker_->given_up();
   planning_ = runs_known_ = false;
+  forecaster_ = load_forecaster();
   journal_.Reset();
   pool_ = worker_pool{std::move(pool_.starts())};
   jobs_ = std::make_unique<job_table>(options_.early);
@@ -501,6 +502,14 @@
   const start_plan plan = starts_.Plan(view);
   tracker_->Apply(plan, now);
   if (auto request = tickets_.Next(plan.advice, view)) out_->emplace_back(std::move(*request));
+  if (auto forecast = forecaster_.Next(view)) Publish(std::move(*forecast));
+}
+
+/** Sends a load forecast to all entries. */
+void planner_core::Publish(load_forecast forecast) {
+  forecast.term = term_.fence();
+  for (const auto& [id, address] : entries_) out_->emplace_back(send_to_peer{id, forecast});
+  out_->emplace_back(send_to_gateway{std::move(forecast)});
 }
 
 planner_notice planner_core::Notice(millis now) const {
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -21,6 +21,7 @@
 #include "kernel/batch/ticket_cache.h"
 #include "kernel/model/link_events.h"
 #include "kernel/placement/start_planner.h"
+#include "kernel/sharing/load_forecaster.h"
 
 namespace eelgrass {
 
@@ -44,7 +45,7 @@
 
 /** A message to the gateway in the same process. */
 struct send_to_gateway {
-  std::variant<job_reply, planner_notice> message;
+  std::variant<job_reply, planner_notice, load_forecast> message;
 };
 
 using planner_action =
@@ -128,6 +129,7 @@
   bool RunsKnown(millis now);
   bool Recovered(millis now);
   void Plan(millis now, millis wall_now);
+  void Publish(load_forecast forecast);
   void Notify(millis now);
   void RepeatNotice(const planner_notice& notice, millis now);
   void OnPlannerNotice(const planner_notice& notice, millis now);
@@ -147,6 +149,7 @@
   std::unique_ptr<run_tracker> tracker_;
   std::unique_ptr<order_writer> orders_;
   start_planner starts_;
+  load_forecaster forecaster_;
   start_notices start_notices_;
   operator_state operators_;
   millis operators_confirmed_{INT64_MIN / 4};
--- a/src/kernel/batch/unit_order.cc
+++ b/src/kernel/batch/unit_order.cc
@@ -32,8 +32,8 @@
   return longest;
 }
 
-millis Objective(const tracked_job& job, const batch_queue& queue) {
-  const auto chain = static_cast<double>(LongestChain(job.job).count());
+millis Objective(const batch_job& job, const batch_queue& queue) {
+  const auto chain = static_cast<double>(LongestChain(job).count());
   return millis(static_cast<int64_t>(queue.stretch * chain)) + queue.target_latency;
 }
 
--- a/src/kernel/batch/unit_order.h
+++ b/src/kernel/batch/unit_order.h
@@ -33,7 +33,10 @@
 millis ChainAfter(const batch_job& job, int step);
 
 /** Time from acceptance within which a job has to end to be in time. */
-millis Objective(const tracked_job& job, const batch_queue& queue);
+millis Objective(const batch_job& job, const batch_queue& queue);
+inline millis Objective(const tracked_job& job, const batch_queue& queue) {
+  return Objective(job.job, queue);
+}
 
 /** A job that ends after this many times its objective has no value any more. */
 inline constexpr int64_t kLateFactor = 3;
--- a/src/kernel/model/messages.h
+++ b/src/kernel/model/messages.h
@@ -11,6 +11,7 @@
 
 #include "kernel/base/millis.h"
 #include "kernel/model/bytes.h"
+#include "kernel/model/load_forecast.h"
 #include "kernel/model/resources.h"
 #include "kernel/model/worker_messages.h"
 
@@ -300,6 +301,6 @@
                  gang_start, gang_started, gang_renew, gang_renewed, gang_stop, gang_member_done,
                  gang_report, gang_report_ack, gang_query, worker_usage, worker_report,
                  worker_order, planner_notice, job_inquiry, job_reply, job_accepted,
-                 open_starts_notice, open_starts_received>;
+                 open_starts_notice, open_starts_received, load_forecast>;
 
 }  // namespace eelgrass
--- a/src/plugins/peer/cbor/cbor_codec.cc
+++ b/src/plugins/peer/cbor/cbor_codec.cc
@@ -87,6 +87,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_settled_starts, worker, runs, agent_process)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(open_starts_notice, workers, settled, number, term)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(open_starts_received, number)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(queue_forecast, queue, wait_ms, wide_wait_ms,
+                                                work_ms, worker)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(urgent_usage, organisation, accelerators)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(load_forecast, term, created_ms, age_ms, queues,
+                                                urgent)
 
 namespace {
 
--- a/tests/world/gateway_world.cc
+++ b/tests/world/gateway_world.cc
@@ -34,7 +34,7 @@
   row_transaction term;
   term.writes.push_back({EpochRow(), std::string(kNode)});
   planner_notice notice;
-  notice.term = rows_.Apply(term).revision;
+  notice.term = term_ = rows_.Apply(term).revision;
   notice.planner = kNode;
   Decide({own_planner_reply{notice}});
   Tick();
@@ -83,6 +83,12 @@
   return Call(std::move(call));
 }
 
+void gateway_world::Publish(load_forecast forecast) {
+  forecast.term = term_;
+  forecast.created_ms = events_.now().count();
+  Decide({own_planner_reply{std::move(forecast)}});
+}
+
 uint64_t gateway_world::Call(caller_call call) {
   call.id = ++last_call_;
   call.host = "site";
--- a/tests/world/gateway_world.h
+++ b/tests/world/gateway_world.h
@@ -52,6 +52,9 @@
   uint64_t AskWaiting(std::string_view queue, std::string_view key);
   uint64_t Submit(std::string_view queue, std::string_view key);
 
+  /** The planner publishes a forecast now. */
+  void Publish(load_forecast forecast);
+
   /** The answer to a call; none: it has not been answered yet. */
   std::optional<caller_reply> answer(uint64_t call) const;
 
@@ -81,6 +84,7 @@
   std::unique_ptr<batch_record_codec> codec_;
   gateway_core gateway_;
   int64_t version_ = 0;
+  int64_t term_ = 0;
   uint64_t last_call_ = 0;
   std::map<uint64_t, caller_reply> answers_;
   int operator_calls_ = 0;
