--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -22,8 +22,9 @@
 #include "kernel/learning/speed_archive.h"
 #include "kernel/model/link_events.h"
 #include "kernel/placement/start_planner.h"
-#include "kernel/stragglers/straggler_control.h"
+#include "kernel/sharing/load_forecaster.h"
 #include "kernel/sharing/usage_ledger.h"
+#include "kernel/stragglers/straggler_control.h"
 
 namespace eelgrass {
 
@@ -47,7 +48,7 @@
 
 /** A message to the gateway in the same process. */
 struct send_to_gateway {
-  std::variant<job_reply, planner_notice> message;
+  std::variant<job_reply, planner_notice, load_forecast> message;
 };
 
 using planner_action =
@@ -139,6 +140,7 @@
   bool RunsKnown(millis now);
   bool Recovered(millis now);
   void Plan(millis now, millis wall_now);
+  void Publish(load_forecast forecast);
   void Notify(millis now);
   void RepeatNotice(const planner_notice& notice, millis now);
   void OnPlannerNotice(const planner_notice& notice, millis now);
@@ -154,13 +156,14 @@
   worker_pool pool_;
   worker_speeds speeds_;  // kept across terms: speeds do not depend on the planner
   speed_archive speed_archive_;
-  usage_ledger usage_;    // of the services by organisation, in this term
+  usage_ledger usage_;  // of the services by organisation, in this term
   planner_journal journal_;
   lost_worker_detector lost_;
   std::unique_ptr<run_tracker> tracker_;
   std::unique_ptr<order_writer> orders_;
   start_planner starts_;
   straggler_control stragglers_;
+  load_forecaster forecaster_;
   start_notices start_notices_;
   operator_state operators_;
   millis operators_confirmed_{INT64_MIN / 4};
--- a/src/kernel/batch/unit_order.h
+++ b/src/kernel/batch/unit_order.h
@@ -28,13 +28,19 @@
 using unit_order_registration =
     plugin_registration<unit_order_registry, unit_order, Implementation>;
 
-/** Expected duration of the longest chain of dependent steps in one occurrence. */
+/** Estimated duration of the longest chain of dependent steps in one occurrence. */
+millis LongestChain(const batch_job& job);
+
+/** The same, corrected by what the job's runs or its queue have shown. */
 millis LongestChain(const tracked_job& job);
 
-/** Expected duration of the longest chain of steps that depend on a step, without that step. */
+/** Corrected duration of the longest chain of steps that depend on a step, without that step. */
 millis ChainAfter(const tracked_job& job, int step);
 
-/** Time from acceptance within which a job has to end to be in time. */
+/** Time from acceptance within which a job has to end to be in time, by the caller's estimates. */
+millis Objective(const batch_job& job, const batch_queue& queue);
+
+/** The same, by the corrected estimates. */
 millis Objective(const tracked_job& job, const batch_queue& queue);
 
 /** A job that ends after this many times its objective has no value any more. */
--- a/src/plugins/unit_order/fair_deadline/fair_deadline_order.cc
+++ b/src/plugins/unit_order/fair_deadline/fair_deadline_order.cc
@@ -29,7 +29,7 @@
     if (input.usage == nullptr || job.job.occurrences > 0) return false;
     if (!input.usage->Crowds(job.job.organisation, queue.service)) return false;
     if (input.guaranteed.Contains(job.job.id)) return false;
-    const millis slack = Objective(job, queue) - LongestChain(job.job);
+    const millis slack = Objective(job, queue) - LongestChain(job);
     return input.now - job.accepted <= slack;
   }
 };
