Urgent units preempt at once again; a machine without comparison is not estimated

Cause: units that waited for runs to end by themselves were late where a predicted end was late, gangs waited longer than without listed progress, and plans on equal workers differed from those without it. Change: the wait is taken out; a unit is still preempted at most twice but for guaranteed work. The story of a takeover names the VMs that are in the pool, since speeds of others no longer count.

--- a/src/kernel/learning/rate_comparison.cc
+++ b/src/kernel/learning/rate_comparison.cc
@@ -262,7 +262,7 @@
       if (part.weight <= 0) continue;
       estimate.measured = std::max(estimate.measured.value_or(part.latest), part.latest);
     }
-    if (machine.prior || estimate.deviation < kPriorDeviation) estimates_.emplace(id, estimate);
+    if (machine.prior || estimate.measured) estimates_.emplace(id, estimate);
   }
 }
 
--- a/src/kernel/learning/run_forecast.cc
+++ b/src/kernel/learning/run_forecast.cc
@@ -9,12 +9,12 @@
       static_cast<int64_t>(static_cast<double>(step.estimate.count()) * job.work.ratio()));
 }
 
-predicted_rest PredictRest(const run_record& record, const tracked_job& job, const batch_step& step,
-                           const worker_speed& speed, millis now) {
-  if (const auto rest = record.progress.Remaining(now)) return {*rest, true};
+millis PredictRest(const run_record& record, const tracked_job& job, const batch_step& step,
+                   const worker_speed& speed, millis now) {
+  if (const auto rest = record.progress.Remaining(now)) return *rest;
   const double whole = static_cast<double>(ExpectedWork(job, step).count()) * speed.slowdown;
   const millis since = record.began.value_or(now);
-  return {std::max(millis(0), since + millis(static_cast<int64_t>(whole)) - now), false};
+  return std::max(millis(0), since + millis(static_cast<int64_t>(whole)) - now);
 }
 
 }  // namespace eelgrass
--- a/src/kernel/learning/run_forecast.h
+++ b/src/kernel/learning/run_forecast.h
@@ -17,13 +17,11 @@
  */
 millis ExpectedWork(const tracked_job& job, const batch_step& step);
 
-/** Time that a run still takes on its worker, if nothing stops it. */
-struct predicted_rest {
-  millis time{0};
-  bool measured = false;  // by the run's own progress, not by an estimate
-};
-
-predicted_rest PredictRest(const run_record& record, const tracked_job& job, const batch_step& step,
-                           const worker_speed& speed, millis now);
+/**
+ * Time that a run still takes on its worker, if nothing stops it: by its own progress, or by the
+ * expected work before that is known.
+ */
+millis PredictRest(const run_record& record, const tracked_job& job, const batch_step& step,
+                   const worker_speed& speed, millis now);
 
 }  // namespace eelgrass
--- a/src/kernel/placement/availability.cc
+++ b/src/kernel/placement/availability.cc
@@ -8,18 +8,17 @@
 namespace eelgrass {
 
 /** When all members of a running unit are predicted to have ended. */
-const availability::unit_end& availability::EndOf(const unit_ref& unit, const planning_view& view) {
+millis availability::EndOf(const unit_ref& unit, const planning_view& view) {
   const auto known = ends_.find(unit);
   if (known != ends_.end()) return known->second;
-  unit_end end{kFarFuture, false};
+  millis end = kFarFuture;
   const tracked_job* job = view.jobs.Find(unit.job);
   const batch_step* step = view.jobs.StepOf(unit);
   if (job != nullptr && step != nullptr && !step->long_running) {
-    end = {view.now, true};
+    end = view.now;
     for (const auto* record : capacity_.RunsOf(unit)) {
-      const predicted_rest rest = PredictRest(*record, *job, *step, {}, view.now);
-      end.at = std::max(end.at, view.now + rest.time);
-      end.measured = end.measured && rest.measured;
+      const millis rest = PredictRest(*record, *job, *step, {}, view.now);
+      end = std::max(end, view.now + rest);
     }
   }
   return ends_.emplace(unit, end).first->second;
@@ -27,16 +26,16 @@
 
 /** Adds the times at which a worker has room for one more member, up to the members' number. */
 void availability::AddOpenings(const ready_unit& unit, candidate_worker& worker,
-                               const planning_view& view, millis horizon, bool measured_only,
+                               const planning_view& view, millis horizon,
                                std::vector<opening>& openings) {
   int64_t most = unit.members;
   if (unit.step->max_per_worker > 0) most = std::min<int64_t>(most, unit.step->max_per_worker);
   std::vector<std::pair<millis, amounts>> releases;
   for (const auto& [ref, record] : worker.worker->runs) {
     if (record.phase == run_phase::kStopping) continue;  // counted as free already
-    const unit_end& end = EndOf(record.unit, view);
-    if (end.at > horizon || (measured_only && !end.measured)) continue;
-    releases.emplace_back(end.at, record.each);
+    const millis end = EndOf(record.unit, view);
+    if (end > horizon) continue;
+    releases.emplace_back(end, record.each);
   }
   std::sort(releases.begin(), releases.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -56,20 +55,19 @@
   amounts room = worker.future;
   for (const auto& [ref, record] : worker.worker->runs) {
     if (record.phase == run_phase::kStopping) continue;
-    if (EndOf(record.unit, view).at <= at) room += record.each;
+    if (EndOf(record.unit, view) <= at) room += record.each;
   }
   return room;
 }
 
 std::optional<future_place> availability::Earliest(const ready_unit& unit,
                                                    std::span<candidate_worker* const> candidates,
-                                                   const planning_view& view, millis horizon,
-                                                   bool measured_only) {
+                                                   const planning_view& view, millis horizon) {
   const bool one_rack = unit.step->same_rack && unit.members > 1;
   std::map<std::string_view, std::vector<opening>> groups;
   for (auto* candidate : candidates) {
     auto& openings = groups[one_rack ? candidate->worker->profile.rack : std::string_view()];
-    AddOpenings(unit, *candidate, view, horizon, measured_only, openings);
+    AddOpenings(unit, *candidate, view, horizon, openings);
   }
   std::optional<future_place> earliest;
   const auto members = static_cast<size_t>(unit.members);
--- a/src/kernel/placement/availability.h
+++ b/src/kernel/placement/availability.h
@@ -32,13 +32,11 @@
 
   /**
    * The earliest time, at most `horizon`, at which all members fit on these workers together, in
-   * one rack if the unit wants that. `measured_only`: units whose end is only estimated count as
-   * never ending.
+   * one rack if the unit wants that.
    */
   std::optional<future_place> Earliest(const ready_unit& unit,
                                        std::span<candidate_worker* const> candidates,
-                                       const planning_view& view, millis horizon,
-                                       bool measured_only);
+                                       const planning_view& view, millis horizon);
 
   /** A worker's room at a time, once the runs that are predicted to end until then have ended. */
   amounts RoomAt(const candidate_worker& worker, const planning_view& view, millis at);
@@ -49,17 +47,13 @@
     millis at{0};
     candidate_worker* worker = nullptr;
   };
-  struct unit_end {
-    millis at{0};
-    bool measured = false;
-  };
 
-  const unit_end& EndOf(const unit_ref& unit, const planning_view& view);
+  millis EndOf(const unit_ref& unit, const planning_view& view);
   void AddOpenings(const ready_unit& unit, candidate_worker& worker, const planning_view& view,
-                   millis horizon, bool measured_only, std::vector<opening>& openings);
+                   millis horizon, std::vector<opening>& openings);
 
   capacity_map& capacity_;
-  std::map<unit_ref, unit_end> ends_;
+  std::map<unit_ref, millis> ends_;
 };
 
 }  // namespace eelgrass
--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -37,15 +37,6 @@
 /** A unit that uses held room has to be gone this long before, as predictions err. */
 constexpr millis kHoldMargin{300};
 
-/** Time from placing a unit until it works, and from its end until its caller can see it. */
-constexpr millis kStartOverhead{150};
-
-/**
- * Guaranteed units preempt at the latest this long after their acceptance. Stopping the victims and
- * starting the unit take about 2 s, and the platform's bound for reclaiming is 2.7 s or more.
- */
-constexpr millis kLongestReclaimWait{700};
-
 }  // namespace
 
 start_planner::start_planner(const unit_order& order)
@@ -70,8 +61,7 @@
     auto place = Place(unit, candidates, view);
     if (unit.members == 1) KeepBoundWorker(unit, candidates);
     const bool may_preempt = unit.bound.empty() || unit.members == 1;
-    if (!place && may_preempt && preemption_.MayPreemptFor(unit, view) &&
-        !EndsInTimeIfItWaits(unit, candidates, view)) {
+    if (!place && may_preempt && preemption_.MayPreemptFor(unit, view)) {
       place = PlacePreempting(unit, candidates, view, plan);
     }
     if (!place) {
@@ -157,7 +147,7 @@
       if (step == nullptr || step->long_running || record.phase != run_phase::kRunning) continue;
       const tracked_job& job = *view.jobs.Find(record.unit.job);
       const worker_speed speed = view.speeds.SpeedOf(worker.profile);
-      const millis left = PredictRest(record, job, *step, speed, view.now).time;
+      const millis left = PredictRest(record, job, *step, speed, view.now);
       const millis stay = worker.leaves_at - view.now;
       const bool cannot_end = left > stay + stay / kNoticeToleranceDivisor;
       if (record.full_run && cannot_end) moved.insert(record.unit);
@@ -315,25 +305,6 @@
   return gone ? most : CountFitting(unit.each, candidate.hold->spare, most);
 }
 
-/** Whether a unit that waits for runs to end by themselves is predicted to be in time. */
-bool start_planner::EndsInTimeIfItWaits(const ready_unit& unit,
-                                        std::span<candidate_worker* const> candidates,
-                                        const planning_view& view) {
-  if (unit.job->job.occurrences > 0 || !unit.bound.empty()) return false;
-  const millis until = unit.job->accepted + Objective(*unit.job, *unit.queue);
-  millis latest = until - unit.work - kStartOverhead - ChainAfter(*unit.job, unit.unit.step);
-  if (guaranteed_.Contains(unit.unit.job)) {
-    latest = std::min(latest, unit.job->accepted + kLongestReclaimWait);
-  }
-  if (latest <= view.now) return false;
-  const auto place = availability_.Earliest(unit, candidates, view, latest, true);
-  if (!place || place->at <= view.now) return false;
-  double slowdown = 1;
-  for (const auto* worker : place->workers) slowdown = std::max(slowdown, worker->speed.slowdown);
-  const millis work(static_cast<int64_t>(static_cast<double>(unit.work.count()) * slowdown));
-  return place->at + work - unit.work <= latest;
-}
-
 /**
  * Holds room for a unit that does not fit, where it is predicted to fit first. Without this, wide
  * gangs wait as long as there are narrow units that fit into each gap.
@@ -344,7 +315,7 @@
   if (!wide || unit.step->long_running || !unit.bound.empty()) return;
   int& holds = holds_[unit.queue->service];
   if (holds >= kMaxHolds) return;
-  const auto place = availability_.Earliest(unit, candidates, view, view.now + kHoldHorizon, false);
+  const auto place = availability_.Earliest(unit, candidates, view, view.now + kHoldHorizon);
   if (!place) return;
   ++holds;
   held_.insert(unit.unit);
--- a/src/kernel/placement/start_planner.h
+++ b/src/kernel/placement/start_planner.h
@@ -54,8 +54,6 @@
   void Assign(const ready_unit& unit, std::span<candidate_worker* const> candidates,
               const planning_view& view, start_plan& plan);
 
-  bool EndsInTimeIfItWaits(const ready_unit& unit, std::span<candidate_worker* const> candidates,
-                           const planning_view& view);
   void Hold(const ready_unit& unit, std::span<candidate_worker* const> candidates,
             const planning_view& view);
 
--- a/tests/stories/speed_archive_story.cc
+++ b/tests/stories/speed_archive_story.cc
@@ -269,7 +269,8 @@
   const millis store_now = world.now() + kStoreClockAhead;
   speeds_record record;
   for (int i = 0; i < 6; ++i) {
-    record.vms.push_back({VmName(i), i % 3 == 0 ? 0.47 : 0, 0.05, store_now.count()});
+    record.vms.push_back(
+        {"vm-" + std::to_string(i), i % 3 == 0 ? 0.47 : 0, 0.05, store_now.count()});
   }
   Put(world.rows(), "0", codec->Encode(record));
   const batch_job job = MakeBatchJob("c1", "usual", 20, millis(9000), 1);
