--- a/tests/stories/held_room_story.cc
+++ b/tests/stories/held_room_story.cc
@@ -71,8 +71,9 @@
   rig.now += kStep;
   for (auto& [id, worker] : rig.pool.all()) worker.reported = rig.now;
   const auto preempted = [&](int before) {
-    for (int i = 0; i < kWorkers; ++i)
+    for (int i = 0; i < kWorkers; ++i) {
       rig.jobs.Find(unit_ref{batch, 0, 0, i})->preemptions = before;
+    }
     batch_job urgent = Gang("0", 1, kWork);
     urgent.organisation = plan_rig::Organisation(1);
     rig.Add(std::move(urgent));
@@ -114,8 +115,9 @@
     CHECK(estimates.Ratio("q", millis(40000)) == doctest::Approx(1).epsilon(0.15));
   }
   SUBCASE("an estimate that all callers give too low is raised") {
-    for (const double work : {2000.0, 30000.0, 5000.0, 80000.0, 9000.0, 1000.0})
+    for (const double work : {2000.0, 30000.0, 5000.0, 80000.0, 9000.0, 1000.0}) {
       learn(work, {-0.7});
+    }
     CHECK(estimates.Ratio("q", millis(5000)) == doctest::Approx(2).epsilon(0.15));
   }
   SUBCASE("values that are no work are ignored") {
--- a/tests/stories/run_speed_story.cc
+++ b/tests/stories/run_speed_story.cc
@@ -231,7 +231,7 @@
   }
   SUBCASE("a prior counts until the machine's own runs change") {
     all.factors.assign(4, 1.0);
-    all.rates.SetPrior("vm-0", {0.5, 0.15});
+    all.rates.SetPrior("vm-0", {{0.5, 0.15}});
     all.Estimate();
     CHECK(all.Slowness(0) == doctest::Approx(0.5));
     all.Gang("g", {0, 1, 2, 3}, 10);
@@ -246,7 +246,7 @@
     all.factors.assign(5000, 1.0);
     for (int i = 0; i < 5000; ++i) {
       all.now += millis(1);
-      all.rates.SetPrior(compared_machines::Name(i), {0, 0.1});
+      all.rates.SetPrior(compared_machines::Name(i), {{0, 0.1}});
       all.Run("g" + std::to_string(i / 4), i, 10);
     }
     all.Estimate();
