Findings of the review of held room, speeds and corrected estimates

Cause: a reviewer who had not written them found that victims of the same plan counted twice as free room, that two units held the same room, that a gang that waits for its data rack held room elsewhere, that gangs that no rack can hold never held any, that errors of measurement could class equal workers as slow, that work measured on a VM of unknown speed corrected estimates, and that two reports which arrive together gave a rate several times too high.

--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -28,6 +28,9 @@
 /** Outcomes kept until the planner takes them, which it does with each plan. */
 constexpr size_t kMaxOutcomes = 10000;
 
+/** Where speeds differ by more, the work of a run is only known on a worker of known speed. */
+constexpr double kUnevenSpeeds = 1.15;
+
 /** Delay before a unit is tried again after a worker refused to start it. */
 constexpr millis kRefusalPause{200};
 
@@ -304,8 +307,9 @@
   if (!rate || !near || step->fills || worker.profile.cold_ms > 0) return;
   speeds_.ObserveRate(worker.profile, *step, record.unit, {record.task, record.run}, *rate, at);
   if (record.remote || record.work_known || rate->error > kMaxWorkError) return;
-  record.work_known = true;
   const worker_speed speed = speeds_.SpeedOf(worker.profile);
+  if (!speed.known && speeds_.greatest_slowdown() > kUnevenSpeeds) return;
+  record.work_known = true;
   jobs_.OnWorkMeasured(record.unit, rate->whole_ms() / speed.slowdown);
 }
 
@@ -423,6 +427,7 @@
       record.remote = over_racks;
       if (i < start.tickets.size()) record.ticket = start.tickets[i];
       const worker_speed speed = speeds_.SpeedOf(worker->profile);
+      record.slowdown = speed.slowdown;
       log_event("run-placed")
           .With("task", record.task)
           .With("run", record.run)
--- a/src/kernel/batch/worker_pool.h
+++ b/src/kernel/batch/worker_pool.h
@@ -44,6 +44,7 @@
   bool former_incarnation = false;  // ordered to an earlier incarnation of the worker
   run_progress progress{};
   bool remote = false;      // slowed down, or maybe so: off its data, or over several racks
+  double slowdown = 1;      // of its worker, as known when it was placed
   bool work_known = false;  // its work was recorded for its job
   listing_watch listing{};
   millis placed{INT64_MIN / 4};  // by this planner
--- a/src/kernel/learning/rate_comparison.cc
+++ b/src/kernel/learning/rate_comparison.cc
@@ -71,7 +71,8 @@
                          [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
   }
   part.spread = sample.spread;
-  part.latest = machine.latest = now;
+  part.latest = now;
+  machine.latest = std::max(machine.latest, now);
   if (machine.groups.size() > kMaxGroups) DropOldest(machine);
   changed_ = true;
 }
--- a/src/kernel/learning/run_forecast.cc
+++ b/src/kernel/learning/run_forecast.cc
@@ -10,9 +10,9 @@
 }
 
 millis PredictRest(const run_record& record, const tracked_job& job, const batch_step& step,
-                   const worker_speed& speed, millis now) {
+                   millis now) {
   if (const auto rest = record.progress.Remaining(now)) return *rest;
-  const double whole = static_cast<double>(ExpectedWork(job, step).count()) * speed.slowdown;
+  const double whole = static_cast<double>(ExpectedWork(job, step).count()) * record.slowdown;
   const millis since = record.began.value_or(now);
   return std::max(millis(0), since + millis(static_cast<int64_t>(whole)) - now);
 }
--- a/src/kernel/learning/run_forecast.h
+++ b/src/kernel/learning/run_forecast.h
@@ -22,6 +22,6 @@
  * expected work before that is known.
  */
 millis PredictRest(const run_record& record, const tracked_job& job, const batch_step& step,
-                   const worker_speed& speed, millis now);
+                   millis now);
 
 }  // namespace eelgrass
--- a/src/kernel/learning/run_progress.cc
+++ b/src/kernel/learning/run_progress.cc
@@ -11,6 +11,9 @@
 /** Least progress for a rate: percentages are rounded down, so that five are off by a tenth. */
 constexpr int64_t kMinGain = 5;
 
+/** Least time for a rate, in ms: reports that were held up on the way arrive together. */
+constexpr double kLeastSpan = 400;
+
 /** A slow run is thinned out to this many observations. */
 constexpr size_t kMaxSamples = 64;
 
@@ -46,7 +49,7 @@
   if (samples_.size() < 2 || samples_.front().percent >= kAllDone) return std::nullopt;
   const int64_t gain = samples_.back().percent - samples_.front().percent;
   const auto took = static_cast<double>((samples_.back().at - samples_.front().at).count());
-  if (gain < kMinGain || took <= 0) return std::nullopt;
+  if (gain < kMinGain || took < kLeastSpan) return std::nullopt;
   const auto percent = static_cast<double>(gain);
   return work_rate{percent * kMillisPerSecond / took, kRoundingError / percent};
 }
--- a/src/kernel/learning/work_estimates.h
+++ b/src/kernel/learning/work_estimates.h
@@ -12,7 +12,7 @@
 namespace eelgrass {
 
 /**
- * Answers the load of jobs whose estimates are far off. For each queue it learns how much the work
+ * Handles jobs whose estimates are far off. For each queue it learns how much the work
  * of its tasks varies and how far its callers' estimates are from it. A prediction weighs both:
  * with estimates that are worse than the queue's usual work it is close to the usual work, with
  * good estimates it is close to the estimate.
--- a/src/kernel/learning/worker_speeds.cc
+++ b/src/kernel/learning/worker_speeds.cc
@@ -119,6 +119,7 @@
     std::nth_element(known.begin(), middle, known.end());
     typical_ = *middle;
   }
+  std::erase_if(logged_, [this](const auto& entry) { return !rates_.Of(entry.first); });
   greatest_slowdown_ = 1;
   for (const auto& [vm, estimate] : rates_.estimates()) {
     if (!Counts(vm, estimate)) continue;
@@ -150,9 +151,10 @@
 }
 
 worker_pace worker_speeds::Pace(const worker_profile& worker) const {
-  const worker_speed speed = SpeedOf(worker);
-  if (!speed.known) return Pace(worker.self.id);
-  const double over = std::log(speed.slowdown);
+  const auto estimate = rates_.Of(MachineOf(worker));
+  if (!estimate || estimate->deviation > kKnownDeviation) return Pace(worker.self.id);
+  // Errors of measurement do not make a worker slow.
+  const double over = estimate->mean - typical_ - estimate->deviation;
   if (over > kCrawlingFactor) return worker_pace::kVerySlow;
   return over > kSlowFactor ? worker_pace::kSlow : worker_pace::kTypical;
 }
--- a/src/kernel/placement/availability.cc
+++ b/src/kernel/placement/availability.cc
@@ -17,7 +17,7 @@
   if (job != nullptr && step != nullptr && !step->long_running) {
     end = view.now;
     for (const auto* record : capacity_.RunsOf(unit)) {
-      const millis rest = PredictRest(*record, *job, *step, {}, view.now);
+      const millis rest = PredictRest(*record, *job, *step, view.now);
       end = std::max(end, view.now + rest);
     }
   }
@@ -32,7 +32,7 @@
   if (unit.step->max_per_worker > 0) most = std::min<int64_t>(most, unit.step->max_per_worker);
   std::vector<std::pair<millis, amounts>> releases;
   for (const auto& [ref, record] : worker.worker->runs) {
-    if (record.phase == run_phase::kStopping) continue;  // counted as free already
+    if (preemption_.Stopping(record)) continue;
     const millis end = EndOf(record.unit, view);
     if (end > horizon) continue;
     releases.emplace_back(end, record.each);
@@ -54,7 +54,7 @@
 amounts availability::RoomAt(const candidate_worker& worker, const planning_view& view, millis at) {
   amounts room = worker.future;
   for (const auto& [ref, record] : worker.worker->runs) {
-    if (record.phase == run_phase::kStopping) continue;
+    if (preemption_.Stopping(record)) continue;
     if (EndOf(record.unit, view) <= at) room += record.each;
   }
   return room;
@@ -62,10 +62,11 @@
 
 std::optional<future_place> availability::Earliest(const ready_unit& unit,
                                                    std::span<candidate_worker* const> candidates,
-                                                   const planning_view& view, millis horizon) {
-  const bool one_rack = unit.step->same_rack && unit.members > 1;
+                                                   const planning_view& view, millis horizon,
+                                                   bool one_rack) {
   std::map<std::string_view, std::vector<opening>> groups;
   for (auto* candidate : candidates) {
+    if (candidate->hold) continue;
     auto& openings = groups[one_rack ? candidate->worker->profile.rack : std::string_view()];
     AddOpenings(unit, *candidate, view, horizon, openings);
   }
--- a/src/kernel/placement/speed_match.h
+++ b/src/kernel/placement/speed_match.h
@@ -8,7 +8,7 @@
 namespace eelgrass {
 
 /**
- * Answers the load of workers with different speeds. A unit is kept away from the workers on which
+ * Handles workers with different speeds. A unit is kept away from the workers on which
  * it is predicted to miss its job's objective, as long as others have room. Where every known
  * worker is fast enough for a unit, speeds change nothing for it.
  */
--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -1,6 +1,7 @@
 #include "kernel/placement/start_planner.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -28,9 +29,14 @@
  */
 constexpr millis kLongestBinding = kLatestExecution;
 
+constexpr double kMilliCoresPerCore = 1000;
+
 /** Units of one service for which room is held at a time: more would leave too much of it idle. */
 constexpr int kMaxHolds = 2;
 
+/** Units of one service for which room is searched in one plan, which bounds its time. */
+constexpr int kMaxHoldSearches = 6;
+
 /** No room is held for a unit that is predicted to start later than this. */
 constexpr millis kHoldHorizon{15000};
 
@@ -40,7 +46,7 @@
 }  // namespace
 
 start_planner::start_planner(const unit_order& order)
-    : order_(order), availability_(capacity_), preemption_(capacity_, guaranteed_) {}
+    : order_(order), preemption_(capacity_, guaranteed_), availability_(capacity_, preemption_) {}
 
 start_plan start_planner::Plan(const planning_view& view) {
   start_plan plan;
@@ -65,8 +71,8 @@
       place = PlacePreempting(unit, candidates, view, plan);
     }
     if (!place) {
-      Hold(unit, candidates, view);
       AddAdviceWish(unit, view, plan);
+      Hold(unit, candidates, view);
       if (unit.bound.empty()) exhausted.insert(shape);
       continue;
     }
@@ -133,6 +139,15 @@
     const planning_view& view, start_plan& plan) {
   auto choice = preemption_.Plan(unit, candidates, view);
   if (!choice) return std::nullopt;
+  if (!choice->victims.empty()) {
+    log_event("units-preempted")
+        .With("for_job", unit.unit.job)
+        .With("guaranteed", guaranteed_.Contains(unit.unit.job) ? 1 : 0)
+        .With("waited_ms", (view.now - unit.state->ready_since).count())
+        .With("victims", static_cast<int64_t>(choice->victims.size()))
+        .With("first_victim", choice->victims.begin()->job)
+        .With("lost_core_ms", static_cast<int64_t>(choice->lost_work / kMilliCoresPerCore));
+  }
   plan.preempted.insert(plan.preempted.end(), choice->victims.begin(), choice->victims.end());
   return std::move(choice->place);
 }
@@ -146,8 +161,7 @@
       const batch_step* step = view.jobs.StepOf(record.unit);
       if (step == nullptr || step->long_running || record.phase != run_phase::kRunning) continue;
       const tracked_job& job = *view.jobs.Find(record.unit.job);
-      const worker_speed speed = view.speeds.SpeedOf(worker.profile);
-      const millis left = PredictRest(record, job, *step, speed, view.now);
+      const millis left = PredictRest(record, job, *step, view.now);
       const millis stay = worker.leaves_at - view.now;
       const bool cannot_end = left > stay + stay / kNoticeToleranceDivisor;
       if (record.full_run && cannot_end) moved.insert(record.unit);
@@ -198,15 +212,29 @@
   return ready;
 }
 
+/** Whether a unit still waits for the rack of its data, or for one rack. */
+bool start_planner::Patient(const ready_unit& unit, const planning_view& view) {
+  return view.now - unit.state->ready_since < unit.work * kRackWaitFactor;
+}
+
+/** The candidates in the rack of the unit's data; none if it names no rack. */
+std::vector<candidate_worker*> start_planner::NearData(
+    const ready_unit& unit, std::span<candidate_worker* const> candidates) {
+  std::vector<candidate_worker*> near;
+  if (unit.step->data_rack.empty()) return near;
+  std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(near),
+               [&](const auto* candidate) {
+                 return candidate->worker->profile.rack == unit.step->data_rack;
+               });
+  return near;
+}
+
 std::optional<std::vector<candidate_worker*>> start_planner::Place(
     const ready_unit& unit, std::span<candidate_worker* const> candidates,
     const planning_view& view) {
-  const bool patient = view.now - unit.state->ready_since < unit.work * kRackWaitFactor;
+  const bool patient = Patient(unit, view);
   if (!unit.step->data_rack.empty() && unit.bound.empty()) {
-    std::vector<candidate_worker*> near;
-    for (auto* candidate : candidates) {
-      if (candidate->worker->profile.rack == unit.step->data_rack) near.push_back(candidate);
-    }
+    const std::vector<candidate_worker*> near = NearData(unit, candidates);
     auto place = PlaceIn(unit, near);
     if (place || (patient && !near.empty())) return place;
   }
@@ -298,11 +326,16 @@
   }
   most = CountFitting(unit.each, candidate.free, most);
   if (!candidate.hold || most == 0) return most;
-  // A unit that is gone before the held room is needed may use it meanwhile.
+  if (GoneBefore(unit, candidate)) return most;
+  return CountFitting(unit.each, candidate.hold->spare, most);
+}
+
+/** Whether a unit on a worker is predicted to be gone before the room held there is needed. */
+bool start_planner::GoneBefore(const ready_unit& unit, const candidate_worker& worker) {
+  if (unit.step->long_running) return false;
   const millis rest(
-      static_cast<int64_t>(static_cast<double>(unit.work.count()) * candidate.speed.slowdown));
-  const bool gone = !unit.step->long_running && rest + kHoldMargin <= candidate.hold->starts_in;
-  return gone ? most : CountFitting(unit.each, candidate.hold->spare, most);
+      static_cast<int64_t>(static_cast<double>(unit.work.count()) * worker.speed.slowdown));
+  return rest + kHoldMargin <= worker.hold->starts_in;
 }
 
 /**
@@ -313,11 +346,16 @@
                          const planning_view& view) {
   const bool wide = unit.members > 1;
   if (!wide || unit.step->long_running || !unit.bound.empty()) return;
-  int& holds = holds_[unit.queue->service];
-  if (holds >= kMaxHolds) return;
-  const auto place = availability_.Earliest(unit, candidates, view, view.now + kHoldHorizon);
+  service_holds& holds = holds_[unit.queue->service];
+  if (holds.held >= kMaxHolds || ++holds.searches > kMaxHoldSearches) return;
+  const bool patient = Patient(unit, view);
+  std::vector<candidate_worker*> near;
+  if (patient) near = NearData(unit, candidates);
+  const bool one_rack = unit.step->same_rack && patient && AnyRackCanHold(unit, candidates);
+  const auto place = availability_.Earliest(unit, near.empty() ? candidates : std::span(near), view,
+                                            view.now + kHoldHorizon, one_rack);
   if (!place) return;
-  ++holds;
+  ++holds.held;
   held_.insert(unit.unit);
   if (!held_before_.contains(unit.unit)) {
     log_event("room-held")
@@ -332,7 +370,6 @@
       worker->hold =
           place_hold{place->at - view.now, availability_.RoomAt(*worker, view, place->at)};
     }
-    worker->hold->starts_in = std::min(worker->hold->starts_in, place->at - view.now);
     worker->hold->spare -= unit.each;
   }
 }
@@ -343,7 +380,7 @@
   for (auto* candidate : candidates) {
     candidate->free -= unit.each;
     candidate->future -= unit.each;
-    if (candidate->hold) candidate->hold->spare -= unit.each;
+    if (candidate->hold && !GoneBefore(unit, *candidate)) candidate->hold->spare -= unit.each;
     candidate->probed = true;
     ++candidate->tasks[{unit.unit.job, unit.unit.occurrence, unit.unit.step}];
     start.workers.push_back(candidate->worker->profile.self.id);
--- a/src/kernel/placement/start_planner.h
+++ b/src/kernel/placement/start_planner.h
@@ -31,6 +31,12 @@
   start_plan Plan(const planning_view& view);
 
  private:
+  /** Room held in this plan at one service. */
+  struct service_holds {
+    int held = 0;
+    int searches = 0;
+  };
+
   static std::optional<std::map<int, std::string>> BoundMembers(const ready_unit& unit,
                                                                 const planning_view& view);
   static void KeepBoundWorker(const ready_unit& unit, std::vector<candidate_worker*>& candidates);
@@ -54,17 +60,21 @@
   void Assign(const ready_unit& unit, std::span<candidate_worker* const> candidates,
               const planning_view& view, start_plan& plan);
 
+  static bool Patient(const ready_unit& unit, const planning_view& view);
+  static std::vector<candidate_worker*> NearData(const ready_unit& unit,
+                                                 std::span<candidate_worker* const> candidates);
+  static bool GoneBefore(const ready_unit& unit, const candidate_worker& worker);
   void Hold(const ready_unit& unit, std::span<candidate_worker* const> candidates,
             const planning_view& view);
 
   const unit_order& order_;
   guaranteed_jobs guaranteed_;
   capacity_map capacity_;
-  availability availability_;
-  std::map<std::string, int> holds_;  // number by service, in this plan
-  std::set<unit_ref> held_;           // units for which room is held, in this plan
-  std::set<unit_ref> held_before_;    // in the previous plan
+  std::map<std::string, service_holds> holds_;  // by service, in this plan
+  std::set<unit_ref> held_;                     // units for which room is held, in this plan
+  std::set<unit_ref> held_before_;              // in the previous plan
   preemption_planner preemption_;
+  availability availability_;
 };
 
 }  // namespace eelgrass
--- a/src/kernel/preemption/preemption_planner.cc
+++ b/src/kernel/preemption/preemption_planner.cc
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "kernel/batch/unit_order.h"
+#include "kernel/learning/run_forecast.h"
 
 namespace eelgrass {
 namespace {
@@ -73,9 +74,9 @@
 }
 
 /** The total work of a unit, in thousandths of a core times milliseconds. */
-double preemption_planner::WorkOf(const batch_step& step) {
+double preemption_planner::WorkOf(const tracked_job& job, const batch_step& step) {
   return static_cast<double>(Weight(step.each)) * UnitSize(step) *
-         static_cast<double>(step.estimate.count());
+         static_cast<double>(ExpectedWork(job, step).count());
 }
 
 /**
@@ -96,9 +97,9 @@
   if (queue == nullptr || step == nullptr || job->job.occurrences > 0) return loss;
   const millis until = job->accepted + Objective(*job, *queue);
   const bool was_in_time = view.now < until;
-  const bool late_then = view.now + step->estimate > until;
-  if (IsUrgent(*queue)) return (loss + WorkOf(*step)) * kUrgentLoss;
-  return was_in_time && late_then ? loss + WorkOf(*step) : loss;
+  const bool late_then = view.now + ExpectedWork(*job, *step) > until;
+  if (IsUrgent(*queue)) return (loss + WorkOf(*job, *step)) * kUrgentLoss;
+  return was_in_time && late_then ? loss + WorkOf(*job, *step) : loss;
 }
 
 /** Work lost if a unit is stopped now, in thousandths of a core times milliseconds. */
@@ -152,7 +153,7 @@
     return candidate->pace != worker_pace::kTypical;
   };
   if (!slow(&target) || std::any_of(place.begin(), place.end(), slow)) return 0;
-  return kSlowShare * WorkOf(*unit.step);
+  return kSlowShare * WorkOf(*unit.job, *unit.step);
 }
 
 /** Places one more member where that costs least; returns false if no worker can take it. */
@@ -187,7 +188,7 @@
     const planning_view& view) {
   // Urgent work beyond the guarantee may cost others at most its own amount of work.
   const double most = guaranteed_.Contains(unit.unit.job) ? std::numeric_limits<double>::infinity()
-                                                          : WorkOf(*unit.step);
+                                                          : WorkOf(*unit.job, *unit.step);
   std::vector<amounts> before;
   for (const auto* candidate : candidates) before.push_back(candidate->future);
   option choice;
@@ -222,6 +223,7 @@
     }
   }
   preempted_.insert(best->placement.victims.begin(), best->placement.victims.end());
+  best->placement.lost_work = best->cost;
   return std::move(best->placement);
 }
 
--- a/src/kernel/preemption/preemption_planner.h
+++ b/src/kernel/preemption/preemption_planner.h
@@ -19,6 +19,7 @@
 struct preemption_choice {
   std::vector<candidate_worker*> place;
   std::set<unit_ref> victims;
+  double lost_work = 0;  // of the victims, weighted, in thousandths of a core times milliseconds
 };
 
 /**
@@ -40,6 +41,9 @@
    */
   bool MayPreemptFor(const ready_unit& unit, const planning_view& view) const;
 
+  /** Whether a run is stopping or is a victim in this plan, so that its room counts as free. */
+  bool Stopping(const run_record& record) const;
+
   /**
    * Returns the cheapest preemption that lets the unit run on some of these workers, if there is
    * one. From then on the victims' resources count as free in the capacity map.
@@ -69,10 +73,9 @@
   double CostOf(const unit_ref& unit, const planning_view& view);
   double NewCostOf(const unit_ref& unit, const planning_view& view) const;
   double LossOf(const unit_ref& unit, const planning_view& view) const;
-  static double WorkOf(const batch_step& step);
+  static double WorkOf(const tracked_job& job, const batch_step& step);
   static bool IsLessUrgent(const unit_ref& victim, const ready_unit& by, const planning_view& view);
   bool MayPreempt(const unit_ref& victim, const ready_unit& by, const planning_view& view) const;
-  bool Stopping(const run_record& record) const;
   bool IsUnitRunning(const unit_ref& unit) const;
 
   capacity_map& capacity_;
