--- a/review/lib-3/site3.py
+++ b/review/lib-3/site3.py
@@ -255,8 +255,10 @@
 
 
 class Job:
-    def __init__(self, name, steps, spec, work_ms):
+    def __init__(self, name, steps, spec, work_ms, fails_after_s=None, advised=True):
         self.name, self.steps, self.spec, self.work_ms = name, steps, spec, work_ms
+        self.advised = advised  # its queue has advice, if the site has the service
+        self.fails_after_s = fails_after_s  # called for each run; None: it does not fail
 
 
 class Gang:
@@ -276,10 +278,12 @@
         self.zone = site.zones[number % len(site.zones)]
         self.machine = f"m-{number:03d}"
         self.rack = f"r1-{number // site.rack_size}"
+        self.kind = site.kinds.get(number, "a")
         self.server = HttpServer(self.ip, site.app_port, self.handle)
         self.up = False
         self.lives = 0
         self.beats = None
+        self.grey = None  # seconds after which whatever starts now fails; None: it does not
 
     async def start_life(self, keep_id=False):
         self.lives += 1
@@ -323,7 +327,7 @@
             body = {"Service": self.site.service, "Addr": self.address, "Zone": self.zone,
                     "Version": "v1", "Slots": 8, "State": self.state, "ColdMs": 0,
                     "Machine": self.machine, "Capacity": self.site.capacity,
-                    "Labels": ["a", self.rack], "ClockMs": self.clock(), "Seq": self.sequence,
+                    "Labels": [self.kind, self.rack], "ClockMs": self.clock(), "Seq": self.sequence,
                     "born": self.born}
             try:
                 await asyncio.wait_for(
@@ -357,6 +361,10 @@
             elif gang is not None and gang.began is None:
                 if now - gang.first_at > self.site.gang_timeout_s:
                     self.end(key, "alone")
+            elif entry["fails_at"] is not None and now >= entry["fails_at"]:
+                self.end(key, "failed")
+            elif entry["lasts"]:
+                continue
             elif now - (gang.began if gang else entry["at"]) >= entry["work_s"]:
                 self.end(key, "done")
 
@@ -386,7 +394,8 @@
                 used[part] += entry["needs"].get(part, 0)
         if any(used[part] + shape.get(part, 0) > self.site.capacity[part] for part in used):
             return self.refuse("room")
-        if self.site.advice is not None and not self.site.advice.allows(body, self):
+        advised = self.site.advice is not None and (job is None or job.advised)
+        if advised and not self.site.advice.allows(body, self):
             return self.refuse("ticket")
         gang = None
         if shape.get("Gang"):
@@ -398,8 +407,10 @@
             if len(gang.members) == gang.size:
                 gang.began = time.monotonic()
         work = (job.work_ms[int(step)] if job else 1000) / 1000
+        fails = job.fails_after_s() if job and job.fails_after_s else self.grey
         self.running[key] = {"at": time.monotonic(), "work_s": work, "stop_at": None,
-                             "gang": gang, "needs": shape}
+                             "fails_at": None if fails is None else time.monotonic() + fails,
+                             "gang": gang, "needs": shape, "lasts": shape.get("LongRunning")}
         self.site.on_start(self, body)
         return 200, {"ClockMs": self.clock(), "born": self.born}
 
@@ -436,13 +447,15 @@
         if not self.up or born != self.born:
             return None
         self.advance()
-        running = [[task, run, "", min(99, self.percent(entry)), 0]
+        running = [[task, run, "", min(100 if entry["lasts"] else 99, self.percent(entry)), 0]
                    for (task, run), entry in self.running.items()]
         return 200, {"ClockMs": self.clock(), "born": self.born, "Running": running,
                      "Ended": self.ended[:MOST_LISTED_ENDS]}
 
     @staticmethod
     def percent(entry):
+        if entry["lasts"]:
+            return 100
         gang = entry["gang"]
         began = entry["at"] if gang is None else gang.began
         if began is None:
@@ -576,7 +589,7 @@
         self.starts, self.live, self.ends = [], {}, []
         self.seen_ends = []
         self.twice = []
-        self.restart_killed = True
+        self.kinds = {}  # of machines, by number; "a" if there is none
 
     def ip(self, kind, number):
         return f"127.{self.net}.{kind}.{number + 1}"
@@ -645,7 +658,7 @@
             if answer is not None:
                 return answer
         found = [{"Machine": r.machine, "Pool": self.service, "State": "up" if r.up else "down",
-                  "Zone": r.zone, "Labels": ["a", r.rack], "Capacity": self.capacity,
+                  "Zone": r.zone, "Labels": [r.kind, r.rack], "Capacity": self.capacity,
                   "Id": r.id if r.up else None} for r in self.runners]
         return 200, {"Machines": found, "NextToken": None}
 
@@ -777,8 +790,8 @@
                          body=json.dumps(answer))
         return status, answer
 
-    def add_job(self, name, steps, work_ms, spec="text"):
-        self.jobs[name] = Job(name, steps, spec, work_ms)
+    def add_job(self, name, steps, work_ms, spec="text", fails_after_s=None, advised=True):
+        self.jobs[name] = Job(name, steps, spec, work_ms, fails_after_s, advised)
         return {"Spec": spec, "Steps": steps}
 
     async def submit(self, prefix, name, body, tries=5, entry=0, key="key-a"):
