--- a/review/lib-3/site3.py
+++ b/review/lib-3/site3.py
@@ -132,11 +132,14 @@
         self.rows = {}  # (table, part, key) -> (value, version)
         self.changes = []  # (version, table, part, key, value or None)
         self.version = 0
+        self.history_from = 0  # changes up to this one are forgotten
         self.answer_s = answer_s
         self.began = time.monotonic()
         self.changed = asyncio.Event()
         self.counts = {}
         self.before = None  # called with each request; may return an answer, or "silent"
+        self.silent = False  # answers nothing, also no call that waits
+        self.while_silent = None  # called with each request that comes meanwhile
         self.on_write = None  # called with (table, key, value) after each write
 
     def now_ms(self):
@@ -226,6 +229,14 @@
         return [self.shown(table, part, key, value, v) for v, part, key, value in rows]
 
     async def handle(self, request):
+        if self.silent:
+            if self.while_silent is not None:
+                self.while_silent(request)
+            return None
+        answer = await self.answer(request)
+        return None if self.silent else answer
+
+    async def answer(self, request):
         self.counts[request.path] = self.counts.get(request.path, 0) + 1
         if self.before is not None:
             answer = self.before(request)
@@ -242,6 +253,8 @@
         if request.path == "/rows-feed":
             until = time.monotonic() + int(request.query.get("WaitMs", "0")) / 1000
             while True:
+                if int(request.query.get("After", "0")) < self.history_from:
+                    return 410, self.stamped({})
                 changed = self.changed
                 rows = self.news(request.query.get("Table"), int(request.query.get("After", "0")))
                 left = until - time.monotonic()
