Calls for advice are given in turns, so that a unit's tickets are valid together

Cause: the members of a gang need tickets that are valid at the same time, and nothing made sure of that. A call named at most 12 workers, and the next call went to the step that had been asked for longest ago. With three or more steps that need two calls, the first tickets of each had expired when its second call was answered. Small steps that are new came before all others, and had the same effect on a single gang.

Change: a step keeps the turn until one of its units can start, for a limited number of calls. A call names all workers of a possible placement whose tickets expire before the answer (100 at most, by the interface), and more by the share that the queue's policy has refused so far. Each call therefore completes the tickets or shows that a worker of the placement is refused. Every second turn goes to the step that has waited longest of those that could start. Room is held for the unit that has the turn, and wishes are made after all placements of a plan, so that a call names no worker that a unit of the same plan takes. Units that preempt name the workers of the cheapest preemption. Gangs that wait for room have it held for them also while they have no tickets. A ticket is used for at least three quarters of its time, however short that is.

Units whose tickets cannot be valid together (over 100 workers and slow calls, or a policy that refuses too many) take no turn and are logged (tickets-unattainable) and counted. New metrics: steps that wait for tickets, the longest wait, failed calls. New log lines: advice-failed, advice-turn-ended.

--- a/src/daemons/node/batch_entry.cc
+++ b/src/daemons/node/batch_entry.cc
@@ -141,6 +141,10 @@
   counters_.Set("greatest_slowdown_percent", stats.greatest_slowdown_percent);
   counters_.Set("speed_rows_ignored_total", stats.ignored_speed_rows);
   counters_.Set("organisations_above_share", stats.crowding);
+  counters_.Set("steps_waiting_for_tickets", stats.tickets.waiting);
+  counters_.Set("longest_ticket_wait_ms", stats.tickets.longest_wait.count());
+  counters_.Set("steps_without_attainable_tickets", stats.tickets.unattainable);
+  counters_.Set("advice_calls_failed_total", stats.tickets.failed_calls);
   counters_.Set("term", stats.term);
 }
 
--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -393,12 +393,14 @@
   stats.stalled_units_moved = stragglers_.units_moved();
   stats.worker_quarantines = stragglers_.quarantines();
   stats.ignored_speed_rows = speed_archive_.ignored_rows();
+  stats.tickets.failed_calls = tickets_.stats().failed_calls;
   if (!term_.holding()) return stats;
   stats.quarantined_workers = CountQuarantined(pool_, now);
   stats.known_speeds = speeds_.known();
   stats.greatest_slowdown_percent = std::lround(kPercent * speeds_.greatest_slowdown());
   stats.term = term_.fence();
   stats.crowding = usage_.crowding();
+  stats.tickets = tickets_.stats();
   stats.open_jobs = static_cast<int64_t>(jobs_->open().size());
   for (const auto& id : jobs_->open()) stats.waiting_jobs += jobs_->Find(id)->begun ? 0 : 1;
   stats.workers = static_cast<int64_t>(pool_.all().size());
--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -82,7 +82,8 @@
   int64_t known_speeds = 0;  // VMs
   int64_t greatest_slowdown_percent = 0;
   int64_t ignored_speed_rows = 0;  // by this process
-  int64_t crowding = 0;            // organisations that exceed their fair share while others wait
+  ticket_statistics tickets;
+  int64_t crowding = 0;  // organisations that exceed their fair share while others wait
 };
 
 /**
--- a/src/kernel/model/batch_config.h
+++ b/src/kernel/model/batch_config.h
@@ -20,6 +20,7 @@
   bool wanted = false;
   millis decide{0};      // time of one call
   millis per_worker{0};  // added for each worker that is named
+  millis valid{0};       // of a ticket, from the answer; 0: unknown
 };
 
 /** A queue for batch jobs, found by the host and path of a call. */
--- a/src/kernel/placement/capacity_map.cc
+++ b/src/kernel/placement/capacity_map.cc
@@ -141,6 +141,13 @@
   return tickets == ticket_rule::kPossible && !view.advice->Refused(unit.unit, worker, view.now);
 }
 
+/** Whether a worker will certainly get a ticket for the unit, or needs none. */
+bool capacity_map::KnownAsAllowed(const ready_unit& unit, const worker_identity& worker,
+                                  const planning_view& view) {
+  if (!unit.queue->advice.wanted || view.advice == nullptr) return true;
+  return view.advice->Allowed(unit.unit, worker);
+}
+
 std::vector<candidate_worker*> capacity_map::CandidatesFor(const ready_unit& unit,
                                                            const planning_view& view,
                                                            ticket_rule tickets) {
@@ -173,6 +180,7 @@
         const auto key = [&](const candidate_worker* r) {
           return std::tuple(unit.state->failed_on.contains(r->worker->profile.self.id),
                             r->worker->profile.cold_ms > 0, speeds.Rank(*r), pace_rank(r->pace),
+                            !KnownAsAllowed(unit, r->worker->profile.self, view),
                             r->free.accelerators, r->free.cpu_milli);
         };
         return key(a) < key(b);
--- a/src/kernel/placement/capacity_map.h
+++ b/src/kernel/placement/capacity_map.h
@@ -92,6 +92,8 @@
   void ReserveWorkers(std::string_view service, double workers);
   static bool Advised(const ready_unit& unit, const worker_identity& worker,
                       const planning_view& view, ticket_rule tickets);
+  static bool KnownAsAllowed(const ready_unit& unit, const worker_identity& worker,
+                             const planning_view& view);
   static bool MayProbe(const candidate_worker& candidate, const ready_unit& unit, millis now);
   static bool MayUseReserved(const ready_unit& unit, const planning_view& view);
 
--- a/src/kernel/placement/start_plan.h
+++ b/src/kernel/placement/start_plan.h
@@ -17,12 +17,16 @@
   std::vector<std::string> tickets;  // one per worker; empty if not required
 };
 
-/** A step that waits and may need tickets: the workers that have none yet, best first. */
+/** A step that waits and may need tickets. */
 struct advice_wish {
-  unit_ref unit;             // the first of its units that waits
-  bool has_room = false;     // could start now if the workers may run it
-  bool may_preempt = false;  // could make room if the workers may run it
-  std::vector<std::string> workers;
+  unit_ref unit;              // the first of its units that waits
+  bool has_room = false;      // could start now if the workers may run it
+  bool may_preempt = false;   // is allowed to make room
+  bool insufficient = false;  // the policy refuses so many workers that the others cannot hold it
+  millis ready_since{0};
+  /** Workers that could run the unit now, or after preemption; all need valid tickets at once. */
+  std::vector<std::string> place;
+  std::vector<std::string> workers;  // without a ticket, best first
 };
 
 /** Units to start and to stop. A start may have to wait until the stopped runs have ended. */
--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -43,6 +43,18 @@
 /** A unit that uses held room has to be gone this long before, as predictions err. */
 constexpr millis kHoldMargin{300};
 
+bool NeedsTickets(const ready_unit& unit, const planning_view& view) {
+  return unit.queue->advice.wanted && view.advice != nullptr;
+}
+
+/** Whether the policy refuses the unit's step a worker. */
+bool AnyRefused(const ready_unit& unit, const planning_view& view) {
+  const auto& workers = view.pool.all();
+  return std::any_of(workers.begin(), workers.end(), [&](const auto& entry) {
+    return view.advice->Refused(unit.unit, entry.second.profile.self, view.now);
+  });
+}
+
 }  // namespace
 
 start_planner::start_planner(const unit_order& order)
@@ -60,6 +72,7 @@
   holds_.clear();
   held_before_ = std::exchange(held_, {});
   std::set<std::pair<std::string, int>> exhausted;  // steps of which no further unit fits
+  std::vector<const ready_unit*> without_tickets;
   for (const auto& unit : ready) {
     const std::pair<std::string, int> shape{unit.unit.job, unit.unit.step};
     if (exhausted.contains(shape)) continue;
@@ -71,13 +84,21 @@
       place = PlacePreempting(unit, candidates, view, plan);
     }
     if (!place) {
-      AddAdviceWish(unit, view, plan);
-      Hold(unit, candidates, view);
+      if (!NeedsTickets(unit, view)) {
+        Hold(unit, candidates, view);
+      } else if (!HoldForTurn(unit, view, plan)) {
+        without_tickets.push_back(&unit);
+      }
       if (unit.bound.empty()) exhausted.insert(shape);
       continue;
     }
     Assign(unit, *place, view, plan);
   }
+  // Only now is it known which room the units that start leave.
+  for (const auto* unit : without_tickets) {
+    const auto candidates = capacity_.CandidatesFor(*unit, view, ticket_rule::kPossible);
+    AddAdviceWish(*unit, candidates, Place(*unit, candidates, view), view, plan);
+  }
   return plan;
 }
 
@@ -113,25 +134,62 @@
   }
 }
 
-/** Names the workers whose tickets could let a unit start that was not placed. */
-void start_planner::AddAdviceWish(const ready_unit& unit, const planning_view& view,
-                                  start_plan& plan) {
-  if (!unit.queue->advice.wanted || view.advice == nullptr) return;
+/**
+ * Holds room for a unit while calls for its tickets are made, as these are of no use without the
+ * room, and adds its wish. Returns false for a unit without a turn or without room.
+ */
+bool start_planner::HoldForTurn(const ready_unit& unit, const planning_view& view,
+                                start_plan& plan) {
   const auto candidates = capacity_.CandidatesFor(unit, view, ticket_rule::kPossible);
-  const auto place = Place(unit, candidates, view);
-  advice_wish wish{unit.unit, place.has_value(), preemption_.MayPreemptFor(unit, view), {}};
-  const auto add = [&](std::span<candidate_worker* const> workers) {
-    for (const auto* candidate : workers) {
-      const worker_identity& worker = candidate->worker->profile.self;
-      const bool named =
-          std::find(wish.workers.begin(), wish.workers.end(), worker.id) != wish.workers.end();
-      if (named || view.advice->Ticket(unit.unit, worker, view.now) != nullptr) continue;
-      wish.workers.push_back(worker.id);
-    }
+  const auto room = Place(unit, candidates, view);
+  if (!room) Hold(unit, candidates, view);
+  if (!room || !view.advice->HasTurn(unit.unit)) return false;
+  AddAdviceWish(unit, candidates, room, view, plan);
+  HoldPlace(unit, *room, view.advice->AnswerIn(view.now), view);
+  return true;
+}
+
+/** Names the workers whose tickets could let a unit start: in its room, or by preemption. */
+void start_planner::AddAdviceWish(const ready_unit& unit, std::vector<candidate_worker*> candidates,
+                                  const std::optional<std::vector<candidate_worker*>>& room,
+                                  const planning_view& view, start_plan& plan) {
+  advice_wish wish;
+  wish.unit = unit.unit;
+  wish.has_room = room.has_value();
+  wish.may_preempt = preemption_.MayPreemptFor(unit, view);
+  wish.ready_since = unit.state->ready_since;
+  if (unit.members == 1) KeepBoundWorker(unit, candidates);
+  std::vector<candidate_worker*> place = room.value_or(std::vector<candidate_worker*>());
+  const bool may_preempt = wish.may_preempt && (unit.bound.empty() || unit.members == 1);
+  if (!room && may_preempt) {
+    if (auto choice = preemption_.Cheapest(unit, candidates, view)) place = choice->place;
+  }
+  const auto add = [](std::vector<std::string>& workers, const worker_identity& worker) {
+    const bool named = std::find(workers.begin(), workers.end(), worker.id) != workers.end();
+    if (!named) workers.push_back(worker.id);
+  };
+  const auto add_missing = [&](const candidate_worker* candidate) {
+    const worker_identity& worker = candidate->worker->profile.self;
+    if (view.advice->Ticket(unit.unit, worker, view.now) == nullptr) add(wish.workers, worker);
   };
-  if (place) add(*place);
-  add(candidates);
-  if (!wish.workers.empty()) plan.advice.push_back(std::move(wish));
+  for (const auto* candidate : place) {
+    add(wish.place, candidate->worker->profile.self);
+    add_missing(candidate);
+  }
+  std::for_each(candidates.begin(), candidates.end(), add_missing);
+  wish.insufficient = place.empty() && !CanHold(unit, candidates) && AnyRefused(unit, view);
+  if (!wish.workers.empty() || wish.insufficient) plan.advice.push_back(std::move(wish));
+}
+
+/** Whether the workers could hold the unit if they were empty. */
+bool start_planner::CanHold(const ready_unit& unit, std::span<candidate_worker* const> candidates) {
+  int64_t members = 0;
+  for (const auto* candidate : candidates) {
+    int64_t most = unit.members;
+    if (unit.step->max_per_worker > 0) most = std::min<int64_t>(most, unit.step->max_per_worker);
+    members += CountFitting(unit.each, candidate->worker->profile.capacity, most);
+  }
+  return members >= unit.members;
 }
 
 std::optional<std::vector<candidate_worker*>> start_planner::PlacePreempting(
@@ -355,6 +413,10 @@
   const auto place = availability_.Earliest(unit, near.empty() ? candidates : std::span(near), view,
                                             view.now + kHoldHorizon, one_rack);
   if (!place) return;
+  const std::set<candidate_worker*> distinct(place->workers.begin(), place->workers.end());
+  const bool no_tickets =
+      NeedsTickets(unit, view) && !ticket_cache::Attainable(distinct.size(), unit.queue->advice);
+  if (no_tickets) return;
   ++holds.held;
   held_.insert(unit.unit);
   if (!held_before_.contains(unit.unit)) {
@@ -365,10 +427,16 @@
         .With("starts_in_ms", (place->at - view.now).count())
         .With("waited_ms", (view.now - unit.state->ready_since).count());
   }
-  for (auto* worker : place->workers) {
+  HoldPlace(unit, place->workers, place->at - view.now, view);
+}
+
+/** Holds room on a worker for each member of a unit that is predicted to start in that time. */
+void start_planner::HoldPlace(const ready_unit& unit, std::span<candidate_worker* const> place,
+                              millis starts_in, const planning_view& view) {
+  for (auto* worker : place) {
     if (!worker->hold) {
-      worker->hold =
-          place_hold{place->at - view.now, availability_.RoomAt(*worker, view, place->at)};
+      const millis at = view.now + starts_in;
+      worker->hold = place_hold{starts_in, availability_.RoomAt(*worker, view, at)};
     }
     worker->hold->spare -= unit.each;
   }
--- a/src/kernel/placement/start_planner.h
+++ b/src/kernel/placement/start_planner.h
@@ -55,7 +55,11 @@
   std::optional<std::vector<candidate_worker*>> PlacePreempting(
       const ready_unit& unit, std::span<candidate_worker* const> candidates,
       const planning_view& view, start_plan& plan);
-  void AddAdviceWish(const ready_unit& unit, const planning_view& view, start_plan& plan);
+  bool HoldForTurn(const ready_unit& unit, const planning_view& view, start_plan& plan);
+  void AddAdviceWish(const ready_unit& unit, std::vector<candidate_worker*> candidates,
+                     const std::optional<std::vector<candidate_worker*>>& room,
+                     const planning_view& view, start_plan& plan);
+  static bool CanHold(const ready_unit& unit, std::span<candidate_worker* const> candidates);
   static bool AnyRackCanHold(const ready_unit& unit, std::span<candidate_worker* const> candidates);
   void Assign(const ready_unit& unit, std::span<candidate_worker* const> candidates,
               const planning_view& view, start_plan& plan);
@@ -66,6 +70,8 @@
   static bool GoneBefore(const ready_unit& unit, const candidate_worker& worker);
   void Hold(const ready_unit& unit, std::span<candidate_worker* const> candidates,
             const planning_view& view);
+  void HoldPlace(const ready_unit& unit, std::span<candidate_worker* const> place, millis starts_in,
+                 const planning_view& view);
 
   const unit_order& order_;
   guaranteed_jobs guaranteed_;
--- a/src/kernel/preemption/preemption_planner.cc
+++ b/src/kernel/preemption/preemption_planner.cc
@@ -201,7 +201,7 @@
   return choice;
 }
 
-std::optional<preemption_choice> preemption_planner::Plan(
+std::optional<preemption_choice> preemption_planner::Cheapest(
     const ready_unit& unit, std::span<candidate_worker* const> fitting, const planning_view& view) {
   std::map<std::string, std::vector<candidate_worker*>> groups;
   for (auto* candidate : fitting) {
@@ -216,15 +216,23 @@
     if (better) best = std::move(found);
   }
   if (!best) return std::nullopt;
+  best->placement.lost_work = best->cost;
+  return std::move(best->placement);
+}
+
+std::optional<preemption_choice> preemption_planner::Plan(
+    const ready_unit& unit, std::span<candidate_worker* const> candidates,
+    const planning_view& view) {
+  auto choice = Cheapest(unit, candidates, view);
+  if (!choice) return std::nullopt;
   for (auto& candidate : capacity_.all()) {
     for (const auto& [ref, record] : candidate.worker->runs) {
-      const bool victim = best->placement.victims.contains(record.unit);
+      const bool victim = choice->victims.contains(record.unit);
       if (victim && !Stopping(record)) candidate.future += record.each;
     }
   }
-  preempted_.insert(best->placement.victims.begin(), best->placement.victims.end());
-  best->placement.lost_work = best->cost;
-  return std::move(best->placement);
+  preempted_.insert(choice->victims.begin(), choice->victims.end());
+  return choice;
 }
 
 }  // namespace eelgrass
--- a/src/kernel/preemption/preemption_planner.h
+++ b/src/kernel/preemption/preemption_planner.h
@@ -44,9 +44,14 @@
   /** Whether a run is stopping or is a victim in this plan, so that its room counts as free. */
   bool Stopping(const run_record& record) const;
 
+  /** The cheapest preemption that lets the unit run on some of these workers, if there is one. */
+  std::optional<preemption_choice> Cheapest(const ready_unit& unit,
+                                            std::span<candidate_worker* const> candidates,
+                                            const planning_view& view);
+
   /**
-   * Returns the cheapest preemption that lets the unit run on some of these workers, if there is
-   * one. From then on the victims' resources count as free in the capacity map.
+   * Chooses the cheapest preemption. From then on the victims' resources count as free in the
+   * capacity map.
    */
   std::optional<preemption_choice> Plan(const ready_unit& unit,
                                         std::span<candidate_worker* const> candidates,
--- /dev/null
+++ b/tests/stories/advice_story.cc
@@ -0,0 +1,192 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdio>
+
+#include "tests/world/batch_world.h"
+#include "tests/world/require_kept.h"
+
+namespace eelgrass {
+namespace {
+
+/** finish_s of the platform: when nothing more comes, accepted jobs are asked for after this. */
+constexpr millis kFinish{14000};
+
+constexpr millis kWork{2500};
+constexpr int64_t kWholeWorker = 8;  // accelerators
+
+/** A queue with advice at a cluster of empty workers. */
+struct advised_cluster {
+  batch_world world;
+  std::vector<std::string> jobs;
+
+  explicit advised_cluster(int workers,
+                           const advice_policy& times = {true, millis(400), millis(50),
+                                                         millis(3000)},
+                           std::string_view queue = "usual")
+      : world(Options(workers)) {
+    world.Advise(queue, times);
+    world.RunFor(millis(5000));
+  }
+
+  static batch_world_options Options(int workers) {
+    batch_world_options options;
+    options.workers = workers;
+    options.worker.stop_time = millis(900);
+    return options;
+  }
+
+  std::string HandIn(std::string_view queue, int members, int64_t accelerators, bool gang = true,
+                     millis work = kWork) {
+    char id[16];
+    std::snprintf(id, sizeof id, "a%02x", static_cast<unsigned>(jobs.size()));
+    const batch_job job = MakeBatchJob(id, queue, members, work, accelerators, gang);
+    world.Submit(job);
+    world.Watch(job.id);
+    jobs.push_back(job.id);
+    return job.id;
+  }
+
+  bool Began(std::string_view job) {
+    return world.check().began(std::string(job) + ".0.0.0").has_value();
+  }
+  int BeganCount() {
+    return static_cast<int>(
+        std::count_if(jobs.begin(), jobs.end(), [this](const auto& job) { return Began(job); }));
+  }
+  ticket_statistics Tickets() { return world.PlannerStats(world.Planner()).tickets; }
+};
+
+/** A policy that refuses each step one worker of three, others for each step. */
+bool TwoOfThree(std::string_view step, std::string_view worker) {
+  return std::hash<std::string>()(std::string(step) + std::string(worker)) % 3 != 0;
+}
+
+// Guards against review case 12: the first tickets of a step expired before its second call was
+// answered, as other steps were asked for in between, so that no gang ever started (LOST).
+TEST_CASE("gangs that need tickets for many workers come at once") {
+  SUBCASE("all of them start") {
+    advised_cluster cluster(32);
+    for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 14, kWholeWorker);
+    cluster.world.RunFor(kFinish);
+    CHECK(cluster.BeganCount() == 4);
+    RequireKept(cluster.world);
+  }
+  SUBCASE("so they do where there are more of them") {
+    advised_cluster cluster(32);
+    for (int i = 0; i < 8; ++i) cluster.HandIn("usual", 14, kWholeWorker);
+    cluster.world.RunFor(kFinish * 2);
+    CHECK(cluster.BeganCount() == 8);
+    RequireKept(cluster.world);
+  }
+  SUBCASE("so they do where one call lasts longer than a ticket") {
+    advised_cluster cluster(32, {true, millis(400), millis(50), millis(800)});
+    for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 14, kWholeWorker);
+    cluster.world.RunFor(kFinish);
+    CHECK(cluster.BeganCount() == 4);
+    CHECK(cluster.world.advice().starts_refused() == 0);
+    RequireKept(cluster.world);
+  }
+  SUBCASE("so they do where the policy refuses some workers") {
+    advised_cluster cluster(32);
+    cluster.world.advice().SetPolicy(TwoOfThree);
+    for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 14, kWholeWorker);
+    cluster.world.RunFor(kFinish * 2);
+    CHECK(cluster.BeganCount() == 4);
+    RequireKept(cluster.world);
+  }
+  SUBCASE("so they do where they are as wide as half of the cluster") {
+    advised_cluster cluster(96);
+    for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 48, kWholeWorker);
+    cluster.world.RunFor(kFinish * 2);
+    CHECK(cluster.BeganCount() == 4);
+    RequireKept(cluster.world);
+  }
+  SUBCASE("so they do where they share workers") {
+    advised_cluster cluster(16);
+    for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 60, 2);
+    cluster.world.RunFor(kFinish * 2);
+    CHECK(cluster.BeganCount() == 4);
+    RequireKept(cluster.world);
+  }
+}
+
+TEST_CASE("a gang needs more workers than one call may name") {
+  constexpr int kMembers = 108;
+  SUBCASE("it starts if its first tickets outlast the second call") {
+    advised_cluster cluster(kMembers, {true, millis(400), millis(10), millis(3000)});
+    const std::string gang = cluster.HandIn("usual", kMembers, kWholeWorker);
+    cluster.world.RunFor(kFinish);
+    CHECK(cluster.Began(gang));
+    CHECK(cluster.world.advice().calls() == 2);
+    RequireKept(cluster.world);
+  }
+  SUBCASE("otherwise it is reported, and takes no calls from the others") {
+    advised_cluster cluster(kMembers, {true, millis(2700), millis(10), millis(3000)});
+    const std::string gang = cluster.HandIn("usual", kMembers, kWholeWorker);
+    cluster.world.RunFor(kFinish);
+    CHECK(cluster.Tickets().unattainable == 1);
+    CHECK(cluster.world.advice().calls() == 0);
+    const std::string small = cluster.HandIn("usual", 2, kWholeWorker);
+    cluster.world.RunFor(millis(4000));
+    CHECK(cluster.Began(small));
+    CHECK_FALSE(cluster.Began(gang));
+  }
+}
+
+TEST_CASE("a gang and small steps need tickets") {
+  advised_cluster cluster(32);
+  SUBCASE("the gang starts while small steps come faster than calls are answered") {
+    std::string gang;
+    for (int i = 0; i < 56; ++i) {
+      cluster.HandIn("usual", 1, 1, false);
+      if (i == 10) gang = cluster.HandIn("usual", 20, kWholeWorker);
+      cluster.world.RunFor(millis(250));
+    }
+    CHECK(cluster.Began(gang));
+  }
+  SUBCASE("small steps start while a gang of which every worker is refused waits") {
+    cluster.world.advice().SetPolicy([](std::string_view step, std::string_view) {
+      return step.substr(0, step.find('.')) != "0000000000000a00";
+    });
+    const std::string gang = cluster.HandIn("usual", 20, kWholeWorker);
+    for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 1, 1, false);
+    cluster.world.RunFor(kFinish);
+    CHECK(cluster.BeganCount() == 4);
+    CHECK_FALSE(cluster.Began(gang));
+    CHECK(cluster.Tickets().unattainable == 1);
+  }
+  SUBCASE("the gang starts although tasks without tickets take any room that it could use") {
+    std::string gang;
+    for (int i = 0; i < 56; ++i) {
+      for (int k = 0; k < 12; ++k) cluster.HandIn("batch", 1, kWholeWorker, false, millis(800));
+      if (i == 8) gang = cluster.HandIn("usual", 20, kWholeWorker);
+      cluster.world.RunFor(millis(250));
+    }
+    CHECK(cluster.Began(gang));
+  }
+}
+
+TEST_CASE("calls for advice fail while a gang gathers its tickets") {
+  advised_cluster cluster(32);
+  for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 14, kWholeWorker);
+  cluster.world.RunFor(millis(500));
+
+  SUBCASE("all gangs start once the service answers again") {
+    cluster.world.advice().SetAnswers(false);
+    cluster.world.RunFor(millis(5000));
+    cluster.world.advice().SetAnswers(true);
+    cluster.world.RunFor(kFinish);
+    CHECK(cluster.BeganCount() == 4);
+    CHECK(cluster.Tickets().failed_calls > 0);
+  }
+  SUBCASE("all gangs start at the next planner") {
+    cluster.world.KillEntry(cluster.world.Planner(), millis(2000));
+    cluster.world.RunFor(kFinish * 2);
+    CHECK(cluster.BeganCount() == 4);
+  }
+  RequireKept(cluster.world);
+}
+
+}  // namespace
+}  // namespace eelgrass
--- a/tests/world/batch_world.cc
+++ b/tests/world/batch_world.cc
@@ -92,7 +92,8 @@
       store_(events_, random_, *doors_),
       operators_(store_.rows()),
       callers_(events_, check_,
-               [this](uint64_t turn, const caller_call& call) { HandIn(turn, call); }) {
+               [this](uint64_t turn, const caller_call& call) { HandIn(turn, call); }),
+      advice_(events_) {
   codec_ = std::move(record_codec_registry::Instance().Create("json").value());
   order_ = std::move(unit_order_registry::Instance().Create(options_.order).value());
   for (int i = 0; i < options_.first_entries; ++i) seeds_.push_back(PeerAddress(EntryId(i)));
@@ -347,10 +348,31 @@
       });
     } else if (const auto* listing = std::get_if<vm_listing_request>(&action)) {
       ListVms(entry, *listing);
+    } else if (const auto* advice = std::get_if<advice_request>(&action)) {
+      AskForAdvice(entry, *advice);
     }
   }
 }
 
+void batch_world::Advise(std::string_view queue, const advice_policy& times) {
+  advice_.SetQueue(queue, times);
+  worker_faults_.accepts_ticket = [this](std::string_view worker, const start_call& call) {
+    return advice_.Accepts(worker, call);
+  };
+  Configure([&](batch_config& config) {
+    for (auto& other : config.queues) {
+      if (other.name == queue) other.advice = times;
+    }
+  });
+}
+
+void batch_world::AskForAdvice(const entry_process& entry, const advice_request& request) {
+  advice_.Ask(entry.id, request, [this, id = entry.id, life = entry.life](advice_reply reply) {
+    entry_process* same = FindEntry(id);
+    if (same->alive && same->life == life) ToPlanner(*same, std::move(reply));
+  });
+}
+
 /** A VM whose worker has crashed is down until the next one starts there. */
 void batch_world::ListVms(const entry_process& entry, const vm_listing_request& request) {
   std::vector<vm_record> vms;
--- a/tests/world/batch_world.h
+++ b/tests/world/batch_world.h
@@ -20,6 +20,7 @@
 #include "tests/world/batch_callers.h"
 #include "tests/world/batch_links.h"
 #include "tests/world/draws.h"
+#include "tests/world/fake_advice.h"
 #include "tests/world/fake_operators.h"
 #include "tests/world/fake_row_store.h"
 #include "tests/world/fake_vm_list.h"
@@ -57,11 +58,18 @@
   void RunFor(millis time) { events_.RunUntil(events_.now() + time); }
   batch_check& check() { return check_; }
 
-  void Submit(const batch_job& job) { callers_.Submit(job); }
+  void Submit(const batch_job& job) {
+    if (advice_.Covers(job.queue)) advice_.AddJob(job.id);
+    callers_.Submit(job);
+  }
   void Cancel(std::string_view job) { callers_.Cancel(job); }
   void Watch(std::string_view job) { callers_.Watch(job); }
 
   void Configure(const std::function<void(batch_config&)>& edit) { operators_.Configure(edit); }
+  /** The policy of a queue demands advice from now on. */
+  void Advise(std::string_view queue, const advice_policy& times);
+  fake_advice& advice() { return advice_; }
+
   void Evacuate(std::string_view domain, bool out) { operators_.Evacuate(domain, out); }
 
   void KillEntry(int entry, millis down);
@@ -225,6 +233,7 @@
   void NoteLists(machine& vm, const send_to_peer& sent);
   void CarryOut(machine& vm, std::vector<agent_action>& actions);
   void ReadSeeds(machine& vm);
+  void AskForAdvice(const entry_process& entry, const advice_request& request);
   void ListVms(const entry_process& entry, const vm_listing_request& request);
 
   const batch_world_options options_;
@@ -238,6 +247,7 @@
   worker_faults worker_faults_;
   batch_check check_;
   batch_callers callers_;
+  fake_advice advice_;
   std::unique_ptr<batch_record_codec> codec_;
   std::unique_ptr<unit_order> order_;
   std::vector<std::unique_ptr<entry_process>> entries_;
--- /dev/null
+++ b/tests/world/fake_advice.cc
@@ -0,0 +1,58 @@
+#include "tests/world/fake_advice.h"
+
+#include <algorithm>
+
+namespace eelgrass {
+namespace {
+
+/** A caller gives a call up this long after it should have been answered. */
+constexpr millis kPatience{2000};
+
+}  // namespace
+
+void fake_advice::SetQueue(std::string_view queue, const advice_policy& times) {
+  queue_ = queue;
+  times_ = times;
+}
+
+void fake_advice::Ask(const std::string& caller, const advice_request& request,
+                      std::function<void(advice_reply)> done) {
+  ++calls_;
+  if (!answers_) {
+    advice_reply none;
+    none.step = request.step;
+    none.asked = request.workers;
+    return events_.After(request.expected + kPatience, [done, none] { done(none); });
+  }
+  millis& busy_until = busy_until_[caller];
+  busy_until = std::max(busy_until, events_.now()) + times_.decide +
+               times_.per_worker * static_cast<int64_t>(request.workers.size());
+  events_.At(busy_until, [this, request, done] { done(Answer(request)); });
+}
+
+advice_reply fake_advice::Answer(const advice_request& request) {
+  advice_reply reply;
+  reply.step = request.step;
+  reply.asked = request.workers;
+  reply.answered = true;
+  reply.valid = times_.valid;
+  for (const auto& worker : request.workers) {
+    if (allowed_ && !allowed_(request.step, worker)) continue;
+    const std::string text = worker + "/" + std::to_string(calls_);
+    given_[{request.step, worker}] = {text, events_.now() + times_.valid};
+    reply.tickets.emplace_back(worker, text);
+  }
+  return reply;
+}
+
+bool fake_advice::Accepts(std::string_view worker, const start_call& call) const {
+  const std::string& task = call.run.task;
+  if (!jobs_.contains(task.substr(0, task.find('.')))) return true;
+  const auto found = given_.find({task.substr(0, task.rfind('.')), std::string(worker)});
+  const bool accepted = found != given_.end() && found->second.text == call.run.ticket &&
+                        events_.now() < found->second.until;
+  if (!accepted) ++starts_refused_;
+  return accepted;
+}
+
+}  // namespace eelgrass
--- a/tests/world/fake_worker.cc
+++ b/tests/world/fake_worker.cc
@@ -182,6 +182,11 @@
       out.outcome = call_outcome::kNeverSent;
       return;
     }
+    if (faults_.accepts_ticket && !faults_.accepts_ticket(call.worker.id, call)) {
+      out.outcome = call_outcome::kRefused;
+      out.refusal = start_refusal::kTicket;
+      return;
+    }
     out.outcome = runner_->Start(call, now(), out.refusal, late);
     WatchLease();
   });
--- a/tests/world/fake_worker.h
+++ b/tests/world/fake_worker.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "kernel/batch/agent_core.h"
 #include "standins/standin_runner.h"
@@ -31,6 +32,9 @@
   double late_orders = 0;  // share of orders that get no answer and are carried out seconds later
   double late_holds = 0;   // the same for holds
   millis longest_announcement{120};  // from a worker's start until its first heartbeat
+
+  /** Whether a worker accepts the ticket of a start; empty: it needs none. */
+  std::function<bool(std::string_view worker, const start_call& call)> accepts_ticket;
 };
 
 /** The agent beside a worker. */
