Placed runs get their tickets renewed when these expire before the room is free

What callers would have seen: an urgent gang that has to preempt never starts where stopping others takes as long as tickets last, and stops more and more work for nothing.

Cause: a unit that preempts is placed with the tickets of that moment and ordered once the stopped runs have ended. Its workers then refused the expired tickets, the unit went back to the queue, and the next plan began again.

Evidence: the new story (900 ms to stop a run, tickets for 900 ms) failed on: the gang did not start in 8 s, and 10 starts were refused. It passes now with none refused.

Change: a placed unit is ordered only with valid tickets. While one of them has expired, the step asks for all that expire before the answer, before any other step; its room stays reserved, for 20 s at most. A ticket that a worker refuses is forgotten.

--- a/src/kernel/batch/planner_core.cc
+++ b/src/kernel/batch/planner_core.cc
@@ -227,7 +227,7 @@
   jobs_ = std::make_unique<job_table>(options_.early);
   tracker_options tracking = options_.tracking;
   tracking.announce_starts = true;
-  tracker_ = std::make_unique<run_tracker>(tracking, *jobs_, pool_, speeds_);
+  tracker_ = std::make_unique<run_tracker>(tracking, *jobs_, pool_, speeds_, &tickets_);
   orders_ = std::make_unique<order_writer>(options_.tracking.grant, *jobs_, pool_);
 }
 
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -5,6 +5,7 @@
 #include "kernel/base/log_event.h"
 #include "kernel/batch/order_writer.h"
 #include "kernel/batch/term_election.h"
+#include "kernel/batch/ticket_cache.h"
 
 namespace eelgrass {
 namespace {
@@ -18,6 +19,9 @@
 /** An ordered run that has not begun within this time is stopped. */
 constexpr millis kStartTimeout{2000};
 
+/** A held run whose ticket has expired gives its room up if it gets no other within this time. */
+constexpr millis kMaxTicketRenewal{20000};
+
 /** After this many consecutive failures of different units, a worker gets no starts for a while. */
 constexpr int kFailuresToAvoid = 3;
 constexpr millis kAvoidTime{6000};
@@ -37,8 +41,13 @@
 }  // namespace
 
 run_tracker::run_tracker(tracker_options options, job_table& jobs, worker_pool& pool,
-                         worker_speeds& speeds)
-    : options_(options), jobs_(jobs), pool_(pool), speeds_(speeds), closer_(jobs, pool) {}
+                         worker_speeds& speeds, ticket_cache* tickets)
+    : options_(options),
+      jobs_(jobs),
+      pool_(pool),
+      speeds_(speeds),
+      tickets_(tickets),
+      closer_(jobs, pool) {}
 
 void run_tracker::Begin(int64_t term) {
   term_ = term;
@@ -366,6 +375,9 @@
         .With("worker", worker.profile.self.id)
         .With("reason", StartRefusalName(refused.reason));
     closer_.Close(worker, ref);
+    if (refused.reason == start_refusal::kTicket && tickets_ != nullptr) {
+      tickets_->Discard(unit, worker.profile.self.id);
+    }
     if (unit_state* state = jobs_.Find(unit)) {
       state->not_before = now + kRefusalPause;
       if (refused.reason == start_refusal::kUnhealthy) RecordOutcome(worker, unit.job, false, now);
@@ -446,7 +458,7 @@
 
 /** Orders the held units that are known elsewhere and all of whose members fit on their workers. */
 void run_tracker::ReleaseHeld(millis now) {
-  std::map<unit_ref, std::vector<std::pair<pool_worker*, run_record*>>> held;
+  std::map<unit_ref, held_members> held;
   std::set<unit_ref> unknown;
   for (auto& [id, worker] : pool_.all()) {
     for (auto& [ref, record] : worker.runs) {
@@ -464,7 +476,7 @@
     const bool fits = std::all_of(need.begin(), need.end(), [](const auto& entry) {
       return entry.second.Fits(entry.first->PresentCapacity());
     });
-    if (!fits) continue;
+    if (!fits || !RenewTickets(members, now)) continue;
     for (auto& [worker, record] : members) {
       record->phase = run_phase::kOrdered;
       record->since = now;
@@ -473,6 +485,18 @@
   }
 }
 
+/** Gives the members of a unit valid tickets. Returns false if one of them has expired. */
+bool run_tracker::RenewTickets(held_members& members, millis now) const {
+  if (tickets_ == nullptr) return true;
+  for (auto& [worker, record] : members) {
+    if (record->ticket.empty()) continue;
+    const std::string* ticket = tickets_->Ticket(record->unit, worker->profile.self, now);
+    if (ticket == nullptr) return false;
+    record->ticket = *ticket;
+  }
+  return true;
+}
+
 void run_tracker::Stop(const unit_ref& unit, std::string_view reason, millis now) {
   for (auto& [id, worker] : pool_.all()) {
     std::vector<run_ref> unbegun;
@@ -495,16 +519,22 @@
   }
 }
 
-/** Stops units of which a member has not begun in time. */
+/** Stops units of which a member has not begun, or has not got a ticket again, in time. */
 void run_tracker::StopOverdue(millis now) {
   std::set<unit_ref> overdue;
+  std::set<unit_ref> without_ticket;
   for (auto& [id, worker] : pool_.all()) {
     for (auto& [ref, record] : worker.runs) {
       const bool late = record.phase == run_phase::kOrdered && now - record.since > kStartTimeout;
       if (late) overdue.insert(record.unit);
+      const bool expired = record.phase == run_phase::kHeld && !record.ticket.empty() &&
+                           now - record.since > kMaxTicketRenewal && tickets_ != nullptr &&
+                           tickets_->Ticket(record.unit, worker.profile.self, now) == nullptr;
+      if (expired) without_ticket.insert(record.unit);
     }
   }
   for (const auto& unit : overdue) Stop(unit, "the run did not begin in time", now);
+  for (const auto& unit : without_ticket) Stop(unit, "its tickets were not renewed in time", now);
 }
 
 /** Whether a job has an open run other than the successful run of its unit. */
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -19,6 +19,8 @@
 
 namespace eelgrass {
 
+class ticket_cache;
+
 struct tracker_options {
   millis grant{4000};            // lease that a worker gets for one report
   bool announce_starts = false;  // a start is ordered only when it is known elsewhere
@@ -32,7 +34,9 @@
  */
 class run_tracker {
  public:
-  run_tracker(tracker_options options, job_table& jobs, worker_pool& pool, worker_speeds& speeds);
+  /** `tickets` is the cache from which held runs get their tickets renewed; it may be absent. */
+  run_tracker(tracker_options options, job_table& jobs, worker_pool& pool, worker_speeds& speeds,
+              ticket_cache* tickets = nullptr);
 
   /** Starts a term. Its run numbers are above those of all earlier terms. */
   void Begin(int64_t term);
@@ -103,7 +107,9 @@
   void LearnSpeed(const pool_worker& worker, const run_record& record, const batch_step& step,
                   millis now);
   bool InOneRack(std::span<const std::string> workers) const;
+  using held_members = std::vector<std::pair<pool_worker*, run_record*>>;
   void ReleaseHeld(millis now);
+  bool RenewTickets(held_members& members, millis now) const;
   bool HasOtherRuns(std::string_view job) const;
   void StopOverdue(millis now);
   int64_t NextRun();
@@ -113,6 +119,7 @@
   job_table& jobs_;
   worker_pool& pool_;
   worker_speeds& speeds_;
+  ticket_cache* const tickets_;
   run_closer closer_;
   int64_t term_ = 0;
   int64_t runs_begun_ = 0;
--- a/src/kernel/batch/ticket_cache.cc
+++ b/src/kernel/batch/ticket_cache.cc
@@ -100,14 +100,16 @@
 std::pair<int, millis> ticket_cache::Rank(const advice_wish& wish) const {
   const advised_step* step = FindStep(wish.unit);
   const bool new_step = step == nullptr || !step->asked;
-  constexpr int kNew = 0;
-  constexpr int kHasRoom = 1;
-  constexpr int kMayPreempt = 2;
-  constexpr int kWaitsForRoom = 3;
+  constexpr int kHoldsRoom = 0;
+  constexpr int kNew = 1;
+  constexpr int kHasRoom = 2;
+  constexpr int kMayPreempt = 3;
+  constexpr int kWaitsForRoom = 4;
   int group = kWaitsForRoom;
   if (wish.may_preempt) group = kMayPreempt;
   if (wish.has_room) group = kHasRoom;
   if (new_step && (wish.has_room || wish.may_preempt)) group = kNew;
+  if (wish.holds_room) group = kHoldsRoom;
   return {group, step == nullptr ? advised_step{}.served : step->served};
 }
 
@@ -324,6 +326,13 @@
       .With("call", turn_ ? turn_->calls : 0);
 }
 
+void ticket_cache::Discard(const unit_ref& unit, std::string_view worker) {
+  const auto step = steps_.find(StepName(unit));
+  if (step == steps_.end()) return;
+  const auto found = step->second.tickets.find(worker);
+  if (found != step->second.tickets.end()) step->second.tickets.erase(found);
+}
+
 void ticket_cache::Reset() {
   const int64_t failed_calls = stats_.failed_calls;
   *this = ticket_cache();
--- a/src/kernel/batch/ticket_cache.h
+++ b/src/kernel/batch/ticket_cache.h
@@ -80,6 +80,8 @@
                                      const planning_view& view);
   void On(const advice_reply& reply, millis now);
 
+  /** Forgets a ticket that the worker did not accept. */
+  void Discard(const unit_ref& unit, std::string_view worker);
   void Reset();
 
   const ticket_statistics& stats() const { return stats_; }
--- a/src/kernel/placement/start_plan.h
+++ b/src/kernel/placement/start_plan.h
@@ -20,6 +20,7 @@
 /** A step that waits and may need tickets. */
 struct advice_wish {
   unit_ref unit;              // the first of its units that waits
+  bool holds_room = false;    // placed; its tickets expired before it could be ordered
   bool has_room = false;      // could start now if the workers may run it
   bool may_preempt = false;   // is allowed to make room
   bool insufficient = false;  // the policy refuses so many workers that the others cannot hold it
--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -63,6 +63,7 @@
 start_plan start_planner::Plan(const planning_view& view) {
   start_plan plan;
   MoveFromLeavingWorkers(view, plan);
+  AddHeldWishes(view, plan);
   guaranteed_.Read(view.jobs, view.config);
   const std::vector<ready_unit> ready = Ready(view);
   capacity_.Read(view);
@@ -181,6 +182,31 @@
   if (!wish.workers.empty() || wish.insufficient) plan.advice.push_back(std::move(wish));
 }
 
+/** Names the workers of held units whose tickets have expired meanwhile. */
+void start_planner::AddHeldWishes(const planning_view& view, start_plan& plan) {
+  if (view.advice == nullptr) return;
+  std::map<unit_ref, advice_wish> wishes;
+  for (const auto& [id, worker] : view.pool.all()) {
+    for (const auto& [ref, record] : worker.runs) {
+      if (record.phase != run_phase::kHeld || record.ticket.empty()) continue;
+      advice_wish& wish = wishes[record.unit];
+      const bool expired =
+          view.advice->Ticket(record.unit, worker.profile.self, view.now) == nullptr;
+      if (wish.place.empty() || wish.place.back() != id) wish.place.push_back(id);
+      if (expired && (wish.workers.empty() || wish.workers.back() != id))
+        wish.workers.push_back(id);
+    }
+  }
+  for (auto& [unit, wish] : wishes) {
+    if (wish.workers.empty()) continue;
+    const unit_state* state = view.jobs.Find(unit);
+    wish.unit = unit;
+    wish.holds_room = wish.has_room = true;
+    wish.ready_since = state == nullptr ? view.now : state->ready_since;
+    plan.advice.push_back(std::move(wish));
+  }
+}
+
 /** Whether the workers could hold the unit if they were empty. */
 bool start_planner::CanHold(const ready_unit& unit, std::span<candidate_worker* const> candidates) {
   int64_t members = 0;
--- a/tests/stories/advice_story.cc
+++ b/tests/stories/advice_story.cc
@@ -167,6 +167,19 @@
   }
 }
 
+TEST_CASE("an urgent gang has to preempt and needs tickets") {
+  advised_cluster cluster(16, {true, millis(100), millis(20), millis(900)}, "urgent");
+  for (int i = 0; i < 16; ++i) cluster.HandIn("batch", 1, kWholeWorker, false, millis(60000));
+  cluster.world.RunFor(millis(6000));
+  const std::string gang = cluster.HandIn("urgent", 2, kWholeWorker);
+
+  SUBCASE("it starts although stopping the others takes as long as tickets last") {
+    cluster.world.RunFor(millis(8000));
+    CHECK(cluster.Began(gang));
+    CHECK(cluster.world.advice().starts_refused() == 0);
+  }
+}
+
 TEST_CASE("calls for advice fail while a gang gathers its tickets") {
   advised_cluster cluster(32);
   for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 14, kWholeWorker);
