--- a/tests/stories/advice_story.cc
+++ b/tests/stories/advice_story.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <random>
 
 #include "tests/world/batch_world.h"
+#include "tests/world/hunt_days.h"
 #include "tests/world/require_kept.h"
 
 namespace eelgrass {
@@ -180,6 +182,48 @@
   }
 }
 
+/** Gangs and single tasks of a queue with advice, tasks of another one, and faults between them. */
+void PlayRandomDay(uint64_t seed) {
+  CAPTURE(seed);
+  std::mt19937_64 random(seed);
+  const auto pick = [&](int least, int most) {
+    return least + static_cast<int>(random() % static_cast<uint64_t>(most - least + 1));
+  };
+  const int workers = pick(6, 40);
+  const advice_policy times{true, millis(pick(20, 800)), millis(pick(2, 80)),
+                            millis(pick(300, 4000))};
+  advised_cluster cluster(workers, times, pick(0, 1) == 0 ? "urgent" : "usual");
+  const char* advised = cluster.world.advice().Covers("urgent") ? "urgent" : "usual";
+  const bool refuses = pick(0, 1) == 0;
+  if (refuses) cluster.world.advice().SetPolicy(TwoOfThree);
+  for (int step = 0; step < 30; ++step) {
+    const millis work(pick(500, 3000));
+    if (pick(0, 1) == 0) {
+      // Two of three may be fewer by chance.
+      const int widest = std::max(1, refuses ? workers / 3 : workers);
+      cluster.HandIn(advised, pick(1, widest), pick(1, 8), pick(0, 2) != 0, work);
+    } else {
+      cluster.HandIn("batch", pick(1, workers), pick(1, 8), false, work);
+    }
+    const int fault = pick(0, 14);
+    if (fault == 0) cluster.world.advice().SetAnswers(false);
+    if (fault > 10) cluster.world.advice().SetAnswers(true);
+    if (fault == 1 && cluster.world.Planner() >= 0) {
+      cluster.world.KillEntry(cluster.world.Planner(), millis(pick(500, 3000)));
+    }
+    if (fault == 2) cluster.world.CrashWorker(pick(0, workers - 1), millis(pick(500, 5000)));
+    if (fault == 3) cluster.world.KillAgent(pick(0, workers - 1), millis(pick(500, 5000)));
+    cluster.world.RunFor(millis(pick(50, 1500)));
+  }
+  cluster.world.advice().SetAnswers(true);
+  cluster.world.RunFor(millis(240000));
+  RequireKept(cluster.world);
+}
+
+TEST_CASE("random queues with advice, with random times and policies of the service") {
+  PlayDays(12, PlayRandomDay);
+}
+
 TEST_CASE("calls for advice fail while a gang gathers its tickets") {
   advised_cluster cluster(32);
   for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 14, kWholeWorker);
