--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -193,8 +193,9 @@
       const bool expired =
           view.advice->Ticket(record.unit, worker.profile.self, view.now) == nullptr;
       if (wish.place.empty() || wish.place.back() != id) wish.place.push_back(id);
-      if (expired && (wish.workers.empty() || wish.workers.back() != id))
+      if (expired && (wish.workers.empty() || wish.workers.back() != id)) {
         wish.workers.push_back(id);
+      }
     }
   }
   for (auto& [unit, wish] : wishes) {
--- a/tests/world/fake_advice.cc
+++ b/tests/world/fake_advice.cc
@@ -16,7 +16,7 @@
 }
 
 void fake_advice::Ask(const std::string& caller, const advice_request& request,
-                      std::function<void(advice_reply)> done) {
+                      const std::function<void(advice_reply)>& done) {
   ++calls_;
   if (!answers_) {
     advice_reply none;
--- a/tests/world/fake_advice.h
+++ b/tests/world/fake_advice.h
@@ -36,7 +36,7 @@
   void SetAnswers(bool answers) { answers_ = answers; }
 
   void Ask(const std::string& caller, const advice_request& request,
-           std::function<void(advice_reply)> done);
+           const std::function<void(advice_reply)>& done);
 
   /** Whether a worker may start a run: with the ticket that was given last, while it lasts. */
   bool Accepts(std::string_view worker, const start_call& call) const;
