--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -89,6 +89,8 @@
   int64_t changes() const { return changes_ + closer_.changes(); }
 
  private:
+  using held_members = std::vector<std::pair<pool_worker*, run_record*>>;
+
   void BeginIncarnation(pool_worker& worker, const worker_report& report, std::string_view agent,
                         millis now);
   void ApplyEnds(pool_worker& worker, const worker_report& report, const batch_config& config,
@@ -107,7 +109,6 @@
   void LearnSpeed(const pool_worker& worker, const run_record& record, const batch_step& step,
                   millis now);
   bool InOneRack(std::span<const std::string> workers) const;
-  using held_members = std::vector<std::pair<pool_worker*, run_record*>>;
   void ReleaseHeld(millis now);
   bool RenewTickets(held_members& members, millis now) const;
   bool HasOtherRuns(std::string_view job) const;
--- a/src/kernel/batch/ticket_cache.cc
+++ b/src/kernel/batch/ticket_cache.cc
@@ -141,7 +141,7 @@
     log_event("tickets-unattainable", log_level::kWarning)
         .With("step", step)
         .With("queue", queue->name)
-        .With("reason", wish.insufficient ? "the policy allows too few workers"
+        .With("reason", wish.insufficient ? "too few allowed workers are there"
                                           : "the first tickets expire during the calls for others")
         .With("workers", static_cast<int64_t>(wish.place.size()))
         .With("valid_ms", queue->advice.valid.count());
@@ -181,6 +181,7 @@
   turn_.reset();
 }
 
+/** The wish of the unit that has the turn; nullptr once its turn is over. */
 const advice_wish* ticket_cache::KeepTurn(std::span<const advice_wish* const> wishes, millis now) {
   if (!turn_) return nullptr;
   const auto wish = std::find_if(wishes.begin(), wishes.end(),
--- a/src/kernel/batch/ticket_cache.h
+++ b/src/kernel/batch/ticket_cache.h
@@ -52,7 +52,7 @@
  * could start therefore waits for at most two turns of each other one.
  *
  * A unit cannot get its tickets if it needs more workers than one call may name and the first
- * tickets expire during the calls for the others, or if the policy allows too few workers. Such a
+ * tickets expire during the calls for the others, or if too few allowed workers are there. Such a
  * step takes no turns and is logged and counted.
  */
 class ticket_cache {
@@ -96,11 +96,11 @@
     std::string job;
     std::map<std::string, ticket, std::less<>> tickets;  // by worker
     millis served{INT64_MIN / 4};                        // end of its last turn
-    bool asked = false;
+    bool asked = false;                                  // a call has been made for it
   };
   struct step_turn {
     unit_ref unit;
-    bool could_start = false;
+    bool could_start = false;  // when the turn began
     int calls = 0;
     int most_calls = 1;
     millis since{0};
@@ -128,9 +128,8 @@
   std::vector<const advice_wish*> Eligible(std::span<const advice_wish> wishes,
                                            const planning_view& view);
   const advice_wish* Choose(std::span<const advice_wish* const> wishes) const;
-  void EndTurn(std::string_view reason, millis now);
-  /** The wish of the unit that has the turn; nullptr once its turn is over. */
   const advice_wish* KeepTurn(std::span<const advice_wish* const> wishes, millis now);
+  void EndTurn(std::string_view reason, millis now);
   std::vector<std::string> Expiring(const advice_wish& wish, const planning_view& view,
                                     millis until) const;
   size_t Spare(const advice_wish& wish, const batch_queue& queue,
--- a/src/kernel/placement/start_plan.h
+++ b/src/kernel/placement/start_plan.h
@@ -23,7 +23,7 @@
   bool holds_room = false;    // placed; its tickets expired before it could be ordered
   bool has_room = false;      // could start now if the workers may run it
   bool may_preempt = false;   // is allowed to make room
-  bool insufficient = false;  // the policy refuses so many workers that the others cannot hold it
+  bool insufficient = false;  // the workers that are not refused could not hold it if empty
   millis ready_since{0};
   /** Workers that could run the unit now, or after preemption; all need valid tickets at once. */
   std::vector<std::string> place;
--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -73,7 +73,7 @@
   holds_.clear();
   held_before_ = std::exchange(held_, {});
   std::set<std::pair<std::string, int>> exhausted;  // steps of which no further unit fits
-  std::vector<const ready_unit*> without_tickets;
+  std::vector<const ready_unit*> without_tickets;   // and without a turn for advice
   for (const auto& unit : ready) {
     const std::pair<std::string, int> shape{unit.unit.job, unit.unit.step};
     if (exhausted.contains(shape)) continue;
@@ -150,8 +150,19 @@
   return true;
 }
 
+/** The workers of the cheapest preemption that makes room for a unit; none if there is none. */
+std::vector<candidate_worker*> start_planner::PlaceByPreemption(
+    const ready_unit& unit, std::vector<candidate_worker*> candidates, const planning_view& view) {
+  if (unit.members == 1) KeepBoundWorker(unit, candidates);
+  const bool may_preempt = unit.bound.empty() || unit.members == 1;
+  if (!may_preempt || !preemption_.MayPreemptFor(unit, view)) return {};
+  auto choice = preemption_.Cheapest(unit, candidates, view);
+  return choice ? std::move(choice->place) : std::vector<candidate_worker*>();
+}
+
 /** Names the workers whose tickets could let a unit start: in its room, or by preemption. */
-void start_planner::AddAdviceWish(const ready_unit& unit, std::vector<candidate_worker*> candidates,
+void start_planner::AddAdviceWish(const ready_unit& unit,
+                                  std::span<candidate_worker* const> candidates,
                                   const std::optional<std::vector<candidate_worker*>>& room,
                                   const planning_view& view, start_plan& plan) {
   advice_wish wish;
@@ -159,12 +170,8 @@
   wish.has_room = room.has_value();
   wish.may_preempt = preemption_.MayPreemptFor(unit, view);
   wish.ready_since = unit.state->ready_since;
-  if (unit.members == 1) KeepBoundWorker(unit, candidates);
-  std::vector<candidate_worker*> place = room.value_or(std::vector<candidate_worker*>());
-  const bool may_preempt = wish.may_preempt && (unit.bound.empty() || unit.members == 1);
-  if (!room && may_preempt) {
-    if (auto choice = preemption_.Cheapest(unit, candidates, view)) place = choice->place;
-  }
+  const std::vector<candidate_worker*> place =
+      room ? *room : PlaceByPreemption(unit, {candidates.begin(), candidates.end()}, view);
   const auto add = [](std::vector<std::string>& workers, const worker_identity& worker) {
     const bool named = std::find(workers.begin(), workers.end(), worker.id) != workers.end();
     if (!named) workers.push_back(worker.id);
--- a/src/kernel/placement/start_planner.h
+++ b/src/kernel/placement/start_planner.h
@@ -56,7 +56,10 @@
       const ready_unit& unit, std::span<candidate_worker* const> candidates,
       const planning_view& view, start_plan& plan);
   bool HoldForTurn(const ready_unit& unit, const planning_view& view, start_plan& plan);
-  void AddAdviceWish(const ready_unit& unit, std::vector<candidate_worker*> candidates,
+  std::vector<candidate_worker*> PlaceByPreemption(const ready_unit& unit,
+                                                   std::vector<candidate_worker*> candidates,
+                                                   const planning_view& view);
+  void AddAdviceWish(const ready_unit& unit, std::span<candidate_worker* const> candidates,
                      const std::optional<std::vector<candidate_worker*>>& room,
                      const planning_view& view, start_plan& plan);
   static void AddHeldWishes(const planning_view& view, start_plan& plan);
--- a/tests/stories/advice_story.cc
+++ b/tests/stories/advice_story.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <functional>
 #include <random>
+#include <string>
 
 #include "tests/world/batch_world.h"
 #include "tests/world/hunt_days.h"
@@ -64,52 +66,44 @@
   return std::hash<std::string>()(std::string(step) + std::string(worker)) % 3 != 0;
 }
 
+struct gang_burst {
+  int gangs = 0;
+  int members = 0;
+  int64_t accelerators = 0;  // of each member
+};
+
+/** Gangs that come at once have all started within a time, and none was refused a ticket. */
+void RequireStarted(int workers, const advice_policy& times, const gang_burst& burst, millis within,
+                    const fake_advice::policy& allowed = {}) {
+  advised_cluster cluster(workers, times);
+  cluster.world.advice().SetPolicy(allowed);
+  for (int i = 0; i < burst.gangs; ++i) cluster.HandIn("usual", burst.members, burst.accelerators);
+  cluster.world.RunFor(within);
+  CHECK(cluster.BeganCount() == burst.gangs);
+  CHECK(cluster.world.advice().starts_refused() == 0);
+  RequireKept(cluster.world);
+}
+
 // Guards against review case 12: the first tickets of a step expired before its second call was
 // answered, as other steps were asked for in between, so that no gang ever started (LOST).
 TEST_CASE("gangs that need tickets for many workers come at once") {
-  SUBCASE("all of them start") {
-    advised_cluster cluster(32);
-    for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 14, kWholeWorker);
-    cluster.world.RunFor(kFinish);
-    CHECK(cluster.BeganCount() == 4);
-    RequireKept(cluster.world);
-  }
+  constexpr advice_policy kTimes{true, millis(400), millis(50), millis(3000)};
+  SUBCASE("all of them start") { RequireStarted(32, kTimes, {4, 14, kWholeWorker}, kFinish); }
   SUBCASE("so they do where there are more of them") {
-    advised_cluster cluster(32);
-    for (int i = 0; i < 8; ++i) cluster.HandIn("usual", 14, kWholeWorker);
-    cluster.world.RunFor(kFinish * 2);
-    CHECK(cluster.BeganCount() == 8);
-    RequireKept(cluster.world);
+    RequireStarted(32, kTimes, {8, 14, kWholeWorker}, kFinish * 2);
   }
   SUBCASE("so they do where one call lasts longer than a ticket") {
-    advised_cluster cluster(32, {true, millis(400), millis(50), millis(800)});
-    for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 14, kWholeWorker);
-    cluster.world.RunFor(kFinish);
-    CHECK(cluster.BeganCount() == 4);
-    CHECK(cluster.world.advice().starts_refused() == 0);
-    RequireKept(cluster.world);
+    constexpr advice_policy kShortLived{true, millis(400), millis(50), millis(800)};
+    RequireStarted(32, kShortLived, {4, 14, kWholeWorker}, kFinish);
   }
   SUBCASE("so they do where the policy refuses some workers") {
-    advised_cluster cluster(32);
-    cluster.world.advice().SetPolicy(TwoOfThree);
-    for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 14, kWholeWorker);
-    cluster.world.RunFor(kFinish * 2);
-    CHECK(cluster.BeganCount() == 4);
-    RequireKept(cluster.world);
+    RequireStarted(32, kTimes, {4, 14, kWholeWorker}, kFinish * 2, TwoOfThree);
   }
   SUBCASE("so they do where they are as wide as half of the cluster") {
-    advised_cluster cluster(96);
-    for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 48, kWholeWorker);
-    cluster.world.RunFor(kFinish * 2);
-    CHECK(cluster.BeganCount() == 4);
-    RequireKept(cluster.world);
+    RequireStarted(96, kTimes, {4, 48, kWholeWorker}, kFinish * 2);
   }
   SUBCASE("so they do where they share workers") {
-    advised_cluster cluster(16);
-    for (int i = 0; i < 4; ++i) cluster.HandIn("usual", 60, 2);
-    cluster.world.RunFor(kFinish * 2);
-    CHECK(cluster.BeganCount() == 4);
-    RequireKept(cluster.world);
+    RequireStarted(16, kTimes, {4, 60, 2}, kFinish * 2);
   }
 }
 
@@ -136,6 +130,7 @@
   }
 }
 
+// Guards against steps that keep others from their tickets, or use up the room meanwhile.
 TEST_CASE("a gang and small steps need tickets") {
   advised_cluster cluster(32);
   SUBCASE("the gang starts while small steps come faster than calls are answered") {
@@ -169,6 +164,7 @@
   }
 }
 
+// Guards against tickets that expire while preempted runs end, so that the start is refused.
 TEST_CASE("an urgent gang has to preempt and needs tickets") {
   advised_cluster cluster(16, {true, millis(100), millis(20), millis(900)}, "urgent");
   for (int i = 0; i < 16; ++i) cluster.HandIn("batch", 1, kWholeWorker, false, millis(60000));
--- a/tests/world/fake_advice.cc
+++ b/tests/world/fake_advice.cc
@@ -45,7 +45,7 @@
   return reply;
 }
 
-bool fake_advice::Accepts(std::string_view worker, const start_call& call) const {
+bool fake_advice::Accepts(std::string_view worker, const start_call& call) {
   const std::string& task = call.run.task;
   if (!jobs_.contains(task.substr(0, task.find('.')))) return true;
   const auto found = given_.find({task.substr(0, task.rfind('.')), std::string(worker)});
--- a/tests/world/fake_advice.h
+++ b/tests/world/fake_advice.h
@@ -39,7 +39,7 @@
            const std::function<void(advice_reply)>& done);
 
   /** Whether a worker may start a run: with the ticket that was given last, while it lasts. */
-  bool Accepts(std::string_view worker, const start_call& call) const;
+  bool Accepts(std::string_view worker, const start_call& call);
 
   int calls() const { return calls_; }
   int starts_refused() const { return starts_refused_; }
@@ -57,7 +57,7 @@
   policy allowed_;
   bool answers_ = true;
   int calls_ = 0;
-  mutable int starts_refused_ = 0;
+  int starts_refused_ = 0;
   std::map<std::string, millis> busy_until_;                           // by caller
   std::set<std::string, std::less<>> jobs_;                            // that need tickets
   std::map<std::pair<std::string, std::string>, given_ticket> given_;  // by step and worker
