--- a/tests/stories/advice_story.cc
+++ b/tests/stories/advice_story.cc
@@ -196,19 +196,25 @@
     const millis work(pick(500, 3000));
     if (pick(0, 1) == 0) {
       // Two of three may be fewer by chance.
-      const int widest = std::max(1, refuses ? workers / 3 : workers);
-      cluster.HandIn(advised, pick(1, widest), pick(1, 8), pick(0, 2) != 0, work);
+      const int members = pick(1, std::max(1, refuses ? workers / 3 : workers));
+      const int accelerators = pick(1, 8);
+      const bool gang = pick(0, 2) != 0;
+      cluster.HandIn(advised, members, accelerators, gang, work);
     } else {
-      cluster.HandIn("batch", pick(1, workers), pick(1, 8), false, work);
+      const int tasks = pick(1, workers);
+      const int accelerators = pick(1, 8);
+      cluster.HandIn("batch", tasks, accelerators, false, work);
     }
     const int fault = pick(0, 14);
+    const int machine = pick(0, workers - 1);
+    const millis down(pick(500, 5000));
     if (fault == 0) cluster.world.advice().SetAnswers(false);
     if (fault > 10) cluster.world.advice().SetAnswers(true);
     if (fault == 1 && cluster.world.Planner() >= 0) {
-      cluster.world.KillEntry(cluster.world.Planner(), millis(pick(500, 3000)));
+      cluster.world.KillEntry(cluster.world.Planner(), down);
     }
-    if (fault == 2) cluster.world.CrashWorker(pick(0, workers - 1), millis(pick(500, 5000)));
-    if (fault == 3) cluster.world.KillAgent(pick(0, workers - 1), millis(pick(500, 5000)));
+    if (fault == 2) cluster.world.CrashWorker(machine, down);
+    if (fault == 3) cluster.world.KillAgent(machine, down);
     cluster.world.RunFor(millis(pick(50, 1500)));
   }
   cluster.world.advice().SetAnswers(true);
