--- a/review/lib-3/site3.py
+++ b/review/lib-3/site3.py
@@ -298,7 +298,7 @@
         self.beats = None
         self.grey = None  # seconds after which whatever starts now fails; None: it does not
 
-    async def start_life(self, keep_id=False, first_beat_s=0.0):
+    async def start_life(self, keep_id=False):
         self.lives += 1
         if not keep_id or self.lives == 1:
             self.id = f"i-{self.number:03d}{self.lives:02d}"
@@ -316,7 +316,7 @@
         self.up = True
         self.news = asyncio.Event()
         await self.server.start()
-        self.beats = asyncio.create_task(self.beat(first_beat_s))
+        self.beats = asyncio.create_task(self.beat())
         self.site.record.line("runner-up", id=self.id, born=self.born, at=self.address)
 
     async def crash(self):
@@ -334,8 +334,7 @@
     def clock(self):
         return 100000 + int((time.monotonic() - self.started) * 1000)
 
-    async def beat(self, first_s):
-        await asyncio.sleep(first_s)
+    async def beat(self):
         while True:
             self.sequence += 1
             body = {"Service": self.site.service, "Addr": self.address, "Zone": self.zone,
@@ -676,33 +675,17 @@
                   "Id": r.id if r.up else None} for r in self.runners]
         return 200, {"Machines": found, "NextToken": None}
 
-    def ports_are_free(self):
-        """Whether nothing listens at the addresses that the case needs."""
-        wanted = [(f"127.{self.net}.0.{n}", self.store_port) for n in (1, 2, 3)]
-        for number in range(self.entries):
-            wanted += [(self.ip(1, number), port) for port in
-                       (self.front_port, self.ready_port, self.first_port, self.first_port + 15)]
-        for number in range(self.workers):
-            wanted += [(self.worker_ip(number), port) for port in
-                       (self.control_port, self.app_port, self.first_port + 15)]
+    def pick_ports(self):
+        """Moves to other ports if something listens at one that the case needs."""
+        wanted = [(self.ip(1, 0), self.front_port), (self.ip(1, 0), self.first_port),
+                  (f"127.{self.net}.0.1", self.store_port), (self.worker_ip(0), self.app_port)]
         for ip, port in wanted:
             with socket.socket() as probe:
                 probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 try:
                     probe.bind((ip, port))
-                except OSError:
-                    return False
-        return True
-
-    def pick_ports(self):
-        """Moves to other ports until all that the case needs are free."""
-        for _ in range(50):
-            if self.ports_are_free():
-                return
-            for name in ("front_port", "ready_port", "control_port", "app_port", "first_port",
-                         "store_port"):
-                setattr(self, name, getattr(self, name) + 40)
-        raise CannotRun("no free ports")
+                except OSError as problem:
+                    raise CannotRun(f"{ip}:{port}: {problem}") from problem
 
     async def start(self, config):
         if not os.access(PROGRAM, os.X_OK):
