Decisions on tickets are in a folder of their own

Cause: kernel/batch had grown by the turns for advice. Candidates get their sort key once instead of once a comparison, as it looks tickets up. Counting members on an empty worker is one function. Three headings of a test header that said nothing are gone. No other change of behaviour.

--- a/src/kernel/batch/planner_core.h
+++ b/src/kernel/batch/planner_core.h
@@ -12,13 +12,13 @@
 #include <variant>
 #include <vector>
 
+#include "kernel/advice/ticket_cache.h"
 #include "kernel/batch/lost_worker_detector.h"
 #include "kernel/batch/order_writer.h"
 #include "kernel/batch/planner_journal.h"
 #include "kernel/batch/run_tracker.h"
 #include "kernel/batch/start_notices.h"
 #include "kernel/batch/term_election.h"
-#include "kernel/batch/ticket_cache.h"
 #include "kernel/learning/speed_archive.h"
 #include "kernel/model/link_events.h"
 #include "kernel/placement/start_planner.h"
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 
+#include "kernel/advice/ticket_cache.h"
 #include "kernel/base/log_event.h"
 #include "kernel/batch/order_writer.h"
 #include "kernel/batch/term_election.h"
-#include "kernel/batch/ticket_cache.h"
 
 namespace eelgrass {
 namespace {
--- a/src/kernel/io/advice_service.h
+++ b/src/kernel/io/advice_service.h
@@ -6,8 +6,8 @@
 #include <functional>
 #include <string>
 
+#include "kernel/advice/advice_messages.h"
 #include "kernel/base/plugin_registry.h"
-#include "kernel/batch/ticket_cache.h"
 #include "kernel/io/http_client.h"
 
 namespace eelgrass {
--- a/src/kernel/placement/capacity_map.cc
+++ b/src/kernel/placement/capacity_map.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "kernel/batch/ticket_cache.h"
+#include "kernel/advice/ticket_cache.h"
 #include "kernel/batch/unit_order.h"
 #include "kernel/placement/speed_match.h"
 
@@ -175,16 +175,21 @@
     if (pace == worker_pace::kVerySlow) return 2;
     return (pace == worker_pace::kSlow) == urgent ? 1 : 0;
   };
-  std::stable_sort(
-      fitting.begin(), fitting.end(), [&](const candidate_worker* a, const candidate_worker* b) {
-        const auto key = [&](const candidate_worker* r) {
-          return std::tuple(unit.state->failed_on.contains(r->worker->profile.self.id),
-                            r->worker->profile.cold_ms > 0, speeds.Rank(*r), pace_rank(r->pace),
-                            !KnownAsAllowed(unit, r->worker->profile.self, view),
-                            r->free.accelerators, r->free.cpu_milli);
-        };
-        return key(a) < key(b);
-      });
+  using sort_key = std::tuple<bool, bool, int, int, bool, int64_t, int64_t>;
+  std::vector<std::pair<sort_key, candidate_worker*>> order;
+  order.reserve(fitting.size());
+  for (auto* r : fitting) {
+    const worker_identity& self = r->worker->profile.self;
+    order.emplace_back(
+        sort_key{unit.state->failed_on.contains(self.id), r->worker->profile.cold_ms > 0,
+                 speeds.Rank(*r), pace_rank(r->pace), !KnownAsAllowed(unit, self, view),
+                 r->free.accelerators, r->free.cpu_milli},
+        r);
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::transform(order.begin(), order.end(), fitting.begin(),
+                 [](const auto& entry) { return entry.second; });
   return fitting;
 }
 
--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -5,8 +5,9 @@
 #include <limits>
 #include <utility>
 
+#include "kernel/advice/placed_units.h"
+#include "kernel/advice/ticket_cache.h"
 #include "kernel/base/log_event.h"
-#include "kernel/batch/ticket_cache.h"
 #include "kernel/batch/worker_calls.h"
 #include "kernel/learning/run_forecast.h"
 #include "kernel/placement/speed_match.h"
@@ -47,6 +48,13 @@
   return unit.queue->advice.wanted && view.advice != nullptr;
 }
 
+/** How many members of a unit fit on a worker on which nothing else runs. */
+int64_t MembersWhenEmpty(const ready_unit& unit, const candidate_worker& candidate) {
+  int64_t most = unit.members;
+  if (unit.step->max_per_worker > 0) most = std::min<int64_t>(most, unit.step->max_per_worker);
+  return CountFitting(unit.each, candidate.worker->profile.capacity, most);
+}
+
 /** Whether the policy refuses the unit's step a worker. */
 bool AnyRefused(const ready_unit& unit, const planning_view& view) {
   const auto& workers = view.pool.all();
@@ -63,7 +71,7 @@
 start_plan start_planner::Plan(const planning_view& view) {
   start_plan plan;
   MoveFromLeavingWorkers(view, plan);
-  AddHeldWishes(view, plan);
+  plan.advice = WishesOfPlacedUnits(view);
   guaranteed_.Read(view.jobs, view.config);
   const std::vector<ready_unit> ready = Ready(view);
   capacity_.Read(view);
@@ -189,40 +197,10 @@
   if (!wish.workers.empty() || wish.insufficient) plan.advice.push_back(std::move(wish));
 }
 
-/** Names the workers of held units whose tickets have expired meanwhile. */
-void start_planner::AddHeldWishes(const planning_view& view, start_plan& plan) {
-  if (view.advice == nullptr) return;
-  std::map<unit_ref, advice_wish> wishes;
-  for (const auto& [id, worker] : view.pool.all()) {
-    for (const auto& [ref, record] : worker.runs) {
-      if (record.phase != run_phase::kHeld || record.ticket.empty()) continue;
-      advice_wish& wish = wishes[record.unit];
-      const bool expired =
-          view.advice->Ticket(record.unit, worker.profile.self, view.now) == nullptr;
-      if (wish.place.empty() || wish.place.back() != id) wish.place.push_back(id);
-      if (expired && (wish.workers.empty() || wish.workers.back() != id)) {
-        wish.workers.push_back(id);
-      }
-    }
-  }
-  for (auto& [unit, wish] : wishes) {
-    if (wish.workers.empty()) continue;
-    const unit_state* state = view.jobs.Find(unit);
-    wish.unit = unit;
-    wish.holds_room = wish.has_room = true;
-    wish.ready_since = state == nullptr ? view.now : state->ready_since;
-    plan.advice.push_back(std::move(wish));
-  }
-}
-
 /** Whether the workers could hold the unit if they were empty. */
 bool start_planner::CanHold(const ready_unit& unit, std::span<candidate_worker* const> candidates) {
   int64_t members = 0;
-  for (const auto* candidate : candidates) {
-    int64_t most = unit.members;
-    if (unit.step->max_per_worker > 0) most = std::min<int64_t>(most, unit.step->max_per_worker);
-    members += CountFitting(unit.each, candidate->worker->profile.capacity, most);
-  }
+  for (const auto* candidate : candidates) members += MembersWhenEmpty(unit, *candidate);
   return members >= unit.members;
 }
 
@@ -342,10 +320,7 @@
                                    std::span<candidate_worker* const> candidates) {
   std::map<std::string, int64_t> members;  // number of members that fit, by rack
   for (const auto* candidate : candidates) {
-    int64_t most = unit.members;
-    if (unit.step->max_per_worker > 0) most = std::min<int64_t>(most, unit.step->max_per_worker);
-    const worker_profile& profile = candidate->worker->profile;
-    members[profile.rack] += CountFitting(unit.each, profile.capacity, most);
+    members[candidate->worker->profile.rack] += MembersWhenEmpty(unit, *candidate);
   }
   return std::any_of(members.begin(), members.end(),
                      [&](const auto& rack) { return rack.second >= unit.members; });
@@ -449,7 +424,7 @@
   if (!place) return;
   const std::set<candidate_worker*> distinct(place->workers.begin(), place->workers.end());
   const bool no_tickets =
-      NeedsTickets(unit, view) && !ticket_cache::Attainable(distinct.size(), unit.queue->advice);
+      NeedsTickets(unit, view) && !TicketsAttainable(unit.queue->advice, distinct.size());
   if (no_tickets) return;
   ++holds.held;
   held_.insert(unit.unit);
--- a/src/kernel/placement/start_planner.h
+++ b/src/kernel/placement/start_planner.h
@@ -62,7 +62,6 @@
   void AddAdviceWish(const ready_unit& unit, std::span<candidate_worker* const> candidates,
                      const std::optional<std::vector<candidate_worker*>>& room,
                      const planning_view& view, start_plan& plan);
-  static void AddHeldWishes(const planning_view& view, start_plan& plan);
   static bool CanHold(const ready_unit& unit, std::span<candidate_worker* const> candidates);
   static bool AnyRackCanHold(const ready_unit& unit, std::span<candidate_worker* const> candidates);
   void Assign(const ready_unit& unit, std::span<candidate_worker* const> candidates,
--- a/tests/stories/batch_policy_story.cc
+++ b/tests/stories/batch_policy_story.cc
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
+#include "kernel/advice/ticket_cache.h"
 #include "kernel/batch/pace_policy.h"
-#include "kernel/batch/ticket_cache.h"
 #include "tests/world/batch_world.h"
 
 namespace eelgrass {
--- a/tests/world/fake_advice.h
+++ b/tests/world/fake_advice.h
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <utility>
 
-#include "kernel/batch/ticket_cache.h"
+#include "kernel/advice/advice_messages.h"
 #include "kernel/batch/worker_calls.h"
 #include "kernel/model/batch_config.h"
 #include "tests/world/timeline.h"
--- a/tests/world/job_world.h
+++ b/tests/world/job_world.h
@@ -52,7 +52,6 @@
   void StartDeclaredWorkers(const document& doc);
   bool ApplyDocument(const std::string& text);
 
-  // Driving.
   void Run(millis time);
   /** Hands a command to an entry; the answer appears under the ticket. */
   uint64_t Order(const std::string& entry, std::unique_ptr<operator_command> command);
@@ -62,7 +61,6 @@
   void SetDomain(const std::string& entry, const std::string& domain, bool out,
                  window_mode mode = window_mode::kMove);
 
-  // Failing.
   void KillEntry(const std::string& id);
   void KillAgent(const std::string& id, bool silently);
   void RestartAgent(const std::string& id);
@@ -78,7 +76,6 @@
   control_core* entry(const std::string& id);
   std::string leader() const;
 
-  // Looking.
   std::vector<job_row> Rows() const;
   const job_row* Row(const std::string& id) const;
   int CountState(job_state state) const;
