A service that is slower than its policy says does not keep steps from their tickets

What callers would see: where calls for advice take several times what DecideMs and PeriodMs say, no gang starts.

Cause: a call was given up 2 s after its stated duration, and the next one, as short, queued behind it at the service.

Change: the expected duration is the stated one times what the last answer took of it; a call that times out doubles that, up to eight. The last call of a turn names all workers of the placement, so that their tickets are valid together however long it takes.

--- a/src/kernel/advice/advice_turns.h
+++ b/src/kernel/advice/advice_turns.h
@@ -36,6 +36,9 @@
   /** Calls of the present turn so far. */
   int calls() const { return turn_ ? turn_->calls : 0; }
 
+  /** Whether the present turn has only one call left. */
+  bool last_call() const { return turn_ && turn_->calls + 1 == turn_->most_calls; }
+
   /** Since when a step has waited for a turn. */
   millis WaitsSince(const advice_wish& wish) const;
 
--- a/src/kernel/advice/ticket_cache.cc
+++ b/src/kernel/advice/ticket_cache.cc
@@ -12,6 +12,9 @@
 /** The first call of a turn names at least this many workers if there are as many. */
 constexpr size_t kUsualWorkersPerCall = 12;
 
+/** The service is not expected to be slower than its policy says by more than this factor. */
+constexpr double kMaxSlowness = 8;
+
 /** Pause after a call that failed or was rejected. */
 constexpr millis kRetryPause{200};
 
@@ -25,6 +28,22 @@
   return pending_ ? std::max(millis(0), pending_->expected_end - now) : millis(0);
 }
 
+millis ticket_cache::ExpectedTime(const advice_policy& policy, size_t workers) const {
+  const auto stated = static_cast<double>(CallTime(policy, workers).count());
+  return millis(std::llround(stated * slowness_));
+}
+
+/** A call that took longer than it was given may still be worked on, and would be so again. */
+void ticket_cache::LearnDuration(const pending_call& call, bool answered, millis now) {
+  if (answered) {
+    const auto stated = static_cast<double>(std::max<int64_t>(1, call.stated.count()));
+    slowness_ = static_cast<double>((now - call.sent).count()) / stated;
+  } else if (now >= call.expected_end) {
+    slowness_ *= 2;
+  }
+  slowness_ = std::clamp(slowness_, 1.0, kMaxSlowness);
+}
+
 /** The workers of a unit's place that have no ticket that is valid until then. */
 std::vector<std::string> ticket_cache::Expiring(const advice_wish& wish, const planning_view& view,
                                                 millis until) const {
@@ -63,12 +82,13 @@
 std::vector<std::string> ticket_cache::WorkersToName(const advice_wish& wish,
                                                      const batch_queue& queue,
                                                      const planning_view& view) const {
-  std::vector<std::string> named = Expiring(wish, view, view.now);
+  std::vector<std::string> named = Expiring(wish, view, turns_.last_call() ? kFarFuture : view.now);
   size_t spare = Spare(wish, queue, named, view);
   size_t expected = 0;
   while (named.size() + spare > expected) {
     expected = named.size() + spare;
-    named = Expiring(wish, view, view.now + CallTime(queue.advice, expected));
+    const millis answer = view.now + ExpectedTime(queue.advice, expected);
+    named = Expiring(wish, view, turns_.last_call() ? kFarFuture : answer);
     spare = Spare(wish, queue, named, view);
   }
   for (const auto& id : wish.workers) {
@@ -101,7 +121,8 @@
   call.step = StepName(wish->unit);
   call.queue = queue.name;
   for (const auto& id : call.workers) call.born[id] = view.pool.Find(id)->profile.self.born_ms;
-  const millis expected = CallTime(queue.advice, call.workers.size());
+  const millis expected = ExpectedTime(queue.advice, call.workers.size());
+  call.stated = CallTime(queue.advice, call.workers.size());
   call.sent = view.now;
   call.expected_end = view.now + expected;
   pending_ = std::move(call);
@@ -112,6 +133,7 @@
   // A call of an earlier term may be answered after a call of this term was sent.
   if (!pending_ || pending_->step != reply.step || pending_->workers != reply.asked) return;
   const pending_call call = *std::exchange(pending_, std::nullopt);
+  LearnDuration(call, reply.answered, now);
   if (!reply.answered) {
     next_ = now + kRetryPause;
     monitor_.CountFailedCall();
@@ -144,6 +166,7 @@
       .With("good", static_cast<int64_t>(reply.tickets.size()))
       .With("valid_ms", reply.valid.count())
       .With("took_ms", (now - call.sent).count())
+      .With("stated_ms", call.stated.count())
       .With("call", turns_.calls());
 }
 
@@ -152,6 +175,7 @@
   turns_ = {};
   shares_.clear();
   pending_.reset();
+  slowness_ = 1;
   next_ = millis(0);
   monitor_.Reset();
 }
--- a/src/kernel/advice/ticket_cache.h
+++ b/src/kernel/advice/ticket_cache.h
@@ -22,7 +22,8 @@
  *
  * The tickets of a unit have to be valid at the same time. Each call therefore names all workers of
  * a possible placement whose tickets would expire before the answer, so that it either completes
- * the unit's tickets or shows that a worker of the placement is refused. See advice_turns for the
+ * the unit's tickets or shows that a worker of the placement is refused. The last call of a turn
+ * renews all of them, in case calls take longer than expected. See advice_turns for the
  * order of the steps, and advice_monitor for those that cannot get their tickets.
  */
 class ticket_cache {
@@ -69,6 +70,7 @@
     std::vector<std::string> workers;
     std::map<std::string, int64_t, std::less<>> born;  // start times of the workers
     millis sent{0};
+    millis stated{0};  // duration by the policy
     millis expected_end{0};
   };
   /** How many of the workers that were asked about for the first time were allowed. */
@@ -77,6 +79,8 @@
     int64_t allowed = 0;
   };
 
+  millis ExpectedTime(const advice_policy& policy, size_t workers) const;
+  void LearnDuration(const pending_call& call, bool answered, millis now);
   std::vector<std::string> Expiring(const advice_wish& wish, const planning_view& view,
                                     millis until) const;
   size_t Spare(const advice_wish& wish, const batch_queue& queue,
@@ -89,6 +93,7 @@
   advice_monitor monitor_;
   std::map<std::string, policy_share, std::less<>> shares_;  // by queue
   std::optional<pending_call> pending_;
+  double slowness_ = 1;  // of the service: duration of its calls against the policy's figures
   millis next_{0};
 };
 
--- a/tests/stories/advice_story.cc
+++ b/tests/stories/advice_story.cc
@@ -66,6 +66,10 @@
   return std::hash<std::string>()(std::string(step) + std::string(worker)) % 3 != 0;
 }
 
+bool OneOfFour(std::string_view step, std::string_view worker) {
+  return std::hash<std::string>()(std::string(step) + std::string(worker)) % 4 == 0;
+}
+
 struct gang_burst {
   int gangs = 0;
   int members = 0;
@@ -74,8 +78,9 @@
 
 /** Gangs that come at once have all started within a time, and none was refused a ticket. */
 void RequireStarted(int workers, const advice_policy& times, const gang_burst& burst, millis within,
-                    const fake_advice::policy& allowed = {}) {
+                    const fake_advice::policy& allowed = {}, int slowness = 1) {
   advised_cluster cluster(workers, times);
+  cluster.world.advice().SetSlowness(slowness);
   cluster.world.advice().SetPolicy(allowed);
   for (int i = 0; i < burst.gangs; ++i) cluster.HandIn("usual", burst.members, burst.accelerators);
   cluster.world.RunFor(within);
@@ -99,6 +104,15 @@
   SUBCASE("so they do where the policy refuses some workers") {
     RequireStarted(32, kTimes, {4, 14, kWholeWorker}, kFinish * 2, TwoOfThree);
   }
+  SUBCASE("so they do where the policy refuses most workers") {
+    RequireStarted(60, kTimes, {4, 8, kWholeWorker}, kFinish * 3, OneOfFour);
+  }
+  SUBCASE("so they do where the service takes five times as long as its policy says") {
+    RequireStarted(32, kTimes, {4, 14, kWholeWorker}, kFinish * 5, {}, 5);
+  }
+  SUBCASE("so they do where it does so and the policy refuses some workers") {
+    RequireStarted(32, kTimes, {4, 14, kWholeWorker}, kFinish * 10, TwoOfThree, 5);
+  }
   SUBCASE("so they do where they are as wide as half of the cluster") {
     RequireStarted(96, kTimes, {4, 48, kWholeWorker}, kFinish * 2);
   }
@@ -208,11 +222,13 @@
     const int fault = pick(0, 14);
     const int machine = pick(0, workers - 1);
     const millis down(pick(500, 5000));
+    const int slowness = pick(1, 6);
     if (fault == 0) cluster.world.advice().SetAnswers(false);
     if (fault > 10) cluster.world.advice().SetAnswers(true);
     if (fault == 1 && cluster.world.Planner() >= 0) {
       cluster.world.KillEntry(cluster.world.Planner(), down);
     }
+    if (fault == 4) cluster.world.advice().SetSlowness(slowness);
     if (fault == 2) cluster.world.CrashWorker(machine, down);
     if (fault == 3) cluster.world.KillAgent(machine, down);
     cluster.world.RunFor(millis(pick(50, 1500)));
--- a/tests/world/fake_advice.cc
+++ b/tests/world/fake_advice.cc
@@ -18,22 +18,29 @@
 void fake_advice::Ask(const std::string& caller, const advice_request& request,
                       const std::function<void(advice_reply)>& done) {
   ++calls_;
-  if (!answers_) {
-    advice_reply none;
-    none.step = request.step;
-    none.asked = request.workers;
-    return events_.After(request.expected + kPatience, [done, none] { done(none); });
-  }
+  const millis given_up = events_.now() + request.expected + kPatience;
+  if (!answers_) return events_.At(given_up, [done, request] { done(Unanswered(request)); });
+  // The service also works on calls that nobody waits for any more.
   millis& busy_until = busy_until_[caller];
-  busy_until = std::max(busy_until, events_.now()) + times_.decide +
-               times_.per_worker * static_cast<int64_t>(request.workers.size());
+  const millis work =
+      times_.decide + times_.per_worker * static_cast<int64_t>(request.workers.size());
+  busy_until = std::max(busy_until, events_.now()) + work * slowness_;
+  if (busy_until > given_up) {
+    events_.At(busy_until, [this, request] { Answer(request); });
+    return events_.At(given_up, [done, request] { done(Unanswered(request)); });
+  }
   events_.At(busy_until, [this, request, done] { done(Answer(request)); });
 }
 
-advice_reply fake_advice::Answer(const advice_request& request) {
+advice_reply fake_advice::Unanswered(const advice_request& request) {
   advice_reply reply;
   reply.step = request.step;
   reply.asked = request.workers;
+  return reply;
+}
+
+advice_reply fake_advice::Answer(const advice_request& request) {
+  advice_reply reply = Unanswered(request);
   reply.answered = true;
   reply.valid = times_.valid;
   for (const auto& worker : request.workers) {
--- a/tests/world/fake_advice.h
+++ b/tests/world/fake_advice.h
@@ -35,6 +35,9 @@
   /** Calls get an answer, or none. They do from the start. */
   void SetAnswers(bool answers) { answers_ = answers; }
 
+  /** Calls take this many times as long as the policy says. */
+  void SetSlowness(int factor) { slowness_ = factor; }
+
   void Ask(const std::string& caller, const advice_request& request,
            const std::function<void(advice_reply)>& done);
 
@@ -49,6 +52,7 @@
     std::string text;
     millis until{0};
   };
+  static advice_reply Unanswered(const advice_request& request);
   advice_reply Answer(const advice_request& request);
 
   timeline& events_;
@@ -56,6 +60,7 @@
   advice_policy times_;
   policy allowed_;
   bool answers_ = true;
+  int slowness_ = 1;
   int calls_ = 0;
   int starts_refused_ = 0;
   std::map<std::string, millis> busy_until_;                           // by caller
