No room is held for tickets while the service does not answer

What callers would see: while the advice service is down, jobs of other queues wait beside workers that are held for a gang.

Cause: the gang whose turn it is had its room held until an answer, and its turns followed each other for as long as none came. A placed unit with expired tickets kept its room for 20 s in the same way.

Evidence: "less urgent work that needs no tickets uses the room" failed on: 4 of 8 tasks had begun after 3 s, on 32 idle workers.

Change: after two failed calls in a row, or a call that is a second late, no room is held, and placed units give theirs up. Calls then name one worker until one is answered, which tells soonest that the service is back, and how slow it is.

--- a/src/kernel/advice/advice_turns.h
+++ b/src/kernel/advice/advice_turns.h
@@ -18,7 +18,9 @@
  * its turn until the unit that it is for needs no ticket any more or cannot start any more, but for
  * a limited number of calls. Turns go alternately to the first step by importance and to the one
  * that has waited longest of those that could start. A step that could start therefore waits for at
- * most two turns of each other waiting step, whatever steps come meanwhile.
+ * most two turns of each other waiting step, whatever steps come meanwhile. A turn has at most
+ * three calls more than it takes to name the unit's workers; for the duration of a call see
+ * ticket_cache.
  */
 class advice_turns {
  public:
--- a/src/kernel/advice/ticket_cache.cc
+++ b/src/kernel/advice/ticket_cache.cc
@@ -15,6 +15,12 @@
 /** The service is not expected to be slower than its policy says by more than this factor. */
 constexpr double kMaxSlowness = 8;
 
+/** A call is late if it takes longer than expected by this. */
+constexpr millis kLateAnswer{1000};
+
+/** After so many failed calls in a row the service is not expected to answer the next one. */
+constexpr int kFailuresToGiveUp = 2;
+
 /** Pause after a call that failed or was rejected. */
 constexpr millis kRetryPause{200};
 
@@ -24,6 +30,15 @@
 
 }  // namespace
 
+bool ticket_cache::Answers(millis now) const {
+  const bool late = pending_ && now > pending_->expected_end + kLateAnswer;
+  return !late && failed_in_row_ < kFailuresToGiveUp;
+}
+
+bool ticket_cache::AwaitsAnswer(const unit_ref& unit, millis now) const {
+  return turns_.Has(unit) && Answers(now);
+}
+
 millis ticket_cache::AnswerIn(millis now) const {
   return pending_ ? std::max(millis(0), pending_->expected_end - now) : millis(0);
 }
@@ -97,7 +112,9 @@
     named.push_back(id);
     --spare;
   }
-  if (named.size() > kMaxWorkersPerCall) named.resize(kMaxWorkersPerCall);
+  // The shortest call tells soonest that the service answers again, and how slow it is.
+  const size_t most = failed_in_row_ < kFailuresToGiveUp ? kMaxWorkersPerCall : 1;
+  if (named.size() > most) named.resize(most);
   return named;
 }
 
@@ -136,6 +153,7 @@
   LearnDuration(call, reply.answered, now);
   if (!reply.answered) {
     next_ = now + kRetryPause;
+    ++failed_in_row_;
     monitor_.CountFailedCall();
     log_event("advice-failed")
         .With("step", call.step)
@@ -143,6 +161,7 @@
         .With("took_ms", (now - call.sent).count());
     return;
   }
+  failed_in_row_ = 0;
   const std::map<std::string, std::string, std::less<>> given(reply.tickets.begin(),
                                                               reply.tickets.end());
   policy_share& share = shares_[call.queue];
@@ -176,6 +195,7 @@
   shares_.clear();
   pending_.reset();
   slowness_ = 1;
+  failed_in_row_ = 0;
   next_ = millis(0);
   monitor_.Reset();
 }
--- a/src/kernel/advice/ticket_cache.h
+++ b/src/kernel/advice/ticket_cache.h
@@ -23,8 +23,11 @@
  * The tickets of a unit have to be valid at the same time. Each call therefore names all workers of
  * a possible placement whose tickets would expire before the answer, so that it either completes
  * the unit's tickets or shows that a worker of the placement is refused. The last call of a turn
- * renews all of them, in case calls take longer than expected. See advice_turns for the
- * order of the steps, and advice_monitor for those that cannot get their tickets.
+ * renews all of them, in case calls take longer than expected.
+ *
+ * A call is given as long as its policy states times the slowness of the service, which is known
+ * from its last answer and at most eight. See advice_turns for the order of the steps, and
+ * advice_monitor for those that cannot get their tickets.
  */
 class ticket_cache {
  public:
@@ -43,8 +46,13 @@
     return tickets_.Allowed(unit, worker);
   }
 
-  /** Whether the calls are made for this unit at present. */
-  bool HasTurn(const unit_ref& unit) const { return turns_.Has(unit); }
+  /**
+   * Whether room is to be held for this unit, since calls are made for it and the service answers.
+   */
+  bool AwaitsAnswer(const unit_ref& unit, millis now) const;
+
+  /** Whether the service has answered one of the last two calls, and is not late with the next. */
+  bool Answers(millis now) const;
 
   /** Remaining expected time of the call that is under way; 0 if there is none. */
   millis AnswerIn(millis now) const;
@@ -93,7 +101,8 @@
   advice_monitor monitor_;
   std::map<std::string, policy_share, std::less<>> shares_;  // by queue
   std::optional<pending_call> pending_;
-  double slowness_ = 1;  // of the service: duration of its calls against the policy's figures
+  double slowness_ = 1;    // of the service: duration of its calls against the policy's figures
+  int failed_in_row_ = 0;  // calls
   millis next_{0};
 };
 
--- a/src/kernel/batch/run_tracker.cc
+++ b/src/kernel/batch/run_tracker.cc
@@ -19,7 +19,7 @@
 /** An ordered run that has not begun within this time is stopped. */
 constexpr millis kStartTimeout{2000};
 
-/** A held run whose ticket has expired gives its room up if it gets no other within this time. */
+/** A held run whose ticket has expired gives its room up if no other comes within this time. */
 constexpr millis kMaxTicketRenewal{20000};
 
 /** After this many consecutive failures of different units, a worker gets no starts for a while. */
@@ -519,6 +519,16 @@
   }
 }
 
+/** Whether a held run has no valid ticket and does not get one in time. */
+bool run_tracker::TicketLost(const pool_worker& worker, const run_record& record,
+                             millis now) const {
+  if (tickets_ == nullptr || record.phase != run_phase::kHeld || record.ticket.empty()) {
+    return false;
+  }
+  if (tickets_->Ticket(record.unit, worker.profile.self, now) != nullptr) return false;
+  return !tickets_->Answers(now) || now - record.since > kMaxTicketRenewal;
+}
+
 /** Stops units of which a member has not begun, or has not got a ticket again, in time. */
 void run_tracker::StopOverdue(millis now) {
   std::set<unit_ref> overdue;
@@ -527,10 +537,7 @@
     for (auto& [ref, record] : worker.runs) {
       const bool late = record.phase == run_phase::kOrdered && now - record.since > kStartTimeout;
       if (late) overdue.insert(record.unit);
-      const bool expired = record.phase == run_phase::kHeld && !record.ticket.empty() &&
-                           now - record.since > kMaxTicketRenewal && tickets_ != nullptr &&
-                           tickets_->Ticket(record.unit, worker.profile.self, now) == nullptr;
-      if (expired) without_ticket.insert(record.unit);
+      if (TicketLost(worker, record, now)) without_ticket.insert(record.unit);
     }
   }
   for (const auto& unit : overdue) Stop(unit, "the run did not begin in time", now);
--- a/src/kernel/batch/run_tracker.h
+++ b/src/kernel/batch/run_tracker.h
@@ -111,6 +111,7 @@
   bool InOneRack(std::span<const std::string> workers) const;
   void ReleaseHeld(millis now);
   bool RenewTickets(held_members& members, millis now) const;
+  bool TicketLost(const pool_worker& worker, const run_record& record, millis now) const;
   bool HasOtherRuns(std::string_view job) const;
   void StopOverdue(millis now);
   int64_t NextRun();
--- a/src/kernel/placement/start_planner.cc
+++ b/src/kernel/placement/start_planner.cc
@@ -144,15 +144,15 @@
 }
 
 /**
- * Holds room for a unit while calls for its tickets are made, as these are of no use without the
- * room, and adds its wish. Returns false for a unit without a turn or without room.
+ * Holds room for a unit while calls for its tickets are answered, as these are of no use without
+ * the room, and adds its wish. Returns false for a unit without a turn or without room.
  */
 bool start_planner::HoldForTurn(const ready_unit& unit, const planning_view& view,
                                 start_plan& plan) {
   const auto candidates = capacity_.CandidatesFor(unit, view, ticket_rule::kPossible);
   const auto room = Place(unit, candidates, view);
   if (!room) Hold(unit, candidates, view);
-  if (!room || !view.advice->HasTurn(unit.unit)) return false;
+  if (!room || !view.advice->AwaitsAnswer(unit.unit, view.now)) return false;
   AddAdviceWish(unit, candidates, room, view, plan);
   HoldPlace(unit, *room, view.advice->AnswerIn(view.now), view);
   return true;
--- a/tests/stories/advice_story.cc
+++ b/tests/stories/advice_story.cc
@@ -58,6 +58,13 @@
     return static_cast<int>(
         std::count_if(jobs.begin(), jobs.end(), [this](const auto& job) { return Began(job); }));
   }
+  int BeganTasks(const std::string& job, int tasks) {
+    int began = 0;
+    for (int i = 0; i < tasks; ++i) {
+      began += world.check().began(job + ".0.0." + std::to_string(i)) ? 1 : 0;
+    }
+    return began;
+  }
   ticket_statistics Tickets() { return world.PlannerStats(world.Planner()).tickets; }
 };
 
@@ -178,6 +185,24 @@
   }
 }
 
+// Guards against room that is held for tickets that nobody gives.
+TEST_CASE("the service does not answer while a gang that could start needs tickets") {
+  advised_cluster cluster(32);
+  cluster.world.advice().SetAnswers(false);
+  const std::string gang = cluster.HandIn("usual", 30, kWholeWorker);
+  cluster.world.RunFor(millis(10000));
+  const std::string other = cluster.HandIn("batch", 8, kWholeWorker, false);
+  SUBCASE("less urgent work that needs no tickets uses the room") {
+    cluster.world.RunFor(millis(3000));
+    CHECK(cluster.BeganTasks(other, 8) == 8);
+  }
+  SUBCASE("the gang starts once the service answers again") {
+    cluster.world.advice().SetAnswers(true);
+    cluster.world.RunFor(kFinish);
+    CHECK(cluster.Began(gang));
+  }
+}
+
 // Guards against tickets that expire while preempted runs end, so that the start is refused.
 TEST_CASE("an urgent gang has to preempt and needs tickets") {
   advised_cluster cluster(16, {true, millis(100), millis(20), millis(900)}, "urgent");
